--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of decisions and costs; one module a rig."""
--- /dev/null
+++ b/src/cyclamendale/__init__.py
@@ -0,0 +1,1 @@
+"""Overload control layer for service call graphs."""
--- /dev/null
+++ b/src/cyclamendale/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line tool for operators."""
--- /dev/null
+++ b/src/cyclamendale/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Publishing configuration and spreading it between nodes."""
--- /dev/null
+++ b/src/cyclamendale/entry/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP entry: requests from callers and onward calls."""
--- /dev/null
+++ b/src/cyclamendale/entry/call.py
@@ -0,0 +1,98 @@
+"""One request on its way through the filter chain."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from cyclamendale import ids
+from cyclamendale import refusals
+from cyclamendale.intents import model
+from cyclamendale.overload import shed_key as shed_keys
+
+if TYPE_CHECKING:
+    from cyclamendale.entry import retry_budget
+    from cyclamendale.upstream import contexts
+
+HeaderList = list[tuple[bytes, bytes]]
+
+
+class Call:
+    """A request with what the filters found out about it.
+
+    Attributes:
+        method: HTTP method.
+        path: Path and query as received.
+        headers: Request headers in order, names in lower case. The
+            filters remove the key and the context token.
+        configuration: Configuration when the request arrived; one call
+            never sees two versions.
+        arrived_s: Clock time of arrival.
+        request: Id of the root request, shared by its whole call tree.
+        parent: Context of the upstream's request that makes this onward
+            call, or None for a root request.
+        customer: Whose request it is; empty on a route open to all.
+        route: The route that matched.
+        deadline_s: Clock time after which the answer is useless.
+        depth: 0 for a root request.
+        shed_key: Its place in the order of shedding.
+        budget: Retries that this call may still use or lend.
+        ended: Whether the caller was answered, refused or is gone.
+        on_cancel: Set by the forwarder; called when the caller is gone.
+    """
+
+    __slots__ = (
+        "arrived_s",
+        "budget",
+        "configuration",
+        "customer",
+        "deadline_s",
+        "depth",
+        "ended",
+        "headers",
+        "method",
+        "on_cancel",
+        "parent",
+        "path",
+        "request",
+        "route",
+        "shed_key",
+    )
+
+    def __init__(
+        self,
+        method: bytes,
+        path: bytes,
+        headers: HeaderList,
+        configuration: model.Configuration,
+        arrived_s: float,
+    ) -> None:
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.configuration = configuration
+        self.arrived_s = arrived_s
+        self.request = ids.RequestId("")
+        self.parent: contexts.Context | None = None
+        self.customer = ids.CustomerId("")
+        self.route: model.Route | None = None
+        self.deadline_s = 0.0
+        self.depth = 0
+        self.shed_key = shed_keys.MAX_SHED_KEY
+        self.budget: retry_budget.RetryBudget | None = None
+        self.ended = False
+        self.on_cancel: Callable[[refusals.RefusalReason], None] | None = None
+
+    def header(self, name: bytes) -> bytes | None:
+        """Returns the first value of a header, or None."""
+        for header_name, value in self.headers:
+            if header_name == name:
+                return value
+        return None
+
+    def take_header(self, name: bytes) -> bytes | None:
+        """Removes every occurrence of a header; returns the first value."""
+        value = self.header(name)
+        if value is not None:
+            self.headers = [pair for pair in self.headers if pair[0] != name]
+        return value
--- /dev/null
+++ b/src/cyclamendale/events.py
@@ -0,0 +1,156 @@
+"""Typed events, the hybrid logical clock and the bounded event ring."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import msgspec
+
+from cyclamendale import clocks
+from cyclamendale import ids
+
+DEFAULT_RING_EVENTS = 4096
+"""Events that a node keeps in memory."""
+
+
+class HlcStamp(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """Hybrid logical clock stamp: wall time and a logical counter."""
+
+    wall_ms: int
+    counter: int
+
+
+class HybridLogicalClock:
+    """Stamps that respect causality between communicating processes."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._last = HlcStamp(0, 0)
+
+    def tick(self) -> HlcStamp:
+        """Returns a stamp later than every stamp given or seen before."""
+        wall_ms = int(self._clock.wall_s() * 1000)
+        if wall_ms > self._last.wall_ms:
+            self._last = HlcStamp(wall_ms, 0)
+        else:
+            self._last = HlcStamp(self._last.wall_ms, self._last.counter + 1)
+        return self._last
+
+    def observe(self, stamp: HlcStamp) -> None:
+        """Advances past a stamp received from another process."""
+        if stamp > self._last:
+            self._last = stamp
+
+
+class Event(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Base of all events; one subclass for each thing that happens."""
+
+    request: ids.RequestId | None = None
+    customer: ids.CustomerId | None = None
+    file: ids.IntentFileName | None = None
+
+
+class NodeStarted(Event, frozen=True, kw_only=True):
+    """A node process began to serve."""
+
+    failure_domain: ids.FailureDomainName
+
+
+class NodeStopping(Event, frozen=True, kw_only=True):
+    """A node process began a graceful shutdown."""
+
+
+class RequestServed(Event, frozen=True, kw_only=True):
+    """A caller received a whole answer."""
+
+    route: ids.RouteName
+    status: int
+    duration_ms: float
+
+
+class RequestRefused(Event, frozen=True, kw_only=True):
+    """A caller received a typed refusal."""
+
+    reason: str
+    execution: str
+    route: ids.RouteName | None = None
+    version: ids.ConfigVersion | None = None
+
+
+class ConfigurationInForce(Event, frozen=True, kw_only=True):
+    """A configuration version took effect on this node."""
+
+    version: ids.ConfigVersion
+
+
+class UpstreamChanged(Event, frozen=True, kw_only=True):
+    """The node's own upstream announced another state."""
+
+    service: ids.ServiceName
+    state: str
+
+
+class MemberChanged(Event, frozen=True, kw_only=True):
+    """Another node's membership state changed."""
+
+    member: ids.NodeId
+    state: str
+
+
+class LeaseChanged(Event, frozen=True, kw_only=True):
+    """This node gained, lost or gave back a quota shard lease."""
+
+    shard: ids.ShardId
+    epoch: ids.Epoch
+    state: str
+
+
+class StoreReachabilityChanged(Event, frozen=True, kw_only=True):
+    """The platform's table became reachable or unreachable."""
+
+    reachable: bool
+
+
+class RecordedEvent(msgspec.Struct, frozen=True):
+    """An event with its stamp and the node that recorded it."""
+
+    stamp: HlcStamp
+    node: ids.NodeId
+    kind: str
+    fields: dict[str, Any]
+
+
+class EventLog:
+    """Bounded in-memory ring of events of one node."""
+
+    def __init__(
+        self,
+        node: ids.NodeId,
+        hlc: HybridLogicalClock,
+        capacity: int = DEFAULT_RING_EVENTS,
+    ) -> None:
+        self._node = node
+        self.hlc = hlc
+        self._ring: collections.deque[tuple[HlcStamp, Event]] = (
+            collections.deque(maxlen=capacity)
+        )
+        self._listeners: list[Callable[[Event], None]] = []
+
+    def record(self, event: Event) -> None:
+        """Stamps and keeps an event; the oldest goes when full."""
+        self._ring.append((self.hlc.tick(), event))
+        for listener in self._listeners:
+            listener(event)
+
+    def subscribe(self, listener: Callable[[Event], None]) -> None:
+        """Calls `listener` with every event recorded from now on."""
+        self._listeners.append(listener)
+
+    def recorded(self) -> Iterator[RecordedEvent]:
+        """Yields the events kept, oldest first."""
+        for stamp, event in tuple(self._ring):
+            fields = msgspec.to_builtins(event)
+            kind = fields.pop("type")
+            yield RecordedEvent(stamp, self._node, kind, fields)
--- /dev/null
+++ b/src/cyclamendale/filters/__init__.py
@@ -0,0 +1,1 @@
+"""Filter chain that every request passes."""
--- /dev/null
+++ b/src/cyclamendale/filters/base.py
@@ -0,0 +1,64 @@
+"""Base class of filters and the chain that runs them."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING, TypeAlias
+
+from twisted.internet import defer
+
+from cyclamendale import refusals
+
+if TYPE_CHECKING:
+    from cyclamendale.entry import call as calls
+
+Verdict: TypeAlias = refusals.Refusal | None
+"""None lets the request pass on to the next filter."""
+
+
+class Filter(abc.ABC):
+    """One step in the handling of a request."""
+
+    @abc.abstractmethod
+    def apply(self, call: calls.Call) -> Verdict | defer.Deferred[Verdict]:
+        """Examines or completes a call.
+
+        Returns:
+            The verdict, or a Deferred of it when the filter must wait.
+        """
+
+
+class FilterChain:
+    """Runs the filters in order until one refuses."""
+
+    def __init__(
+        self,
+        filters: Sequence[Filter],
+        passed: Callable[[calls.Call], None],
+        refused: Callable[[calls.Call, refusals.Refusal], None],
+    ) -> None:
+        self._filters = tuple(filters)
+        self._passed = passed
+        self._refused = refused
+
+    def run(self, call: calls.Call, start: int = 0) -> None:
+        """Runs the filters from index `start` on."""
+        for index in range(start, len(self._filters)):
+            verdict = self._filters[index].apply(call)
+            if verdict is None:
+                continue
+            if isinstance(verdict, defer.Deferred):
+                verdict.addCallback(self._resume, call, index + 1)
+                return
+            self._refused(call, verdict)
+            return
+        self._passed(call)
+
+    def _resume(self, verdict: Verdict, call: calls.Call, start: int) -> None:
+        if call.ended:
+            return
+        if verdict is None:
+            self.run(call, start)
+        else:
+            self._refused(call, verdict)
--- /dev/null
+++ b/src/cyclamendale/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Caller-side forwarding: retries, hedges and outcomes."""
--- /dev/null
+++ b/src/cyclamendale/ids.py
@@ -0,0 +1,40 @@
+"""Typed identifiers shared by all modules."""
+
+from __future__ import annotations
+
+import secrets
+from typing import NewType
+
+NodeId = NewType("NodeId", str)
+"""One node process: its peer address and a random part, `ip:port#hex`."""
+
+PeerAddress = NewType("PeerAddress", str)
+"""Where a node listens for peers, `ip:port`, for TCP and UDP alike."""
+
+FailureDomainName = NewType("FailureDomainName", str)
+ServiceName = NewType("ServiceName", str)
+RouteName = NewType("RouteName", str)
+CustomerId = NewType("CustomerId", str)
+RequestId = NewType("RequestId", str)
+"""Identifies one root request and every onward call made for it."""
+
+KeyDigest = NewType("KeyDigest", str)
+"""Hexadecimal SHA-256 digest of a customer's key."""
+
+IntentFileName = NewType("IntentFileName", str)
+ConfigVersion = NewType("ConfigVersion", int)
+ChangeId = NewType("ChangeId", str)
+ShardId = NewType("ShardId", int)
+Epoch = NewType("Epoch", int)
+ContextToken = NewType("ContextToken", str)
+"""Unguessable token of one request handed to one upstream."""
+
+
+def make_node_id(address: PeerAddress) -> NodeId:
+    """Returns a fresh node id for a process that listens at `address`."""
+    return NodeId(f"{address}#{secrets.token_hex(6)}")
+
+
+def address_of(node_id: NodeId) -> PeerAddress:
+    """Returns the peer address contained in a node id."""
+    return PeerAddress(node_id.partition("#")[0])
--- /dev/null
+++ b/src/cyclamendale/intents/__init__.py
@@ -0,0 +1,1 @@
+"""Intent files: parsing, checking, merging and explaining."""
--- /dev/null
+++ b/src/cyclamendale/intents/model.py
@@ -0,0 +1,196 @@
+"""Configuration as merged from the intent files."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import enum
+
+import msgspec
+
+from cyclamendale import ids
+from cyclamendale import refusals
+
+DEFAULT_RETRY_BUDGET = 3
+DEFAULT_DEADLINE_S = 5.0
+DEFAULT_QUOTA_SHARDS = 8
+DEFAULT_RETAINED_SHARE = 0.75
+DEFAULT_MAX_BODY_BYTES = 256 * 1024 * 1024
+
+
+class Importance(enum.IntEnum):
+    """Importance of a route; a lower value is shed later."""
+
+    CRITICAL = 0
+    HIGH = 1
+    NORMAL = 2
+    BACKGROUND = 3
+
+
+class KeyState(enum.Enum):
+    """Whether a key may be used."""
+
+    GRANTED = "granted"
+    WITHDRAWN = "withdrawn"
+
+
+class WhenCutOff(enum.Enum):
+    """What a key does on a node that cannot confirm its configuration."""
+
+    SERVE = "serve"
+    REFUSE = "refuse"
+
+
+class Once(enum.Enum):
+    """How repeats of a non-idempotent request are recognised."""
+
+    NONE = "none"
+    TABLE = "table"
+
+
+class FailureDomain(msgspec.Struct, frozen=True):
+    """A failure domain and its weight in the division of quotas."""
+
+    name: ids.FailureDomainName
+    weight: float = 1.0
+    region: str = ""
+
+
+class Service(msgspec.Struct, frozen=True):
+    """A service and the limits of each of its upstreams.
+
+    Attributes:
+        name: Name that upstreams announce.
+        max_queue_s: Longest time a request may wait at an upstream.
+        slow_start_s: Ramp-up time of a cold upstream.
+    """
+
+    name: ids.ServiceName
+    max_queue_s: float = 0.1
+    slow_start_s: float = 5.0
+
+
+class Route(msgspec.Struct, frozen=True):
+    """A set of requests that are treated alike.
+
+    Attributes:
+        name: Unique name.
+        service: Service that serves it.
+        path_prefix: Path prefix; the longest matching prefix wins.
+        methods: HTTP methods; empty for all.
+        importance: Importance of the root requests of this route.
+        idempotent: Whether running a request twice does no harm.
+        open: Whether it is served without a key.
+        hedge: Whether stragglers are repeated (idempotent routes only).
+        once: How repeats of a non-idempotent request are recognised.
+        deadline_s: Time allowed for a root request.
+        max_body_bytes: Largest request body.
+    """
+
+    name: ids.RouteName
+    service: ids.ServiceName
+    path_prefix: str
+    methods: tuple[str, ...] = ()
+    importance: Importance = Importance.NORMAL
+    idempotent: bool = False
+    open: bool = False
+    hedge: bool = False
+    once: Once = Once.NONE
+    deadline_s: float = DEFAULT_DEADLINE_S
+    max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+
+
+class Customer(msgspec.Struct, frozen=True):
+    """A customer and its quota across all hosts together.
+
+    Attributes:
+        name: Unique name.
+        rate_per_s: Root requests admitted per second.
+        burst: Root requests admitted at once.
+        weight: Share of a congested upstream, relative to others.
+    """
+
+    name: ids.CustomerId
+    rate_per_s: float
+    burst: float
+    weight: float = 1.0
+
+
+class Key(msgspec.Struct, frozen=True):
+    """A key, known only by its digest.
+
+    Attributes:
+        digest: SHA-256 of the key, hexadecimal.
+        customer: Whose requests it authorises.
+        state: Granted or withdrawn.
+        when_cut_off: Behaviour on nodes that cannot confirm.
+        refuse_after_s: Age of the last confirmation from which a key
+            with `WhenCutOff.REFUSE` is refused.
+    """
+
+    digest: ids.KeyDigest
+    customer: ids.CustomerId
+    state: KeyState = KeyState.GRANTED
+    when_cut_off: WhenCutOff = WhenCutOff.SERVE
+    refuse_after_s: float = 30.0
+
+
+class Gone(msgspec.Struct, frozen=True):
+    """An operator's word that a node process no longer exists."""
+
+    node: ids.NodeId
+
+
+class Defaults(msgspec.Struct, frozen=True):
+    """Settings that hold for the whole fleet.
+
+    Attributes:
+        retry_budget: Retries and hedges of one root request, in all.
+        max_depth: Deepest call tree.
+        quota_shards: Shards per failure domain.
+        retained_share: Share that a lapsed quota holder keeps.
+    """
+
+    retry_budget: int = DEFAULT_RETRY_BUDGET
+    max_depth: int = 16
+    quota_shards: int = DEFAULT_QUOTA_SHARDS
+    retained_share: float = DEFAULT_RETAINED_SHARE
+
+
+Entry = FailureDomain | Service | Route | Customer | Key | Gone | Defaults
+
+
+class Configuration(msgspec.Struct, frozen=True):
+    """All intents in force, merged, each with the file that decided.
+
+    Attributes:
+        version: Version in the platform's table; 0 before the first.
+        sources: For each entry, as `(kind, name)`, and each of its
+            fields, as `(kind, name, field)`, the deciding file.
+    """
+
+    version: ids.ConfigVersion = ids.ConfigVersion(0)
+    failure_domains: Mapping[ids.FailureDomainName, FailureDomain] = {}
+    services: Mapping[ids.ServiceName, Service] = {}
+    routes: Mapping[ids.RouteName, Route] = {}
+    customers: Mapping[ids.CustomerId, Customer] = {}
+    keys: Mapping[ids.KeyDigest, Key] = {}
+    gone: Mapping[ids.NodeId, Gone] = {}
+    defaults: Defaults = Defaults()
+    sources: Mapping[tuple[str, ...], ids.IntentFileName] = {}
+
+    def decider(
+        self, kind: str, name: str, field: str | None = None
+    ) -> refusals.Decider | None:
+        """Returns the file that decided an entry or one of its fields.
+
+        Args:
+            kind: Entry kind as written in the files, such as "customer".
+            name: Name of the entry.
+            field: Field of the entry; its entry's file when not set.
+        """
+        file = None
+        if field is not None:
+            file = self.sources.get((kind, name, field))
+        if file is None:
+            file = self.sources.get((kind, name))
+        return refusals.Decider(file, self.version) if file else None
--- /dev/null
+++ b/src/cyclamendale/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Cluster membership and upstream announcements."""
--- /dev/null
+++ b/src/cyclamendale/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Overload decisions: limits, queueing, shedding and balancing."""
--- /dev/null
+++ b/src/cyclamendale/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Thrift protocol between nodes."""
--- /dev/null
+++ b/src/cyclamendale/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces to the platform's table and object store."""
--- /dev/null
+++ b/src/cyclamendale/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quota decisions: shares, leases, draws and borrowing."""
--- /dev/null
+++ b/src/cyclamendale/refusals.py
@@ -0,0 +1,100 @@
+"""Typed refusals that a caller receives instead of an answer."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from cyclamendale import ids
+
+
+class Execution(enum.Enum):
+    """What is known about whether the request ran on an upstream."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class RefusalReason(enum.Enum):
+    """Why a request was refused; the value is stable and public."""
+
+    KEY_MISSING = "key-missing"
+    KEY_UNKNOWN = "key-unknown"
+    KEY_WITHDRAWN = "key-withdrawn"
+    KEY_STALE = "key-not-confirmed"
+    CONTEXT_INVALID = "context-invalid"
+    ROUTE_UNKNOWN = "route-unknown"
+    QUOTA = "quota"
+    QUOTA_UNAVAILABLE = "quota-unavailable"
+    SHED = "shed"
+    QUEUE_FULL = "queue-full"
+    LEAVING = "leaving"
+    NO_TARGET = "no-target"
+    DEADLINE = "deadline"
+    DEPTH = "depth"
+    LOST = "lost"
+    UPSTREAM_FAILED = "upstream-failed"
+    ALREADY_RUN = "already-run"
+    ONCE_UNAVAILABLE = "once-unavailable"
+    TOO_LARGE = "too-large"
+    CANCELLED = "cancelled"
+    NOT_READY = "not-ready"
+    BAD_REQUEST = "bad-request"
+
+
+HTTP_STATUS_BY_REASON: dict[RefusalReason, int] = {
+    RefusalReason.KEY_MISSING: 401,
+    RefusalReason.KEY_UNKNOWN: 401,
+    RefusalReason.KEY_WITHDRAWN: 403,
+    RefusalReason.KEY_STALE: 403,
+    RefusalReason.CONTEXT_INVALID: 403,
+    RefusalReason.ROUTE_UNKNOWN: 404,
+    RefusalReason.QUOTA: 429,
+    RefusalReason.QUOTA_UNAVAILABLE: 503,
+    RefusalReason.SHED: 503,
+    RefusalReason.QUEUE_FULL: 503,
+    RefusalReason.LEAVING: 503,
+    RefusalReason.NO_TARGET: 503,
+    RefusalReason.DEADLINE: 504,
+    RefusalReason.DEPTH: 508,
+    RefusalReason.LOST: 502,
+    RefusalReason.UPSTREAM_FAILED: 502,
+    RefusalReason.ALREADY_RUN: 409,
+    RefusalReason.ONCE_UNAVAILABLE: 503,
+    RefusalReason.TOO_LARGE: 413,
+    RefusalReason.CANCELLED: 499,
+    RefusalReason.NOT_READY: 503,
+    RefusalReason.BAD_REQUEST: 400,
+}
+
+
+class Decider(msgspec.Struct, frozen=True):
+    """The intent file, and its version, that decided an outcome."""
+
+    file: ids.IntentFileName
+    version: ids.ConfigVersion
+
+    def __str__(self) -> str:
+        return f"{self.file}@{self.version}"
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """A typed refusal.
+
+    Attributes:
+        reason: Why the request was refused.
+        execution: Whether the request certainly did not run.
+        decider: The intent file that decided, if one did.
+        retry_after_s: When a repeat may succeed, in seconds, jittered.
+    """
+
+    reason: RefusalReason
+    execution: Execution = Execution.NOT_RUN
+    decider: Decider | None = None
+    retry_after_s: float | None = None
+
+    @property
+    def http_status(self) -> int:
+        """Returns the HTTP status code for this refusal."""
+        return HTTP_STATUS_BY_REASON[self.reason]
--- /dev/null
+++ b/src/cyclamendale/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Upstream side: the gate and the HTTP client of one upstream."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of cyclamendale."""
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes and helpers shared by the tests."""
