--- a/src/cyclamendale/entry/call.py
+++ b/src/cyclamendale/entry/call.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from cyclamendale.entry import retry_budget
+    from cyclamendale.forwarding import forwarder
     from cyclamendale.upstream import contexts
 
 HeaderList = list[tuple[bytes, bytes]]
@@ -20,11 +21,13 @@
 class Call:
     """A request with what the filters found out about it.
 
+    The filters fill in the attributes from `request` on.
+
     Attributes:
         method: HTTP method.
         path: Path and query as received.
-        headers: Request headers in order, names in lower case. The
-            filters remove the key and the context token.
+        headers: Request headers in order, names in canonical case, as
+            in `X-Api-Key`. Filters remove the key and the token.
         configuration: Configuration when the request arrived; one call
             never sees two versions.
         arrived_s: Clock time of arrival.
@@ -32,25 +35,37 @@
         parent: Context of the upstream's request that makes this onward
             call, or None for a root request.
         customer: Whose request it is; empty on a route open to all.
+        key_refusal: Why the key gives no access, unless the route is
+            open to all.
         route: The route that matched.
         deadline_s: Clock time after which the answer is useless.
         depth: 0 for a root request.
         shed_key: Its place in the order of shedding.
         budget: Retries that this call may still use or lend.
+        body: The whole body, or its first part.
+        more: Whether further parts of the body follow.
+        body_bytes: Length of the whole body, or
+            `exchange.UNKNOWN_LENGTH`.
         ended: Whether the caller was answered, refused or is gone.
-        on_cancel: Set by the forwarder; called when the caller is gone.
+        caller: Who waits for the answer.
+        on_cancel: Set by the forwarder; cancels the work in flight.
     """
 
     __slots__ = (
         "arrived_s",
+        "body",
+        "body_bytes",
         "budget",
+        "caller",
         "configuration",
         "customer",
         "deadline_s",
         "depth",
         "ended",
         "headers",
+        "key_refusal",
         "method",
+        "more",
         "on_cancel",
         "parent",
         "path",
@@ -66,22 +81,31 @@
         headers: HeaderList,
         configuration: model.Configuration,
         arrived_s: float,
+        caller: forwarder.Caller,
+        body: bytes = b"",
+        more: bool = False,
+        body_bytes: int = 0,
     ) -> None:
         self.method = method
         self.path = path
         self.headers = headers
         self.configuration = configuration
         self.arrived_s = arrived_s
+        self.caller = caller
+        self.body = body
+        self.more = more
+        self.body_bytes = body_bytes
         self.request = ids.RequestId("")
         self.parent: contexts.Context | None = None
         self.customer = ids.CustomerId("")
+        self.key_refusal: refusals.Refusal | None = None
         self.route: model.Route | None = None
         self.deadline_s = 0.0
         self.depth = 0
         self.shed_key = shed_keys.MAX_SHED_KEY
         self.budget: retry_budget.RetryBudget | None = None
         self.ended = False
-        self.on_cancel: Callable[[refusals.RefusalReason], None] | None = None
+        self.on_cancel: Callable[[], None] | None = None
 
     def header(self, name: bytes) -> bytes | None:
         """Returns the first value of a header, or None."""
@@ -90,6 +114,13 @@
                 return value
         return None
 
+    def head_bytes(self) -> bytes:
+        """Returns request line and headers as they go to the upstream."""
+        parts = [self.method, b" ", self.path, b" HTTP/1.1\r\n"]
+        for name, value in self.headers:
+            parts += (name, b": ", value, b"\r\n")
+        return b"".join(parts)
+
     def take_header(self, name: bytes) -> bytes | None:
         """Removes every occurrence of a header; returns the first value."""
         value = self.header(name)
--- /dev/null
+++ b/src/cyclamendale/entry/http_entry.py
@@ -0,0 +1,437 @@
+"""HTTP entry: requests from callers, and onward calls of the upstream.
+
+Uses twisted.web's channel without its resource tree: a request runs
+through the filter chain, and head and body of a short answer leave in one
+write.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import protocol
+from twisted.python import failure
+from twisted.web import http
+
+from cyclamendale import clocks
+from cyclamendale import refusals
+from cyclamendale.configuration import source
+from cyclamendale.entry import call as calls
+from cyclamendale.filters import base
+from cyclamendale.forwarding import exchange
+from cyclamendale.forwarding import forwarder
+
+IDLE_TIMEOUT_S = 60
+HEAD_TIMEOUT_S = 10.0
+"""Longest time for a caller to send a request's head."""
+
+_HOP_HEADERS = frozenset(
+    {
+        b"Connection",
+        b"Content-Length",
+        b"Expect",
+        b"Keep-Alive",
+        b"Proxy-Authenticate",
+        b"Proxy-Authorization",
+        b"Proxy-Connection",
+        b"TE",
+        b"Te",
+        b"Trailer",
+        b"Transfer-Encoding",
+        b"Upgrade",
+    }
+)
+_OWN_PREFIX = b"X-Cyclamendale-"
+_OWN_REQUEST_HEADERS = frozenset(
+    {b"X-Cyclamendale-Context", b"X-Cyclamendale-Deadline-Ms"}
+)
+
+CallObserver = Callable[[calls.Call, "refusals.Refusal | int"], None]
+"""Told of each ended call with its refusal or its HTTP status."""
+
+
+class Entry:
+    """What all requests at one listener share."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        configuration: source.ConfigurationSource,
+        forward: forwarder.Forwarder,
+        observer: CallObserver,
+    ) -> None:
+        self.clock = clock
+        self.configuration = configuration
+        self.forwarder = forward
+        self.observer = observer
+        self.chain: base.FilterChain | None = None
+        self.closing = False
+        self.active: set[EntryRequest] = set()
+        self._drained: list[Callable[[], None]] = []
+
+    def set_filters(self, filters: list[base.Filter]) -> None:
+        """Sets the filters that each request passes, in order."""
+        self.chain = base.FilterChain(
+            filters,
+            lambda call: call.caller.passed(),
+            lambda call, refusal: call.caller.refuse(refusal),
+        )
+
+    def make_factory(self) -> protocol.ServerFactory:
+        """Returns the factory for a listening port."""
+        return _EntryFactory(self)
+
+    def close(self, drained: Callable[[], None]) -> None:
+        """Asks callers to move on; calls `drained` when none is left."""
+        self.closing = True
+        self._drained.append(drained)
+        self.check_drained()
+
+    def check_drained(self) -> None:
+        """Reports a drained entry to whoever waits for it."""
+        if self.closing and not self.active:
+            drained, self._drained = self._drained, []
+            for notify in drained:
+                notify()
+
+
+class _EntryFactory(protocol.ServerFactory):
+    noisy = False
+
+    def __init__(self, entry: Entry) -> None:
+        self._entry = entry
+
+    def buildProtocol(self, addr: Any) -> EntryChannel:
+        return EntryChannel(self._entry)
+
+
+class EntryChannel(http.HTTPChannel):
+    """One connection from a caller."""
+
+    transport: Any
+
+    def __init__(self, entry: Entry) -> None:
+        super().__init__()
+        self.entry = entry
+        self.timeOut = IDLE_TIMEOUT_S
+        self.requestFactory = EntryRequest  # type: ignore[assignment]
+        self.is_http_1_1 = True
+        self._head_timer: clocks.DelayedCall | None = None
+
+    def lineReceived(self, line: bytes) -> None:
+        """Bounds the time that a request's head may take."""
+        if self._head_timer is None and not self._handlingRequest:
+            self._head_timer = self.entry.clock.call_later(
+                HEAD_TIMEOUT_S, self._head_too_slow
+            )
+        super().lineReceived(line)
+
+    def allHeadersReceived(self) -> None:
+        """Notes the end of the head."""
+        self._stop_head_timer()
+        self.is_http_1_1 = self._version == b"HTTP/1.1"
+        super().allHeadersReceived()
+
+    def connectionLost(self, reason: failure.Failure) -> None:  # type: ignore[override]
+        """Tells the requests in progress that their caller is gone."""
+        self._stop_head_timer()
+        super().connectionLost(reason)
+
+    def _stop_head_timer(self) -> None:
+        timer, self._head_timer = self._head_timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
+
+    def _head_too_slow(self) -> None:
+        self._head_timer = None
+        self.transport.abortConnection()
+
+
+class EntryRequest(http.Request, forwarder.Caller):
+    """One request of a caller, and where its answer goes."""
+
+    channel: Any
+
+    def __init__(self, channel: EntryChannel, queued: Any = None) -> None:
+        super().__init__(channel)
+        self._entry = channel.entry
+        self._call: calls.Call | None = None
+        self._forwarding: forwarder.Forwarding | None = None
+        self._received = bytearray()
+        self._body_bytes = 0
+        self._body_complete = False
+        self._upload_wanted = False
+        self._reading_paused = False
+        self._answer_chunked = False
+        self._bodyless = False
+        self._writing_paused = False
+        self._chunk_wanted = False
+        self._answer_begun = False
+        self._over = False
+
+    # The request arrives.
+
+    def parseCookies(self) -> None:
+        """Leaves cookies to the upstream."""
+
+    def gotLength(self, length: int | None) -> None:
+        """Begins at once with a request whose body is long."""
+        self._body_bytes = exchange.UNKNOWN_LENGTH if length is None else length
+        if length is None or length > exchange.CHUNK_BYTES:
+            self._begin(self.channel._command, self.channel._path)
+
+    def handleContentChunk(self, data: bytes) -> None:
+        """Keeps a part of the body until it is asked for."""
+        if self._over:
+            return
+        self._received += data
+        if self._upload_wanted:
+            self._send_upload()
+        elif (
+            self._call is not None
+            and len(self._received) >= exchange.CHUNK_BYTES
+            and not self._reading_paused
+        ):
+            self._reading_paused = True
+            self.channel.transport.pauseProducing()
+
+    def requestReceived(
+        self, command: bytes, path: bytes, version: bytes
+    ) -> None:
+        """Handles the end of the request."""
+        self._body_complete = True
+        if self._over:
+            return
+        if self._call is None:
+            self._begin(command, path)
+        elif self._upload_wanted:
+            self._send_upload()
+
+    def connectionLost(self, reason: failure.Failure) -> None:
+        """Cancels the work for a caller that is gone."""
+        call = self._call
+        if call is not None and not self._over:
+            self._end(None)
+            if call.on_cancel is not None:
+                call.on_cancel()
+            call.ended = True
+        super().connectionLost(reason)
+
+    def _begin(self, method: bytes, path: bytes) -> None:
+        entry = self._entry
+        body, more = bytes(self._received), not self._body_complete
+        self._received.clear()
+        if not more:
+            self._body_bytes = len(body)
+        call = calls.Call(
+            method,
+            path,
+            self._passed_headers(),
+            entry.configuration.current,
+            entry.clock.now_s(),
+            self,
+            body,
+            more,
+            self._body_bytes,
+        )
+        self._call = call
+        self._bodyless = method == b"HEAD"
+        entry.active.add(self)
+        assert entry.chain is not None
+        entry.chain.run(call)
+
+    def _passed_headers(self) -> calls.HeaderList:
+        return [
+            (name, value)
+            for name, values in self.requestHeaders.getAllRawHeaders()
+            if name not in _HOP_HEADERS
+            and (
+                not name.startswith(_OWN_PREFIX) or name in _OWN_REQUEST_HEADERS
+            )
+            for value in values
+        ]
+
+    def passed(self) -> None:
+        """Forwards the call once it passed the filter chain."""
+        assert self._call is not None
+        forwarding = forwarder.Forwarding(
+            self._entry.forwarder, self._call, self
+        )
+        self._forwarding = forwarding
+        forwarding.start()
+
+    # The request's body goes out.
+
+    def next_upload(self) -> None:
+        """See base class."""
+        self._upload_wanted = True
+        if self._received or self._body_complete:
+            self._send_upload()
+
+    def _send_upload(self) -> None:
+        self._upload_wanted = False
+        data = bytes(self._received[: exchange.CHUNK_BYTES])
+        del self._received[: exchange.CHUNK_BYTES]
+        last = self._body_complete and not self._received
+        if self._reading_paused and not self._over:
+            self._reading_paused = False
+            self.channel.transport.resumeProducing()
+        assert self._forwarding is not None
+        self._forwarding.push(data, last)
+
+    # The answer comes back.
+
+    def answer(self, answer: exchange.Answer) -> None:
+        """See base class."""
+        if self._over:
+            return
+        self._answer_begun = True
+        head = [
+            b"HTTP/1.1 %d %s\r\n"
+            % (answer.status, http.RESPONSES.get(answer.status, b"Unknown")),
+            answer.head,
+            b"X-Cyclamendale-Outcome: answered\r\n",
+            b"X-Cyclamendale-Request: %s\r\n"
+            % (self._call.request.encode() if self._call else b""),
+        ]
+        if answer.more and answer.body_bytes == exchange.UNKNOWN_LENGTH:
+            self._answer_chunked = self.channel.is_http_1_1
+            if self._answer_chunked:
+                head.append(b"Transfer-Encoding: chunked\r\n")
+        elif answer.status not in http.NO_BODY_CODES:
+            length = answer.body_bytes if answer.more else len(answer.body)
+            if self._bodyless:
+                length = answer.body_bytes
+            if length != exchange.UNKNOWN_LENGTH:
+                head.append(b"Content-Length: %d\r\n" % length)
+        self._write_head(head, self._framed(answer.body))
+        if answer.more:
+            self.channel.registerProducer(self, True)
+            self._pull()
+        else:
+            self._end(answer.status)
+            self.finish()
+
+    def chunk(self, data: bytes, last: bool) -> None:
+        """See base class."""
+        if self._over:
+            return
+        framed = self._framed(data)
+        if last and self._answer_chunked:
+            framed += b"0\r\n\r\n"
+        self.channel.write(framed)
+        if last:
+            self.channel.unregisterProducer()
+            self._end(http.OK)
+            self.finish()
+        else:
+            self._pull()
+
+    def refuse(self, refusal: refusals.Refusal) -> None:
+        """See base class."""
+        if self._over:
+            return
+        call = self._call
+        assert call is not None
+        call.ended = True
+        body = b"" if self._bodyless else _refusal_body(call, refusal)
+        head = [
+            b"HTTP/1.1 %d %s\r\n"
+            % (
+                refusal.http_status,
+                http.RESPONSES.get(refusal.http_status, b"Refused"),
+            ),
+            b"Content-Type: application/json\r\n",
+            b"Content-Length: %d\r\n" % len(body),
+            b"X-Cyclamendale-Outcome: %s\r\n"
+            % refusal.execution.value.encode(),
+            b"X-Cyclamendale-Reason: %s\r\n" % refusal.reason.value.encode(),
+            b"X-Cyclamendale-Request: %s\r\n" % call.request.encode(),
+        ]
+        if refusal.decider is not None:
+            head.append(
+                b"X-Cyclamendale-Decided-By: %s\r\n"
+                % str(refusal.decider).encode()
+            )
+        if refusal.retry_after_s is not None:
+            # The header has whole seconds, the body the exact figure.
+            head.append(
+                b"Retry-After: %d\r\n" % max(1, round(refusal.retry_after_s))
+            )
+        if not self._body_complete:
+            # The rest of the body is not read, so nothing can follow.
+            self.channel.persistent = False
+        self._write_head(head, body)
+        self._end(refusal)
+        self.finish()
+
+    def abort(self) -> None:
+        """See base class."""
+        if self._over:
+            return
+        self._end(
+            refusals.Refusal(
+                refusals.RefusalReason.LOST, refusals.Execution.UNKNOWN
+            )
+        )
+        self.channel.transport.abortConnection()
+
+    # Backpressure of the caller's connection.
+
+    def pauseProducing(self) -> None:
+        """The caller reads slowly."""
+        self._writing_paused = True
+
+    def resumeProducing(self) -> None:
+        """The caller has read what was sent."""
+        self._writing_paused = False
+        if self._chunk_wanted:
+            self._pull()
+
+    def stopProducing(self) -> None:
+        """The connection is closing; `connectionLost` follows."""
+
+    def _pull(self) -> None:
+        self._chunk_wanted = self._writing_paused
+        if not self._writing_paused and self._forwarding is not None:
+            self._forwarding.pull()
+
+    def _framed(self, data: bytes) -> bytes:
+        if not self._answer_chunked:
+            return data
+        return b"%x\r\n%s\r\n" % (len(data), data) if data else b""
+
+    def _write_head(self, head: list[bytes], body: bytes) -> None:
+        if self._entry.closing or not self._body_complete:
+            self.channel.persistent = False
+        if not self.channel.persistent:
+            head.append(b"Connection: close\r\n")
+        head.append(b"\r\n")
+        head.append(body)
+        self.startedWriting = 1
+        self.channel.write(b"".join(head))
+
+    def _end(self, outcome: refusals.Refusal | int | None) -> None:
+        self._over = True
+        self._entry.active.discard(self)
+        if outcome is not None and self._call is not None:
+            self._entry.observer(self._call, outcome)
+        self._entry.check_drained()
+
+
+def _refusal_body(call: calls.Call, refusal: refusals.Refusal) -> bytes:
+    decider = refusal.decider
+    return (
+        b'{"reason":"%s","outcome":"%s","request":"%s","decided_by":%s,'
+        b'"retry_after_s":%s}\n'
+        % (
+            refusal.reason.value.encode(),
+            refusal.execution.value.encode(),
+            call.request.encode(),
+            b'"%s"' % str(decider).encode() if decider else b"null",
+            b"%.3f" % refusal.retry_after_s
+            if refusal.retry_after_s is not None
+            else b"null",
+        )
+    )
--- a/src/cyclamendale/entry/retry_budget.py
+++ b/src/cyclamendale/entry/retry_budget.py
@@ -43,3 +43,8 @@
                 more than was lent.
         """
         self._remaining += max(0, min(unused, lent))
+
+    def drain(self) -> int:
+        """Takes out everything that is left; returns how much it was."""
+        remaining, self._remaining = self._remaining, 0
+        return remaining
--- /dev/null
+++ b/src/cyclamendale/filters/context.py
@@ -0,0 +1,79 @@
+"""Filter that sets what a call inherits, or what a root begins with."""
+
+from __future__ import annotations
+
+import secrets
+
+import xxhash
+
+from cyclamendale import ids
+from cyclamendale import refusals
+from cyclamendale.entry import call as calls
+from cyclamendale.entry import retry_budget
+from cyclamendale.filters import base
+from cyclamendale.overload import early_shed
+from cyclamendale.overload import shed_key as shed_keys
+from cyclamendale.upstream import contexts
+
+REQUEST_ID_BYTES = 8
+
+
+class ContextFilter(base.Filter):
+    """Sets request id, depth, shed key and retry budget."""
+
+    def __init__(self, fair_use: early_shed.FairUse) -> None:
+        self._fair_use = fair_use
+
+    def apply(self, call: calls.Call) -> base.Verdict:
+        """See base class."""
+        if call.parent is None:
+            self._begin_root(call)
+            return None
+        return _inherit(call, call.parent)
+
+    def _begin_root(self, call: calls.Call) -> None:
+        assert call.route is not None
+        call.request = ids.RequestId(secrets.token_hex(REQUEST_ID_BYTES))
+        call.budget = retry_budget.RetryBudget(
+            call.configuration.defaults.retry_budget
+        )
+        over_share = self._fair_use.note(call.customer, call.route.name)
+        call.shed_key = shed_keys.make_shed_key(
+            call.route.importance, over_share, call.request
+        )
+
+
+def _inherit(call: calls.Call, parent: contexts.Context) -> base.Verdict:
+    call.request = parent.request
+    call.shed_key = parent.shed_key
+    call.budget = parent.budget
+    call.depth = parent.depth + 1
+    if call.depth > call.configuration.defaults.max_depth:
+        return refusals.Refusal(
+            refusals.RefusalReason.DEPTH,
+            decider=call.configuration.decider(
+                "defaults", "defaults", "max_depth"
+            ),
+        )
+    # An upstream that repeats a call retries it, whatever it calls that.
+    digest = _digest(call)
+    if digest in parent.repeats:
+        if not parent.budget.spend():
+            return refusals.Refusal(
+                refusals.RefusalReason.RETRY_BUDGET,
+                decider=call.configuration.decider(
+                    "defaults", "defaults", "retry_budget"
+                ),
+            )
+    else:
+        parent.repeats.add(digest)
+    return None
+
+
+def _digest(call: calls.Call) -> int:
+    assert call.route is not None
+    digest = xxhash.xxh3_64(call.method)
+    digest.update(call.path)
+    digest.update(b"\n")
+    digest.update(call.body)
+    return digest.intdigest()
--- /dev/null
+++ b/src/cyclamendale/filters/deadline.py
@@ -0,0 +1,36 @@
+"""Filter that sets the deadline and refuses what is already late."""
+
+from __future__ import annotations
+
+from cyclamendale import clocks
+from cyclamendale import refusals
+from cyclamendale.entry import call as calls
+from cyclamendale.filters import base
+
+DEADLINE_HEADER = b"X-Cyclamendale-Deadline-Ms"
+"""Milliseconds that the caller is prepared to wait."""
+
+MAX_DEADLINE_MS = 24 * 3600 * 1000
+
+
+class DeadlineFilter(base.Filter):
+    """Takes the earliest of route, caller and parent deadline."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+
+    def apply(self, call: calls.Call) -> base.Verdict:
+        """See base class."""
+        assert call.route is not None
+        deadline_s = call.arrived_s + call.route.deadline_s
+        stated = call.take_header(DEADLINE_HEADER)
+        if stated is not None:
+            if not stated.isdigit() or int(stated) > MAX_DEADLINE_MS:
+                return refusals.Refusal(refusals.RefusalReason.BAD_REQUEST)
+            deadline_s = min(deadline_s, call.arrived_s + int(stated) / 1000)
+        if call.parent is not None:
+            deadline_s = min(deadline_s, call.parent.deadline_s)
+        call.deadline_s = deadline_s
+        if deadline_s <= self._clock.now_s():
+            return refusals.Refusal(refusals.RefusalReason.DEADLINE)
+        return None
--- /dev/null
+++ b/src/cyclamendale/filters/identify.py
@@ -0,0 +1,91 @@
+"""Filter that takes the key and the context token off a request."""
+
+from __future__ import annotations
+
+import hashlib
+
+from cyclamendale import ids
+from cyclamendale import refusals
+from cyclamendale.configuration import source
+from cyclamendale.entry import call as calls
+from cyclamendale.filters import base
+from cyclamendale.intents import model
+from cyclamendale.upstream import contexts
+
+KEY_HEADER = b"X-Api-Key"
+AUTHORIZATION_HEADER = b"Authorization"
+CONTEXT_HEADER = b"X-Cyclamendale-Context"
+
+_BEARER = b"bearer "
+
+
+class IdentifyFilter(base.Filter):
+    """Finds whose request it is; the key goes no further.
+
+    A live context token, which only this node's own upstream knows,
+    speaks for the customer whose request runs there. Otherwise the key
+    decides. Refusals wait for the route: it may be open to all.
+    """
+
+    def __init__(
+        self,
+        live: contexts.ContextTable,
+        configuration: source.ConfigurationSource,
+    ) -> None:
+        self._live = live
+        self._configuration = configuration
+
+    def apply(self, call: calls.Call) -> base.Verdict:
+        """See base class."""
+        key = _take_key(call)
+        token = call.take_header(CONTEXT_HEADER)
+        if token is not None:
+            call.parent = self._live.find(token.decode("latin-1"))
+            if call.parent is None:
+                return refusals.Refusal(refusals.RefusalReason.CONTEXT_INVALID)
+            call.customer = call.parent.customer
+            return None
+        if key is not None:
+            call.key_refusal = self._check_key(call, key)
+        else:
+            call.key_refusal = refusals.Refusal(
+                refusals.RefusalReason.KEY_MISSING
+            )
+        return None
+
+    def _check_key(
+        self, call: calls.Call, key: bytes
+    ) -> refusals.Refusal | None:
+        """Sets the customer of a usable key, or says why it is not."""
+        digest = ids.KeyDigest(hashlib.sha256(key).hexdigest())
+        entry = call.configuration.keys.get(digest)
+        if entry is None:
+            return refusals.Refusal(refusals.RefusalReason.KEY_UNKNOWN)
+        if entry.state is model.KeyState.WITHDRAWN:
+            return refusals.Refusal(
+                refusals.RefusalReason.KEY_WITHDRAWN,
+                decider=call.configuration.decider("key", digest, "state"),
+            )
+        if entry.when_cut_off is model.WhenCutOff.REFUSE:
+            age_s = self._configuration.confirmed_age_s()
+            if age_s > entry.refuse_after_s:
+                return refusals.Refusal(
+                    refusals.RefusalReason.KEY_STALE,
+                    decider=call.configuration.decider(
+                        "key", digest, "when_cut_off"
+                    ),
+                )
+        call.customer = entry.customer
+        return None
+
+
+def _take_key(call: calls.Call) -> bytes | None:
+    """Removes every form of key from the headers; returns the first."""
+    key = call.take_header(KEY_HEADER)
+    authorization = call.header(AUTHORIZATION_HEADER)
+    if authorization is not None:
+        scheme = authorization[: len(_BEARER)].lower()
+        if scheme == _BEARER:
+            call.take_header(AUTHORIZATION_HEADER)
+            key = key or authorization[len(_BEARER) :].strip()
+    return key
--- /dev/null
+++ b/src/cyclamendale/filters/match_route.py
@@ -0,0 +1,81 @@
+"""Filter that finds the route and checks that the caller may use it."""
+
+from __future__ import annotations
+
+from cyclamendale import refusals
+from cyclamendale.entry import call as calls
+from cyclamendale.filters import base
+from cyclamendale.intents import model
+
+
+class RouteIndex:
+    """Routes of one configuration, longest path prefix first."""
+
+    def __init__(self, configuration: model.Configuration) -> None:
+        self.configuration = configuration
+        self._routes = sorted(
+            (
+                (route.path_prefix.encode().rstrip(b"/"), route)
+                for route in configuration.routes.values()
+            ),
+            key=lambda pair: len(pair[0]),
+            reverse=True,
+        )
+
+    def find(self, method: bytes, path: bytes) -> model.Route | None:
+        """Returns the route of a request, or None.
+
+        A prefix matches whole path segments only.
+
+        Args:
+            method: HTTP method.
+            path: Path without query.
+        """
+        for prefix, route in self._routes:
+            if not path.startswith(prefix):
+                continue
+            at_boundary = path[len(prefix) : len(prefix) + 1] in (b"", b"/")
+            if at_boundary and _allows(route, method):
+                return route
+        return None
+
+
+class MatchRouteFilter(base.Filter):
+    """Sets the route; refuses unknown routes and missing authority."""
+
+    def __init__(self) -> None:
+        self._index = RouteIndex(model.Configuration())
+
+    def apply(self, call: calls.Call) -> base.Verdict:
+        """See base class."""
+        if self._index.configuration is not call.configuration:
+            self._index = RouteIndex(call.configuration)
+        path = call.path.partition(b"?")[0]
+        if _has_dot_segment(path):
+            return refusals.Refusal(refusals.RefusalReason.BAD_REQUEST)
+        route = self._index.find(call.method, path)
+        if route is None:
+            return refusals.Refusal(refusals.RefusalReason.ROUTE_UNKNOWN)
+        call.route = route
+        if call.parent is None and not route.open and call.key_refusal:
+            return call.key_refusal
+        if call.body_bytes > route.max_body_bytes:
+            return refusals.Refusal(
+                refusals.RefusalReason.TOO_LARGE,
+                decider=call.configuration.decider(
+                    "route", route.name, "max_body_bytes"
+                ),
+            )
+        return None
+
+
+def _allows(route: model.Route, method: bytes) -> bool:
+    return not route.methods or method.decode("latin-1") in route.methods
+
+
+def _has_dot_segment(path: bytes) -> bool:
+    """Returns whether an upstream might resolve the path to another."""
+    if b"/." not in path and b"%2" not in path:
+        return False
+    plain = path.lower().replace(b"%2e", b".").replace(b"%2f", b"/")
+    return any(part in (b".", b"..") for part in plain.split(b"/"))
--- /dev/null
+++ b/src/cyclamendale/forwarding/forwarder.py
@@ -0,0 +1,507 @@
+"""Caller-side forwarding of one call: targets, retries and hedges."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from twisted.web import http
+
+from cyclamendale import clocks
+from cyclamendale import ids
+from cyclamendale import refusals
+from cyclamendale.forwarding import exchange
+from cyclamendale.forwarding import policy
+from cyclamendale.membership import directory
+from cyclamendale.overload import early_shed
+from cyclamendale.overload import feedback as feedbacks
+from cyclamendale.overload import target_choice
+
+if TYPE_CHECKING:
+    from cyclamendale.entry import call as calls
+
+DEADLINE_GRACE_S = 0.02
+"""Wait beyond the deadline for a target's word on whether it ran."""
+
+TransportFor = Callable[[directory.Member], exchange.CallTransport]
+
+
+class Caller(abc.ABC):
+    """Who waits for the answer: the HTTP request at the entry."""
+
+    @abc.abstractmethod
+    def passed(self) -> None:
+        """Forwards the call, which passed the filter chain."""
+
+    @abc.abstractmethod
+    def answer(self, answer: exchange.Answer) -> None:
+        """Receives the start of the answer."""
+
+    @abc.abstractmethod
+    def chunk(self, data: bytes, last: bool) -> None:
+        """Receives a further part of the answer's body.
+
+        Unless it is the last, the caller asks for the next one through
+        `Forwarding.pull` when it has room.
+        """
+
+    @abc.abstractmethod
+    def refuse(self, refusal: refusals.Refusal) -> None:
+        """Receives a refusal instead of an answer."""
+
+    @abc.abstractmethod
+    def abort(self) -> None:
+        """The answer broke off midway; it must not look complete."""
+
+    @abc.abstractmethod
+    def next_upload(self) -> None:
+        """Asks for the next part of the request's body.
+
+        The caller sends it through `Forwarding.push`.
+        """
+
+
+class Forwarder:
+    """Starts forwardings; holds what they share."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        chooser: target_choice.TargetChooser,
+        shed: early_shed.EarlyShed,
+        retry_policy: policy.RetryPolicy,
+        transport_for: TransportFor,
+    ) -> None:
+        self.clock = clock
+        self.chooser = chooser
+        self.shed = shed
+        self.policy = retry_policy
+        self.transport_for = transport_for
+
+    def forward(self, call: calls.Call, caller: Caller) -> Forwarding:
+        """Forwards a call that passed the filter chain."""
+        forwarding = Forwarding(self, call, caller)
+        forwarding.start()
+        return forwarding
+
+
+class Forwarding:
+    """One call on its way to a target, with all its attempts."""
+
+    __slots__ = (
+        "_attempts",
+        "_call",
+        "_caller",
+        "_deadline_timer",
+        "_excluded",
+        "_hedge_timer",
+        "_maybe_run",
+        "_route",
+        "_shared",
+        "_winner",
+    )
+
+    def __init__(
+        self, shared: Forwarder, call: calls.Call, caller: Caller
+    ) -> None:
+        assert call.route is not None
+        self._shared = shared
+        self._call = call
+        self._caller = caller
+        self._route = call.route
+        self._attempts: set[_Attempt] = set()
+        self._excluded: set[ids.NodeId] = set()
+        self._winner: _Attempt | None = None
+        self._maybe_run = False
+        self._deadline_timer: clocks.DelayedCall | None = None
+        self._hedge_timer: clocks.DelayedCall | None = None
+
+    def start(self) -> None:
+        """Sends the first attempt."""
+        call = self._call
+        clock = self._shared.clock
+        call.on_cancel = self.cancel
+        if call.parent is not None:
+            call.parent.onward_began(clock.now_s())
+            call.parent.cancel_onward.add(self._cancel_and_refuse)
+        self._deadline_timer = clock.call_later(
+            max(0.0, call.deadline_s - clock.now_s()) + DEADLINE_GRACE_S,
+            self._deadline_passed,
+        )
+        self._shared.policy.note_call()
+        if not self._attempt():
+            self._refuse(refusals.Refusal(refusals.RefusalReason.NO_TARGET))
+        elif self._winner is None and not call.ended:
+            self._schedule_hedge()
+
+    def pull(self) -> None:
+        """Asks for the next part of the answer's body."""
+        if self._winner is not None and self._winner.exchange is not None:
+            self._winner.exchange.pull()
+
+    def push(self, data: bytes, last: bool) -> None:
+        """Sends the next part of the request's body."""
+        for attempt in self._attempts:
+            if attempt.exchange is not None:
+                attempt.exchange.push(data, last)
+
+    def cancel(self) -> None:
+        """Abandons the call: the caller is gone."""
+        self._end()
+        for attempt in self._take_attempts():
+            attempt.cancel()
+
+    # What attempts report.
+
+    def answered(self, attempt: _Attempt, answer: exchange.Answer) -> None:
+        """Handles an answer of one attempt."""
+        self._note_feedback(answer.feedback)
+        self._attempts.discard(attempt)
+        if (
+            not answer.more
+            and self._shared.policy.is_retryable_status(answer.status)
+            and self._route.idempotent
+        ):
+            self._maybe_run = True
+            if self._attempts or self._retry():
+                return
+        self._winner = attempt
+        for other in self._take_attempts():
+            other.cancel()
+        if answer.more:
+            self._attempts.add(attempt)
+        else:
+            self._end()
+        self._stop_timer(self._hedge_timer)
+        self._caller.answer(answer)
+
+    def refused(
+        self,
+        attempt: _Attempt,
+        refusal: refusals.Refusal,
+        answer_feedback: feedbacks.Feedback | None,
+    ) -> None:
+        """Handles a refusal of one attempt."""
+        if answer_feedback is not None:
+            self._note_feedback(answer_feedback)
+        self._attempts.discard(attempt)
+        if refusal.execution is refusals.Execution.UNKNOWN:
+            self._maybe_run = True
+        if self._attempts:
+            return
+        if self._may_retry(refusal) and self._retry():
+            return
+        self._refuse(refusal)
+
+    def chunk(self, attempt: _Attempt, data: bytes, last: bool) -> None:
+        """Passes a part of the answer's body on."""
+        if last:
+            self._attempts.discard(attempt)
+            self._end()
+        self._caller.chunk(data, last)
+
+    def pushed(self, attempt: _Attempt) -> None:
+        """Asks the caller for the next part of the request's body."""
+        if self._winner is None and not self._call.ended:
+            self._caller.next_upload()
+
+    def broken(self, attempt: _Attempt) -> None:
+        """Breaks an answer off that had already begun."""
+        self._attempts.discard(attempt)
+        self._end()
+        self._caller.abort()
+
+    # Attempts, retries and hedges.
+
+    def _attempt(self) -> bool:
+        """Sends one attempt; False when there is no target."""
+        shared = self._shared
+        call = self._call
+        target = shared.chooser.choose(self._route.service, self._excluded)
+        if target is None:
+            return False
+        self._excluded.add(target.node)
+        assert call.budget is not None
+        lent = call.budget.lend(
+            shared.policy.amount_to_lend(call.budget.remaining)
+        )
+        attempt = _Attempt(self, target.node, lent, shared.clock.now_s())
+        self._attempts.add(attempt)
+        shared.chooser.sent(target.node)
+        handle = shared.transport_for(target).open(
+            self._envelope(lent), attempt
+        )
+        attempt.exchange = handle
+        if call.ended and attempt in self._attempts:
+            # Ended by a callback before there was a handle to cancel.
+            handle.cancel()
+        return True
+
+    def _envelope(self, lent: int) -> exchange.Envelope:
+        call = self._call
+        parent = call.parent
+        importance = parent.importance if parent else self._route.importance
+        return exchange.Envelope(
+            call.request,
+            call.customer,
+            self._route.name,
+            importance,
+            call.shed_key,
+            call.depth,
+            lent,
+            call.deadline_s,
+            call.head_bytes(),
+            call.body,
+            call.more,
+            call.body_bytes,
+        )
+
+    def _may_retry(self, refusal: refusals.Refusal) -> bool:
+        if refusal.execution is refusals.Execution.NOT_RUN:
+            return self._shared.policy.is_retryable_refusal(refusal.reason)
+        return (
+            self._route.idempotent
+            and refusal.reason is not refusals.RefusalReason.DEADLINE
+        )
+
+    def _retry(self) -> bool:
+        """Sends a further attempt if body, budget and time allow it."""
+        call = self._call
+        assert call.budget is not None
+        if call.more or call.deadline_s <= self._shared.clock.now_s():
+            return False
+        if call.budget.remaining <= 0 or not self._shared.policy.may_retry():
+            return False
+        call.budget.spend()
+        if self._attempt():
+            return True
+        call.budget.take_back(1, 1)
+        return False
+
+    def _schedule_hedge(self) -> None:
+        route = self._route
+        if not (route.hedge and route.idempotent) or self._call.more:
+            return
+        delay_s = self._shared.policy.hedge_delay_s(route.name)
+        if delay_s is not None:
+            self._hedge_timer = self._shared.clock.call_later(
+                delay_s, self._hedge
+            )
+
+    def _hedge(self) -> None:
+        self._hedge_timer = None
+        if self._winner is None and not self._call.ended and self._attempts:
+            self._retry()
+
+    # The end.
+
+    def _refuse(self, refusal: refusals.Refusal) -> None:
+        self._end()
+        if self._maybe_run:
+            refusal = refusals.Refusal(
+                refusal.reason,
+                refusals.Execution.UNKNOWN,
+                refusal.decider,
+                refusal.retry_after_s,
+            )
+        self._caller.refuse(refusal)
+
+    def _deadline_passed(self) -> None:
+        self._deadline_timer = None
+        if self._winner is not None:
+            self._winner.cancel()
+            self.broken(self._winner)
+            return
+        attempts = self._take_attempts()
+        self._maybe_run = self._maybe_run or any(
+            attempt.may_have_run for attempt in attempts
+        )
+        for attempt in attempts:
+            attempt.cancel(timed_out=True)
+        self._refuse(refusals.Refusal(refusals.RefusalReason.DEADLINE))
+
+    def _cancel_and_refuse(self) -> None:
+        """Ends an onward call whose parent request was cancelled."""
+        if self._winner is not None:
+            self._winner.cancel()
+            self.broken(self._winner)
+            return
+        attempts = self._take_attempts()
+        self._maybe_run = self._maybe_run or bool(attempts)
+        for attempt in attempts:
+            attempt.cancel()
+        self._refuse(refusals.Refusal(refusals.RefusalReason.CANCELLED))
+
+    def _end(self) -> None:
+        call = self._call
+        if call.ended:
+            return
+        call.ended = True
+        call.on_cancel = None
+        self._stop_timer(self._deadline_timer)
+        self._stop_timer(self._hedge_timer)
+        if call.parent is not None:
+            call.parent.onward_ended(self._shared.clock.now_s())
+            call.parent.cancel_onward.discard(self._cancel_and_refuse)
+
+    def _take_attempts(self) -> list[_Attempt]:
+        attempts = list(self._attempts)
+        self._attempts.clear()
+        return attempts
+
+    def _note_feedback(self, answer_feedback: feedbacks.Feedback) -> None:
+        if self._call.parent is None:
+            self._shared.shed.observe(self._route.name, answer_feedback)
+        else:
+            self._call.parent.met.append(answer_feedback)
+
+    @staticmethod
+    def _stop_timer(timer: clocks.DelayedCall | None) -> None:
+        if timer is not None and timer.active():
+            timer.cancel()
+
+    def give_back(self, lent: int, unused_budget: int) -> None:
+        """Takes unused budget of a streamed answer back."""
+        assert self._call.budget is not None
+        self._call.budget.take_back(lent, unused_budget)
+
+    def attempt_ended(
+        self,
+        attempt: _Attempt,
+        unused_budget: int,
+        succeeded: bool,
+        answer_feedback: feedbacks.Feedback | None,
+    ) -> None:
+        """Takes unused budget back and tells the target choice."""
+        shared = self._shared
+        assert self._call.budget is not None
+        self._call.budget.take_back(attempt.lent, unused_budget)
+        duration_s = shared.clock.now_s() - attempt.started_s
+        shared.chooser.answered(
+            attempt.target, duration_s, succeeded, answer_feedback
+        )
+
+    def answer_took(self, started_s: float) -> None:
+        """Learns from the duration of a successful attempt."""
+        shared = self._shared
+        shared.policy.note_duration(
+            self._route.name, shared.clock.now_s() - started_s
+        )
+
+
+class _Attempt(exchange.Receiver):
+    """One attempt at one target."""
+
+    __slots__ = (
+        "_answered",
+        "_done",
+        "_forwarding",
+        "exchange",
+        "lent",
+        "may_have_run",
+        "started_s",
+        "target",
+    )
+
+    def __init__(
+        self,
+        forwarding: Forwarding,
+        target: ids.NodeId,
+        lent: int,
+        started_s: float,
+    ) -> None:
+        self._forwarding = forwarding
+        self._answered = False
+        self._done = False
+        self.target = target
+        self.lent = lent
+        self.started_s = started_s
+        self.exchange: exchange.Exchange | None = None
+        self.may_have_run = True
+
+    def cancel(self, timed_out: bool = False) -> None:
+        """Abandons the attempt; what it borrowed stays with it.
+
+        Args:
+            timed_out: Whether the target is to blame.
+        """
+        if self._done:
+            return
+        self._done = True
+        if self.exchange is not None:
+            self.exchange.cancel()
+        if not self._answered:
+            self._forwarding.attempt_ended(self, 0, not timed_out, None)
+
+    def answered(self, answer: exchange.Answer) -> None:
+        """See base class."""
+        if self._done:
+            return
+        self._answered = True
+        self._done = not answer.more
+        succeeded = answer.status < http.INTERNAL_SERVER_ERROR
+        self._forwarding.attempt_ended(
+            self, answer.unused_budget, succeeded, answer.feedback
+        )
+        if succeeded:
+            self._forwarding.answer_took(self.started_s)
+        self._forwarding.answered(self, answer)
+
+    def refused(
+        self,
+        refusal: refusals.Refusal,
+        answer_feedback: feedbacks.Feedback | None,
+        unused_budget: int,
+    ) -> None:
+        """See base class."""
+        if self._done:
+            return
+        self._done = True
+        self.may_have_run = refusal.execution is refusals.Execution.UNKNOWN
+        # A target that sheds or drains works as it should.
+        is_sound = (
+            not self.may_have_run
+            and refusal.reason is not refusals.RefusalReason.NO_TARGET
+        )
+        self._forwarding.attempt_ended(
+            self, unused_budget, is_sound, answer_feedback
+        )
+        self._forwarding.refused(self, refusal, answer_feedback)
+
+    def chunk(self, data: bytes, last: bool, unused_budget: int) -> None:
+        """See base class."""
+        if self._done:
+            return
+        self._done = last
+        if last:
+            self._forwarding.give_back(self.lent, unused_budget)
+        self._forwarding.chunk(self, data, last)
+
+    def pushed(self) -> None:
+        """See base class."""
+        if not self._done:
+            self._forwarding.pushed(self)
+
+    def lost(self, sent: bool) -> None:
+        """See base class."""
+        if self._done:
+            return
+        self._done = True
+        if self._answered:
+            self._forwarding.broken(self)
+            return
+        self.may_have_run = sent
+        unused_budget = 0 if sent else self.lent
+        self._forwarding.attempt_ended(self, unused_budget, False, None)
+        reason = (
+            refusals.RefusalReason.LOST
+            if sent
+            else refusals.RefusalReason.NO_TARGET
+        )
+        execution = (
+            refusals.Execution.UNKNOWN if sent else refusals.Execution.NOT_RUN
+        )
+        self._forwarding.refused(
+            self, refusals.Refusal(reason, execution), None
+        )
--- /dev/null
+++ b/src/cyclamendale/peer/codec.py
@@ -0,0 +1,55 @@
+"""Encoding of thrift structs with the accelerated binary protocol."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar
+
+from thrift.protocol import fastbinary
+from thrift.protocol import TBinaryProtocol
+from thrift.transport import TTransport
+
+MAX_STRING_BYTES = 1024 * 1024
+"""Longest string or binary field accepted from a peer."""
+
+MAX_CONTAINER_ITEMS = 100_000
+"""Largest list, set or map accepted from a peer."""
+
+_StructT = TypeVar("_StructT")
+
+
+class DecodeError(Exception):
+    """Received bytes are not a valid struct of the expected type."""
+
+
+def encode(struct: Any) -> bytes:
+    """Returns the binary form of a generated thrift struct."""
+    return fastbinary.encode_binary(
+        struct, [struct.__class__, struct.thrift_spec]
+    )
+
+
+def decode(struct_type: type[_StructT], data: bytes) -> _StructT:
+    """Reads a struct of a generated thrift class.
+
+    Args:
+        struct_type: The generated class.
+        data: Its binary form; trailing bytes are ignored.
+
+    Raises:
+        DecodeError: The bytes are malformed or a required field is missing.
+    """
+    transport = TTransport.TMemoryBuffer(data)
+    protocol = TBinaryProtocol.TBinaryProtocolAccelerated(
+        transport,
+        string_length_limit=MAX_STRING_BYTES,
+        container_length_limit=MAX_CONTAINER_ITEMS,
+        fallback=False,
+    )
+    struct: Any = struct_type()
+    try:
+        struct.read(protocol)
+        struct.validate()
+    # The generated code raises many types on malformed input.
+    except Exception as error:
+        raise DecodeError(struct_type.__name__) from error
+    return struct
--- /dev/null
+++ b/src/cyclamendale/peer/connection.py
@@ -0,0 +1,238 @@
+"""One authenticated, multiplexed connection between two nodes.
+
+Frames are length-prefixed. Each starts with the kind of message, a flag
+and a call id chosen by the requester, and continues with one encoded
+thrift struct. Before any frame, both sides prove that they know the fleet
+secret: each sends a random challenge and answers the other's.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import enum
+import hashlib
+import hmac
+import secrets
+import struct
+from typing import Any, TYPE_CHECKING
+
+from twisted.internet import protocol
+from twisted.protocols import basic
+from twisted.python import failure
+
+from cyclamendale.peer import network
+
+if TYPE_CHECKING:
+    from cyclamendale.peer import kinds
+
+MAX_FRAME_BYTES = 1024 * 1024
+HANDSHAKE_TIMEOUT_S = 5.0
+PROTOCOL_VERSION = b"cyclamendale-peer-1"
+
+_CHALLENGE_BYTES = 16
+_HEADER = struct.Struct("!BBI")
+_HEADER_BYTES = _HEADER.size
+
+
+class Flag(enum.IntEnum):
+    """What a frame is to its call id."""
+
+    REQUEST = 0
+    REPLY = 1
+    REJECTION = 2
+
+
+class _Phase(enum.Enum):
+    AWAITING_CHALLENGE = 1
+    AWAITING_PROOF = 2
+    OPEN = 3
+    CLOSED = 4
+
+
+ReplyHandler = Callable[["bytes | network.PeerErrorKind"], None]
+"""Called with a reply's payload, or with what is known of a failure."""
+
+FrameHandler = Callable[["PeerConnection", int, int, bytes], None]
+"""Called with the connection, kind, call id and payload of a request."""
+
+
+class PeerConnection(basic.Int32StringReceiver):
+    """Protocol of both ends of a connection."""
+
+    MAX_LENGTH = MAX_FRAME_BYTES
+    # Twisted's interfaces need a mypy plugin to be checked.
+    transport: Any
+
+    def __init__(
+        self,
+        secret: bytes,
+        is_initiator: bool,
+        on_request: FrameHandler,
+        on_open: Callable[[PeerConnection], None],
+        on_closed: Callable[[PeerConnection], None],
+        call_later: Callable[..., Any],
+    ) -> None:
+        self._secret = secret
+        self._is_initiator = is_initiator
+        self._on_request = on_request
+        self._on_open = on_open
+        self._on_closed = on_closed
+        self._call_later = call_later
+        self._challenge = secrets.token_bytes(_CHALLENGE_BYTES)
+        self._peer_challenge = b""
+        self._phase = _Phase.AWAITING_CHALLENGE
+        self._pending: dict[int, ReplyHandler] = {}
+        self._last_call_id = 0
+        self._handshake_timer: Any = None
+        self.lost_listeners: set[Callable[[], None]] = set()
+
+    @property
+    def is_open(self) -> bool:
+        """Returns whether both sides have proved themselves."""
+        return self._phase is _Phase.OPEN
+
+    def connectionMade(self) -> None:
+        """Sends the challenge."""
+        self.transport.setTcpNoDelay(True)
+        self._handshake_timer = self._call_later(
+            HANDSHAKE_TIMEOUT_S, self.transport.abortConnection
+        )
+        self.sendString(PROTOCOL_VERSION + self._challenge)
+
+    def stringReceived(self, string: bytes) -> None:
+        """Handles one frame or handshake message."""
+        if self._phase is _Phase.OPEN:
+            self._frame_received(string)
+        elif self._phase is _Phase.AWAITING_CHALLENGE:
+            self._challenge_received(string)
+        elif self._phase is _Phase.AWAITING_PROOF:
+            self._proof_received(string)
+
+    def lengthLimitExceeded(self, length: int) -> None:
+        """Drops a peer that announces an oversized frame."""
+        self._abort()
+
+    def connectionLost(
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Fails everything that still waits for a reply."""
+        self._phase = _Phase.CLOSED
+        if self._handshake_timer.active():
+            self._handshake_timer.cancel()
+        pending, self._pending = self._pending, {}
+        for handler in pending.values():
+            handler(network.PeerErrorKind.LOST)
+        for listener in tuple(self.lost_listeners):
+            listener()
+        self._on_closed(self)
+
+    def next_call_id(self) -> int:
+        """Returns a call id not in use on this connection."""
+        self._last_call_id = (self._last_call_id + 1) & 0xFFFFFFFF
+        return self._last_call_id
+
+    def request(
+        self,
+        kind: kinds.MessageKind,
+        call_id: int,
+        payload: bytes,
+        on_reply: ReplyHandler | None,
+    ) -> None:
+        """Sends a request frame.
+
+        Args:
+            kind: Kind of message; a call may have one request of each
+                kind outstanding.
+            call_id: From `next_call_id`, or that of the call concerned.
+            payload: The encoded struct.
+            on_reply: Called exactly once unless `forget` is called; None
+                when no reply is wanted.
+        """
+        if on_reply is not None:
+            self.expect(kind, call_id, on_reply)
+        self._send(kind, Flag.REQUEST, call_id, payload)
+
+    def expect(
+        self, kind: kinds.MessageKind, call_id: int, on_reply: ReplyHandler
+    ) -> None:
+        """Waits for a reply that the peer sends without a request."""
+        self._pending[call_id << 8 | kind] = on_reply
+
+    def forget(self, kind: kinds.MessageKind, call_id: int) -> None:
+        """Stops waiting for a reply; a late one is dropped."""
+        self._pending.pop(call_id << 8 | kind, None)
+
+    def reply(self, kind: int, call_id: int, payload: bytes) -> None:
+        """Answers a request."""
+        if self._phase is _Phase.OPEN:
+            self._send(kind, Flag.REPLY, call_id, payload)
+
+    def reject(self, kind: int, call_id: int) -> None:
+        """Answers a request that could not be understood."""
+        if self._phase is _Phase.OPEN:
+            self._send(kind, Flag.REJECTION, call_id, b"")
+
+    def close(self) -> None:
+        """Closes the connection once written data is sent."""
+        self.transport.loseConnection()
+
+    def _send(
+        self, kind: int, flag: Flag, call_id: int, payload: bytes
+    ) -> None:
+        length = _HEADER_BYTES + len(payload)
+        self.transport.write(
+            length.to_bytes(4, "big")
+            + _HEADER.pack(kind, flag, call_id)
+            + payload
+        )
+
+    def _frame_received(self, frame: bytes) -> None:
+        if len(frame) < _HEADER_BYTES:
+            self._abort()
+            return
+        kind, flag, call_id = _HEADER.unpack_from(frame)
+        payload = frame[_HEADER_BYTES:]
+        if flag == Flag.REQUEST:
+            self._on_request(self, kind, call_id, payload)
+            return
+        handler = self._pending.pop(call_id << 8 | kind, None)
+        if handler is None:
+            return
+        if flag == Flag.REPLY:
+            handler(payload)
+        else:
+            handler(network.PeerErrorKind.REJECTED)
+
+    def _challenge_received(self, message: bytes) -> None:
+        challenge = message[len(PROTOCOL_VERSION) :]
+        if (
+            not message.startswith(PROTOCOL_VERSION)
+            or len(challenge) != _CHALLENGE_BYTES
+        ):
+            self._abort()
+            return
+        self._peer_challenge = challenge
+        self._phase = _Phase.AWAITING_PROOF
+        self.sendString(self._proof(self._is_initiator))
+
+    def _proof_received(self, message: bytes) -> None:
+        expected = self._proof(not self._is_initiator)
+        if not hmac.compare_digest(message, expected):
+            self._abort()
+            return
+        self._handshake_timer.cancel()
+        self._phase = _Phase.OPEN
+        self._on_open(self)
+
+    def _proof(self, by_initiator: bool) -> bytes:
+        # The role is part of the proof, so that it cannot be reflected.
+        challenges = [self._challenge, self._peer_challenge]
+        if not self._is_initiator:
+            challenges.reverse()
+        role = b"initiator" if by_initiator else b"acceptor"
+        message = b"".join([PROTOCOL_VERSION, role, *challenges])
+        return hmac.new(self._secret, message, hashlib.sha256).digest()
+
+    def _abort(self) -> None:
+        self._phase = _Phase.CLOSED
+        self.transport.abortConnection()
--- /dev/null
+++ b/src/cyclamendale/peer/thrift_network.py
@@ -0,0 +1,288 @@
+"""Peer network over TCP: kept-open connections and request handlers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from expression import Error
+from expression import Ok
+from expression import Result
+from twisted.internet import defer
+from twisted.internet import protocol
+from twisted.python import failure
+
+from cyclamendale import clocks
+from cyclamendale import ids
+from cyclamendale.peer import codec
+from cyclamendale.peer import connection as connections
+from cyclamendale.peer import kinds
+from cyclamendale.peer import network
+
+CONNECT_TIMEOUT_S = 1.0
+RECONNECT_PAUSE_S = 0.2
+"""Time after a failed connect during which the peer is not tried."""
+
+MAX_WAITING_FOR_CONNECT = 1024
+"""Requests per peer that may wait for its connection to open."""
+
+ConnectionUser = Callable[["connections.PeerConnection | None"], None]
+"""Called with an open connection, or None when there can be none."""
+
+RawHandler = Callable[[connections.PeerConnection, int, bytes], None]
+"""Called with the connection, call id and payload of a request."""
+
+
+class _Link:
+    """The outgoing connection to one peer."""
+
+    def __init__(self) -> None:
+        self.connection: connections.PeerConnection | None = None
+        self.connecting = False
+        self.retry_at_s = 0.0
+        self.waiting: list[ConnectionUser] = []
+
+
+class ThriftPeerNetwork(network.PeerNetwork):
+    """Requests and calls to peers over one connection each."""
+
+    def __init__(
+        self, reactor: Any, clock: clocks.Clock, secret: bytes
+    ) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._secret = secret
+        self._links: dict[ids.PeerAddress, _Link] = {}
+        self._handlers: dict[int, RawHandler] = {}
+        self._accepted: set[connections.PeerConnection] = set()
+        self._port: Any = None
+
+    def listen(self, interface: str, port: int) -> int:
+        """Accepts connections; returns the port number in use."""
+        factory = protocol.Factory.forProtocol(self._make_acceptor)
+        factory.noisy = False
+        self._port = self._reactor.listenTCP(port, factory, interface=interface)
+        return self._port.getHost().port
+
+    def close(self) -> defer.Deferred[Any]:
+        """Stops listening and closes all connections."""
+        for accepted in tuple(self._accepted):
+            accepted.close()
+        for link in self._links.values():
+            if link.connection is not None:
+                link.connection.close()
+        if self._port is None:
+            return defer.succeed(None)
+        return defer.maybeDeferred(self._port.stopListening)
+
+    def with_connection(
+        self, peer: ids.PeerAddress, user: ConnectionUser
+    ) -> None:
+        """Calls `user` with an open connection to `peer`, now if one is."""
+        link = self._links.get(peer)
+        if link is None:
+            link = self._links[peer] = _Link()
+        if link.connection is not None:
+            user(link.connection)
+            return
+        now_s = self._clock.now_s()
+        if len(link.waiting) >= MAX_WAITING_FOR_CONNECT:
+            user(None)
+        elif link.connecting:
+            link.waiting.append(user)
+        elif now_s < link.retry_at_s:
+            user(None)
+        else:
+            link.waiting.append(user)
+            self._connect(peer, link)
+
+    def serve_raw(self, kind: kinds.MessageKind, handler: RawHandler) -> None:
+        """Registers a handler that decodes and replies by itself."""
+        self._handlers[kind] = handler
+
+    def serve(
+        self,
+        kind: kinds.MessageKind,
+        message_type: type[network.ThriftStruct],
+        handler: network.Handler,
+    ) -> None:
+        """See base class."""
+
+        def handle(
+            connection: connections.PeerConnection,
+            call_id: int,
+            payload: bytes,
+        ) -> None:
+            try:
+                message = codec.decode(message_type, payload)
+            except codec.DecodeError:
+                connection.reject(kind, call_id)
+                return
+            handled = defer.maybeDeferred(handler, message)
+            handled.addCallbacks(
+                lambda result: connection.reply(
+                    kind, call_id, codec.encode(result)
+                ),
+                lambda _: connection.reject(kind, call_id),
+            )
+
+        self._handlers[kind] = handle
+
+    def request(
+        self,
+        peer: ids.PeerAddress,
+        kind: kinds.MessageKind,
+        message: network.ThriftStruct,
+        reply_type: type[network.ThriftStruct],
+        timeout_s: float,
+    ) -> defer.Deferred[Result[Any, network.PeerError]]:
+        """See base class."""
+        exchange = _ControlRequest(peer, kind, reply_type)
+        exchange.timer = self._clock.call_later(timeout_s, exchange.expire)
+        payload = codec.encode(message)
+        self.with_connection(
+            peer, lambda connection: exchange.send(connection, payload)
+        )
+        return exchange.result
+
+    def _make_acceptor(self) -> connections.PeerConnection:
+        return connections.PeerConnection(
+            self._secret,
+            False,
+            self._dispatch,
+            self._accepted.add,
+            self._accepted.discard,
+            self._clock.call_later,
+        )
+
+    def _dispatch(
+        self,
+        connection: connections.PeerConnection,
+        kind: int,
+        call_id: int,
+        payload: bytes,
+    ) -> None:
+        handler = self._handlers.get(kind)
+        if handler is None:
+            connection.reject(kind, call_id)
+        else:
+            handler(connection, call_id, payload)
+
+    def _connect(self, peer: ids.PeerAddress, link: _Link) -> None:
+        link.connecting = True
+
+        def opened(connection: connections.PeerConnection) -> None:
+            link.connecting = False
+            link.connection = connection
+            waiting, link.waiting = link.waiting, []
+            for user in waiting:
+                user(connection)
+
+        def closed(connection: connections.PeerConnection) -> None:
+            if link.connection is connection:
+                link.connection = None
+            elif link.connecting:
+                failed(None)
+
+        def failed(_reason: failure.Failure | None) -> None:
+            link.connecting = False
+            link.retry_at_s = self._clock.now_s() + RECONNECT_PAUSE_S
+            waiting, link.waiting = link.waiting, []
+            for user in waiting:
+                user(None)
+
+        factory = _ConnectFactory(
+            lambda: connections.PeerConnection(
+                self._secret,
+                True,
+                self._dispatch,
+                opened,
+                closed,
+                self._clock.call_later,
+            ),
+            failed,
+        )
+        host, _, port = peer.rpartition(":")
+        self._reactor.connectTCP(
+            host, int(port), factory, timeout=CONNECT_TIMEOUT_S
+        )
+
+
+class _ConnectFactory(protocol.ClientFactory):
+    """Builds the initiating end of a connection, once."""
+
+    noisy = False
+
+    def __init__(
+        self,
+        make: Callable[[], connections.PeerConnection],
+        failed: Callable[[failure.Failure | None], None],
+    ) -> None:
+        self._make = make
+        self._failed = failed
+
+    def buildProtocol(self, addr: Any) -> connections.PeerConnection:
+        return self._make()
+
+    def clientConnectionFailed(
+        self, connector: Any, reason: failure.Failure
+    ) -> None:
+        self._failed(reason)
+
+
+class _ControlRequest:
+    """A request that waits for its connection, its reply or its timeout."""
+
+    def __init__(
+        self,
+        peer: ids.PeerAddress,
+        kind: kinds.MessageKind,
+        reply_type: type[network.ThriftStruct],
+    ) -> None:
+        self.result: defer.Deferred[Result[Any, network.PeerError]] = (
+            defer.Deferred()
+        )
+        self.timer: clocks.DelayedCall | None = None
+        self._peer = peer
+        self._kind = kind
+        self._reply_type = reply_type
+        self._connection: connections.PeerConnection | None = None
+        self._call_id = 0
+
+    def send(
+        self, connection: connections.PeerConnection | None, payload: bytes
+    ) -> None:
+        if self.result.called:
+            return
+        if connection is None:
+            self._fail(network.PeerErrorKind.UNREACHABLE)
+            return
+        self._connection = connection
+        self._call_id = connection.next_call_id()
+        connection.request(self._kind, self._call_id, payload, self._replied)
+
+    def expire(self) -> None:
+        if self._connection is None:
+            self._fail(network.PeerErrorKind.UNREACHABLE)
+        else:
+            self._connection.forget(self._kind, self._call_id)
+            self._fail(network.PeerErrorKind.TIMEOUT)
+
+    def _replied(self, reply: bytes | network.PeerErrorKind) -> None:
+        if isinstance(reply, network.PeerErrorKind):
+            self._fail(reply)
+            return
+        try:
+            message = codec.decode(self._reply_type, reply)
+        except codec.DecodeError:
+            self._fail(network.PeerErrorKind.REJECTED)
+            return
+        self._finish(Ok(message))
+
+    def _fail(self, kind: network.PeerErrorKind) -> None:
+        self._finish(Error(network.PeerError(kind, self._peer)))
+
+    def _finish(self, result: Result[Any, network.PeerError]) -> None:
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.result.callback(result)
--- a/src/cyclamendale/refusals.py
+++ b/src/cyclamendale/refusals.py
@@ -33,6 +33,7 @@
     NO_TARGET = "no-target"
     DEADLINE = "deadline"
     DEPTH = "depth"
+    RETRY_BUDGET = "retry-budget"
     LOST = "lost"
     UPSTREAM_FAILED = "upstream-failed"
     ALREADY_RUN = "already-run"
@@ -58,6 +59,7 @@
     RefusalReason.NO_TARGET: 503,
     RefusalReason.DEADLINE: 504,
     RefusalReason.DEPTH: 508,
+    RefusalReason.RETRY_BUDGET: 503,
     RefusalReason.LOST: 502,
     RefusalReason.UPSTREAM_FAILED: 502,
     RefusalReason.ALREADY_RUN: 409,
--- a/src/cyclamendale/upstream/contexts.py
+++ b/src/cyclamendale/upstream/contexts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import secrets
 
 from cyclamendale import ids
@@ -30,12 +31,14 @@
         met: Combined feedback of its onward calls.
         repeats: Digests of the onward calls made so far, to recognise
             an upstream's own retries.
+        cancel_onward: Cancels each onward call in flight.
     """
 
     __slots__ = (
         "_onward_calls",
         "_onward_since_s",
         "budget",
+        "cancel_onward",
         "customer",
         "deadline_s",
         "depth",
@@ -72,6 +75,7 @@
         self.onward_s = 0.0
         self.met: list[feedback.Feedback] = []
         self.repeats: set[int] = set()
+        self.cancel_onward: set[Callable[[], None]] = set()
         self._onward_calls = 0
         self._onward_since_s = 0.0
 
--- /dev/null
+++ b/src/cyclamendale/upstream/http_connection.py
@@ -0,0 +1,324 @@
+"""HTTP/1.1 client connection to the node's own upstream.
+
+Built on twisted's callback-based `HTTPClient` parser: a call costs no
+Deferred, and the request head arrives already built. Only bodies whose
+end is certain are accepted: those with a Content-Length or in chunks. A
+body that ends with its connection could be cut short unnoticed.
+"""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Callable
+import enum
+from typing import Any
+
+from twisted.internet import protocol
+from twisted.python import failure
+from twisted.web import http
+
+from cyclamendale.forwarding import exchange
+
+MAX_HEAD_BYTES = 32 * 1024
+"""Longest response head accepted from an upstream."""
+
+_DROPPED_HEADERS = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+_OWN_HEADER_PREFIX = b"x-cyclamendale-"
+
+
+class ResponseHead:
+    """Status and headers of an upstream's response.
+
+    Attributes:
+        status: HTTP status code.
+        lines: Header lines to pass on, each ended by CRLF.
+        body_bytes: Length of the body, or `exchange.UNKNOWN_LENGTH`.
+    """
+
+    __slots__ = ("body_bytes", "lines", "status")
+
+    def __init__(self, status: int, lines: bytes, body_bytes: int) -> None:
+        self.status = status
+        self.lines = lines
+        self.body_bytes = body_bytes
+
+
+class ResponseHandler(abc.ABC):
+    """Receives the parts of one response."""
+
+    @abc.abstractmethod
+    def head_received(self, head: ResponseHead) -> None:
+        """The head is complete."""
+
+    @abc.abstractmethod
+    def data_received(self, data: bytes) -> None:
+        """A part of the body arrived."""
+
+    @abc.abstractmethod
+    def response_ended(self) -> None:
+        """The whole response arrived."""
+
+    @abc.abstractmethod
+    def response_failed(self) -> None:
+        """The connection broke, or the response was malformed."""
+
+
+class _Phase(enum.Enum):
+    IDLE = 1
+    HEAD = 2
+    BODY = 3
+    CLOSED = 4
+
+
+class UpstreamConnection(http.HTTPClient):
+    """One connection; it carries one request at a time."""
+
+    MAX_LENGTH = MAX_HEAD_BYTES
+    # Twisted's interfaces need a mypy plugin to be checked.
+    transport: Any
+
+    def __init__(
+        self,
+        on_idle: Callable[[UpstreamConnection], None],
+        on_closed: Callable[[UpstreamConnection], None],
+    ) -> None:
+        self._on_idle = on_idle
+        self._on_closed = on_closed
+        self._phase = _Phase.IDLE
+        self._handler: ResponseHandler | None = None
+        self._persistent = True
+        self._bodyless = False
+        self._status = 0
+        self._lines: list[bytes] = []
+        self._head_bytes = 0
+        self._chunked = False
+        self._decoder: Any = None
+        self._sending = False
+        self._write_paused = False
+        self._on_writable: Callable[[], None] | None = None
+
+    def connectionMade(self) -> None:
+        """Prepares for the first request."""
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+
+    def begin(
+        self, data: bytes, handler: ResponseHandler, bodyless: bool, more: bool
+    ) -> None:
+        """Sends a request.
+
+        Args:
+            data: The request head and the first part of its body.
+            handler: Receives the response.
+            bodyless: Whether the response has no body (HEAD).
+            more: Whether parts of the request body follow by `send`.
+        """
+        self._handler = handler
+        self._bodyless = bodyless
+        self._phase = _Phase.HEAD
+        self._sending = more
+        self.firstLine = True
+        self.length = None
+        self._header = b""
+        self._lines = []
+        self._head_bytes = 0
+        self._chunked = False
+        self._decoder = None
+        self.transport.write(data)
+
+    def send(self, data: bytes, last: bool) -> None:
+        """Sends a further part of the request body."""
+        self._sending = not last
+        self.transport.write(data)
+
+    def when_writable(self, notify: Callable[[], None]) -> None:
+        """Calls `notify` once little written data waits to be sent."""
+        if self._write_paused:
+            self._on_writable = notify
+        else:
+            notify()
+
+    def pauseProducing(self) -> None:
+        """Much written data waits to be sent."""
+        self._write_paused = True
+
+    def resumeProducing(self) -> None:
+        """The written data was sent."""
+        self._write_paused = False
+        notify, self._on_writable = self._on_writable, None
+        if notify is not None:
+            notify()
+
+    def stopProducing(self) -> None:
+        """The connection is closing; `connectionLost` follows."""
+
+    def abort(self) -> None:
+        """Closes at once; the handler hears no more."""
+        self._handler = None
+        self._phase = _Phase.CLOSED
+        if self.transport is not None:
+            self.transport.abortConnection()
+
+    def pause(self) -> None:
+        """Stops reading the response."""
+        self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Reads the response again."""
+        if self._phase is not _Phase.CLOSED:
+            self.transport.resumeProducing()
+
+    def lineReceived(self, line: bytes) -> None:
+        """Parses the status line and the headers."""
+        if self._phase is not _Phase.HEAD:
+            # An idle upstream has nothing to say, and a connection out of
+            # step must not answer the next request.
+            self._fail()
+            return
+        self._head_bytes += len(line)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._fail()
+            return
+        try:
+            super().lineReceived(line)
+        except (ValueError, IndexError):
+            self._fail()
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        """Fails a response with an oversized line."""
+        self._fail()
+
+    def handleStatus(
+        self, version: bytes, status: bytes, message: bytes
+    ) -> None:
+        """Notes the status."""
+        self._status = int(status)
+        self._persistent = version == b"HTTP/1.1"
+
+    def handleHeader(self, key: bytes, val: bytes) -> None:
+        """Keeps a header unless it belongs to this hop only."""
+        name = key.lower()
+        if name == b"transfer-encoding":
+            self._chunked = val.lower() == b"chunked"
+            if not self._chunked:
+                raise ValueError(val)
+        elif name == b"content-length":
+            # Two lengths that differ, or a signed one, would let one side
+            # see another end of the body than the other.
+            if not val.isdigit() or self.length not in (None, int(val)):
+                raise ValueError(val)
+        elif name == b"connection" and b"close" in val.lower():
+            self._persistent = False
+        if name not in _DROPPED_HEADERS and not name.startswith(
+            _OWN_HEADER_PREFIX
+        ):
+            self._lines.append(key + b": " + val + b"\r\n")
+
+    def handleEndHeaders(self) -> None:
+        """Passes the head on and prepares for the body."""
+        if self._status < 200:
+            # An interim response; the final one follows.
+            self.firstLine = True
+            self._header = b""
+            self._lines = []
+            return
+        handler = self._handler
+        if handler is None:
+            return
+        no_body = self._bodyless or self._status in http.NO_BODY_CODES
+        if self._chunked:
+            self.length = None
+        if not no_body and self.length is None and not self._chunked:
+            self._fail()
+            return
+        declared = self.length
+        body_bytes = exchange.UNKNOWN_LENGTH if declared is None else declared
+        self._phase = _Phase.BODY
+        handler.head_received(
+            ResponseHead(self._status, b"".join(self._lines), body_bytes)
+        )
+        if no_body:
+            self.length = 0
+        elif self._chunked:
+            self._decoder = http._ChunkedTransferDecoder(
+                self._data_received, self._chunks_ended
+            )
+        if self.length == 0:
+            self._response_ended()
+
+    def setRawMode(self) -> None:
+        """Reads a body, unless the response has already ended."""
+        if self._phase is _Phase.BODY:
+            super().setRawMode()
+
+    def rawDataReceived(self, data: bytes) -> None:
+        """Reads a part of the body."""
+        if self._phase is not _Phase.BODY:
+            self._fail()
+        elif self._decoder is not None:
+            try:
+                self._decoder.dataReceived(data)
+            except http._MalformedChunkedDataError:
+                self._fail()
+        else:
+            self._identity_received(data)
+
+    def connectionLost(
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Fails the response in progress."""
+        handler, self._handler = self._handler, None
+        self._phase = _Phase.CLOSED
+        self._on_closed(self)
+        if handler is not None:
+            handler.response_failed()
+
+    def _identity_received(self, data: bytes) -> None:
+        assert self.length is not None
+        if len(data) > self.length:
+            self._fail()
+            return
+        self.length -= len(data)
+        self._data_received(data)
+        if self.length == 0 and self._phase is _Phase.BODY:
+            self._response_ended()
+
+    def _data_received(self, data: bytes) -> None:
+        if self._handler is not None:
+            self._handler.data_received(data)
+
+    def _chunks_ended(self, rest: bytes) -> None:
+        if rest:
+            self._persistent = False
+        self._response_ended()
+
+    def _response_ended(self) -> None:
+        handler, self._handler = self._handler, None
+        reusable = self._persistent and not self._sending
+        self._phase = _Phase.IDLE if reusable else _Phase.CLOSED
+        if handler is None:
+            return
+        if reusable:
+            self.setLineMode()
+            self._on_idle(self)
+        else:
+            self.transport.loseConnection()
+        handler.response_ended()
+
+    def _fail(self) -> None:
+        handler = self._handler
+        self.abort()
+        if handler is not None:
+            handler.response_failed()
--- /dev/null
+++ b/tests/support/path_node.py
@@ -0,0 +1,271 @@
+"""Request path of one node over loopback, with pass-through policies."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+
+from twisted.internet import defer
+from twisted.internet import protocol
+from twisted.web import resource
+from twisted.web import server
+
+from cyclamendale import clocks
+from cyclamendale import ids
+from cyclamendale.configuration import source
+from cyclamendale.entry import http_entry
+from cyclamendale.filters import context
+from cyclamendale.filters import deadline
+from cyclamendale.filters import early_shed as early_shed_filter
+from cyclamendale.filters import identify
+from cyclamendale.filters import match_route
+from cyclamendale.forwarding import forwarder
+from cyclamendale.forwarding import policy
+from cyclamendale.intents import model
+from cyclamendale.membership import directory
+from cyclamendale.overload import admission
+from cyclamendale.overload import early_shed
+from cyclamendale.overload import feedback
+from cyclamendale.overload import target_choice
+from cyclamendale.peer import calls as peer_calls
+from cyclamendale.peer import thrift_network
+from cyclamendale.upstream import gate as gates
+
+SECRET = b"fleet-secret"
+KEY = b"masons-key"
+DIGEST = ids.KeyDigest(hashlib.sha256(KEY).hexdigest())
+
+
+def configuration(**route_fields) -> model.Configuration:
+    """Returns a configuration with one service, route, customer and key."""
+    fields = {"path_prefix": "/shop", "deadline_s": 5.0, **route_fields}
+    route = model.Route(
+        ids.RouteName("shop"), ids.ServiceName("shop"), **fields
+    )
+    masons = ids.CustomerId("masons")
+    return model.Configuration(
+        version=ids.ConfigVersion(7),
+        services={route.service: model.Service(route.service)},
+        routes={route.name: route},
+        customers={masons: model.Customer(masons, 100.0, 100.0)},
+        keys={DIGEST: model.Key(DIGEST, masons)},
+        sources={
+            ("route", "shop"): ids.IntentFileName("20-shop.toml"),
+            ("key", DIGEST): ids.IntentFileName("40-key.toml"),
+        },
+    )
+
+
+class OpenAdmission(admission.Admission):
+    """Starts every request at once."""
+
+    def __init__(self):
+        self.finished = []
+        self.closed = False
+
+    def submit(self, ticket):
+        ticket.started_s = 0.0
+        ticket.start()
+
+    def finish(self, ticket, own_time_s, completion):
+        self.finished.append(completion)
+
+    def withdraw(self, ticket):
+        return False
+
+    def set_capacity(self, slots, connections):
+        self.slots = slots
+
+    def close(self):
+        self.closed = True
+
+    def reopen(self, cold):
+        self.closed = False
+
+    def feedback(self):
+        return feedback.Feedback()
+
+
+class ListedChooser(target_choice.TargetChooser):
+    """Chooses the first target that is not excluded."""
+
+    def __init__(self):
+        self.members = []
+        self.outcomes = []
+
+    def choose(self, service, excluded):
+        return next((m for m in self.members if m.node not in excluded), None)
+
+    def sent(self, target):
+        self.last = target
+
+    def answered(self, target, duration_s, succeeded, answer_feedback):
+        self.outcomes.append((target, succeeded))
+
+
+class NoShed(early_shed.EarlyShed, early_shed.FairUse):
+    """Sheds nothing."""
+
+    def should_shed(self, route, shed_key):
+        return False
+
+    def observe(self, route, answer_feedback):
+        self.last = answer_feedback
+
+    def note(self, customer, route):
+        return 0
+
+
+class FreePolicy(policy.RetryPolicy):
+    """Allows every retry; hedges after a fixed delay if one is set."""
+
+    hedge_after_s = None
+    retries = 0
+
+    def note_call(self):
+        self.noted = True
+
+    def may_retry(self):
+        self.retries += 1
+        return True
+
+    def note_duration(self, route, duration_s):
+        self.last_s = duration_s
+
+    def hedge_delay_s(self, route):
+        return self.hedge_after_s
+
+
+class PathNode:
+    """Entry, gate and peer network of one node."""
+
+    def __init__(self, reactor, configured: model.Configuration) -> None:
+        self.reactor = reactor
+        self.clock = clocks.SystemClock(reactor)
+        self.configuration = source.FixedConfiguration(configured)
+        self.chooser = ListedChooser()
+        self.shed = NoShed()
+        self.policy = FreePolicy()
+        self.outcomes = []
+        self.admissions = []
+        self.network = thrift_network.ThriftPeerNetwork(
+            reactor, self.clock, SECRET
+        )
+        self.gate = gates.Gate(
+            reactor,
+            self.clock,
+            random.Random(1),
+            self._make_admission,
+            lambda own, context: own,
+        )
+        peer_calls.CallServer(self.network, self.clock, self.gate)
+        port = self.network.listen("127.0.0.1", 0)
+        self.address = ids.PeerAddress(f"127.0.0.1:{port}")
+        self.node = ids.make_node_id(self.address)
+        self.entry = http_entry.Entry(
+            self.clock,
+            self.configuration,
+            forwarder.Forwarder(
+                self.clock,
+                self.chooser,
+                self.shed,
+                self.policy,
+                self.transport_for,
+            ),
+            lambda call, outcome: self.outcomes.append(outcome),
+        )
+        self.entry.set_filters(
+            [
+                identify.IdentifyFilter(self.gate.contexts, self.configuration),
+                match_route.MatchRouteFilter(),
+                context.ContextFilter(self.shed),
+                deadline.DeadlineFilter(self.clock),
+                early_shed_filter.EarlyShedFilter(self.shed, random.Random(1)),
+            ]
+        )
+        self._port = reactor.listenTCP(
+            0, self.entry.make_factory(), interface="127.0.0.1"
+        )
+        self.http_port = self._port.getHost().port
+
+    def _make_admission(self, announced):
+        self.admissions.append(OpenAdmission())
+        return self.admissions[-1]
+
+    def transport_for(self, target):
+        if target.node == self.node:
+            return self.gate
+        return peer_calls.RemoteCallTransport(
+            self.network, self.clock, target.address
+        )
+
+    def member(self) -> directory.Member:
+        return directory.Member(
+            self.node, self.address, ids.FailureDomainName("north"), 1
+        )
+
+    def announce(self, address: str, state=directory.UpstreamState.READY):
+        self.gate.set_upstream(
+            directory.Announcement(
+                ids.ServiceName("shop"), address, 10, 100, state
+            )
+        )
+
+    def close(self):
+        self.gate.disconnect()
+        return defer.gatherResults(
+            [
+                defer.maybeDeferred(self._port.stopListening),
+                self.network.close(),
+            ]
+        )
+
+
+class ScriptedUpstream(resource.Resource):
+    """Upstream whose answers are a function of the request."""
+
+    isLeaf = True
+
+    def __init__(self, render):
+        super().__init__()
+        self.render = render
+        self.requests = 0
+
+
+def listen_site(reactor, root) -> tuple[object, str]:
+    """Serves a twisted.web resource; returns its port and address."""
+    site = server.Site(root)
+    site.noisy = False
+    port = reactor.listenTCP(0, site, interface="127.0.0.1")
+    return port, f"127.0.0.1:{port.getHost().port}"
+
+
+class RawClient(protocol.Protocol):
+    """Sends bytes and collects what comes back until the close."""
+
+    def __init__(self):
+        self.received = bytearray()
+        self.closed = defer.Deferred()
+        self.waiting = None
+        self.paused = False
+
+    def dataReceived(self, data):
+        self.received += data
+        self._check()
+
+    def wait_for(self, predicate):
+        """Fires when `predicate(received)` holds."""
+        fired = defer.Deferred()
+        self.waiting = (predicate, fired)
+        self._check()
+        return fired
+
+    def _check(self):
+        if self.waiting and self.waiting[0](self.received):
+            fired = self.waiting[1]
+            self.waiting = None
+            fired.callback(bytes(self.received))
+
+    def connectionLost(self, reason):
+        self.reason = reason
+        self.closed.callback(bytes(self.received))
