Add the platform's stand-ins and its HTTP adapter

The table and object store interfaces had no implementation. Both now have one in memory, on a virtual clock, and one over HTTP; the stand-in server serves the first through the second. One contract suite with its faults in tables runs against both.

A table write is sent again only while it certainly had no effect: the port refused the connection, the connection was found closed before a byte was written, or the platform said so itself. Anything else is of unknown outcome, an error page of a proxy included. Ruled out: twisted's own automatic retry (switched off) and its host name endpoint for IP numbers (it uses resolver threads and holds a refusal back for the attempt delay, which turned refused connections into unknown outcomes).

Time-outs run on the clock that is passed in, so the tests' time-outs come only while the stand-in holds a request.

--- /dev/null
+++ b/src/cyclamendale/platform/_http_attempt.py
@@ -0,0 +1,129 @@
+"""One attempt of an HTTP request, with what is known if it fails."""
+
+from __future__ import annotations
+
+import enum
+import io
+from typing import Any
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+from twisted.internet import abstract
+from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import error as internet_error
+from twisted.web import client
+from twisted.web import http_headers
+from twisted.web import iweb
+from zope.interface import implementer  # type: ignore[import-untyped]
+
+from cyclamendale import clocks
+
+
+class AttemptFailure(enum.Enum):
+    """What is known of a request without an answer."""
+
+    NOT_SENT = "not-sent"
+    """No byte of it reached the platform."""
+    LOST = "lost"
+    """It may have taken effect."""
+
+
+class HttpAnswer(msgspec.Struct, frozen=True):
+    """A whole HTTP answer."""
+
+    status: int
+    body: bytes
+
+
+@implementer(iweb.IAgentEndpointFactory)
+class _EndpointFactory:
+    """Connects to IP numbers without the resolver and its threads."""
+
+    def __init__(self, reactor: Any, timeout_s: float) -> None:
+        self._reactor = reactor
+        self._timeout_s = timeout_s
+
+    def endpointForURI(self, uri: client.URI) -> Any:
+        host = uri.host.decode()
+        kind: Any = endpoints.HostnameEndpoint
+        if abstract.isIPAddress(host):
+            kind = endpoints.TCP4ClientEndpoint
+        return kind(self._reactor, host, uri.port, timeout=self._timeout_s)
+
+
+class Sender:
+    """Sends single attempts over a pool of kept-open connections."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: clocks.Clock,
+        base_url: str,
+        timeout_s: float,
+        connect_timeout_s: float,
+        max_connections: int,
+    ) -> None:
+        self._clock = clock
+        self._base_url = base_url.rstrip("/")
+        self._timeout_s = timeout_s
+        self._pool = client.HTTPConnectionPool(reactor, persistent=True)
+        self._pool.maxPersistentPerHost = max_connections
+        # Whether to send again is decided by the caller, who knows
+        # which operations may be repeated.
+        self._pool.retryAutomatically = False
+        self._agent = client.Agent.usingEndpointFactory(
+            reactor,
+            _EndpointFactory(reactor, connect_timeout_s),
+            pool=self._pool,
+        )
+
+    async def send(
+        self, method: str, path: str, body: bytes | None
+    ) -> Result[HttpAnswer, AttemptFailure]:
+        """Sends a request once and reads the whole answer."""
+        exchange = defer.Deferred.fromCoroutine(
+            self._exchange(method, path, body)
+        )
+        timer = self._clock.call_later(self._timeout_s, exchange.cancel)
+        try:
+            return Ok(await exchange)
+        except (
+            internet_error.ConnectError,
+            internet_error.ConnectingCancelledError,
+            client.RequestNotSent,
+        ):
+            # Raised before a connection was there to write to.
+            return Error(AttemptFailure.NOT_SENT)
+        except (
+            defer.CancelledError,
+            internet_error.ConnectionClosed,
+            client.ResponseFailed,
+            client.RequestTransmissionFailed,
+            client.PartialDownloadError,
+        ):
+            return Error(AttemptFailure.LOST)
+        finally:
+            if timer.active():
+                timer.cancel()
+
+    async def _exchange(
+        self, method: str, path: str, body: bytes | None
+    ) -> HttpAnswer:
+        headers = http_headers.Headers({b"content-type": [b"application/json"]})
+        producer: Any = None
+        if body is not None:
+            producer = client.FileBodyProducer(io.BytesIO(body))
+        response = await self._agent.request(
+            method.encode(),
+            f"{self._base_url}{path}".encode(),
+            headers,
+            producer,
+        )
+        return HttpAnswer(response.code, await client.readBody(response))
+
+    def close(self) -> defer.Deferred[Any]:
+        """Closes the kept-open connections."""
+        return self._pool.closeCachedConnections()
--- /dev/null
+++ b/tests/support/fake_platform.py
@@ -0,0 +1,105 @@
+"""Platforms for the table and object store contracts."""
+
+from __future__ import annotations
+
+import random
+
+from twisted.internet import defer
+from twisted.internet import reactor
+from twisted.internet import task
+
+from cyclamendale import clocks
+from cyclamendale.platform import faults
+from cyclamendale.platform import http_client
+from cyclamendale.platform import load_limit
+from cyclamendale.platform import memory
+from cyclamendale.platform import stand_in
+
+SLOW_S = 5.0
+"""Delay longer than any time-out of these platforms."""
+
+WIDE_SHARE = load_limit.LoadShare(1e6, 1e6, 1000, 1000)
+"""A load share that no test reaches."""
+
+
+class MemoryPlatform:
+    """Table and object store in memory, on a virtual clock."""
+
+    def __init__(self):
+        self.task_clock = task.Clock()
+        clock = clocks.ReactorClock(self.task_clock)
+        self.switch = faults.FaultSwitch()
+        self.table = memory.make_memory_table(clock, self.switch)
+        self.objects = memory.make_memory_object_store(clock, self.switch)
+
+    def result(self, answer):
+        """Returns what `answer` fires with, advancing the clock."""
+        while not answer.called:
+            self.task_clock.advance(0.1)
+        return answer
+
+    def finish_slow(self):
+        """Lets slow operations that were given up take effect."""
+        self.task_clock.advance(SLOW_S)
+
+    def close(self):
+        return defer.succeed(None)
+
+
+class LoopbackPlatform:
+    """The HTTP adapter against the HTTP stand-in, over loopback.
+
+    Time-outs and delays run on virtual clocks: a time-out comes only
+    while the stand-in holds a slow request, however busy the host is.
+    """
+
+    timeout_s = 1000.0
+    step_s = 0.05
+    pump_interval_s = 0.002
+
+    def __init__(self, share=WIDE_SHARE):
+        self.platform = stand_in.Platform()
+        self.switch = self.platform.switch
+        self.server_clock = task.Clock()
+        self.client_clock = task.Clock()
+        site = stand_in.make_site(
+            self.platform, clocks.ReactorClock(self.server_clock)
+        )
+        self.port = reactor.listenTCP(0, site, interface=stand_in.LOOPBACK)
+        self.url = f"http://{stand_in.LOOPBACK}:{self.port.getHost().port}"
+        self.client = http_client.make_platform(
+            reactor,
+            clocks.ReactorClock(self.client_clock),
+            random.Random(1),
+            http_client.HttpSettings(
+                self.url,
+                timeout_s=self.timeout_s,
+                connect_timeout_s=30.0,
+                share=share,
+            ),
+        )
+        self.table = http_client.make_table(self.client)
+        self.objects = http_client.make_object_store(self.client)
+        self._held = 0
+        self._pump = task.LoopingCall(self._advance)
+        self._pump.start(self.pump_interval_s)
+
+    def _advance(self):
+        held = len(self.server_clock.getDelayedCalls())
+        is_new = held > self._held
+        self._held = held
+        self.client_clock.advance(self.timeout_s if is_new else self.step_s)
+
+    def finish_slow(self):
+        """Lets the operations that the stand-in holds take effect."""
+        self.server_clock.advance(SLOW_S)
+
+    def result(self, answer):
+        """Returns `answer`; the reactor lets it fire."""
+        return answer
+
+    @defer.inlineCallbacks
+    def close(self):
+        self._pump.stop()
+        yield self.port.stopListening()
+        yield self.client.close()
--- /dev/null
+++ b/tests/test_platform_http.py
@@ -0,0 +1,211 @@
+"""What the HTTP adapter adds: retries, load share, bad answers."""
+
+from __future__ import annotations
+
+import io
+import json
+
+import testscenarios
+import testtools
+from twisted.internet import defer
+from twisted.internet import reactor
+from twisted.internet import task
+from twisted.trial import unittest
+from twisted.web import client
+from twisted.web import resource
+from twisted.web import server
+
+from cyclamendale import clocks
+from cyclamendale.platform import faults
+from cyclamendale.platform import http_api
+from cyclamendale.platform import load_limit
+from cyclamendale.platform import stand_in
+from cyclamendale.platform import table
+from tests.support import fake_platform
+
+KINDS = table.TableErrorKind
+OPERATION = faults.Operation
+
+
+class LoopbackTest(testscenarios.WithScenarios, unittest.TestCase):
+    timeout = 10
+
+    def setUp(self):
+        super().setUp()
+        self.platform = fake_platform.LoopbackPlatform()
+        self.table = self.platform.table
+        self.addCleanup(lambda: self.platform.close())
+
+
+class RetryTest(LoopbackTest):
+    scenarios = [
+        (fault.value, {"fault": fault, "delay_s": 5.0})
+        for fault in faults.Fault
+        if fault is not faults.Fault.CONFLICT
+    ]
+
+    @defer.inlineCallbacks
+    def test_a_read_survives_a_fault_of_one_attempt(self):
+        yield self.table.insert_if_absent("k", b"a")
+        rule = faults.FaultRule(self.fault, count=1, delay_s=self.delay_s)
+        self.platform.switch.switch([rule])
+        row = (yield self.table.read("k")).ok
+        self.assertEqual(b"a", row.value)
+        self.assertEqual(2, self.platform.switch.operations[OPERATION.READ])
+
+    @defer.inlineCallbacks
+    def test_an_object_survives_a_fault_of_one_attempt(self):
+        rule = faults.FaultRule(self.fault, count=1, delay_s=self.delay_s)
+        self.platform.switch.switch([rule])
+        digest = (yield self.platform.objects.put(b"data")).ok
+        data = (yield self.platform.objects.get(digest)).ok
+        self.assertEqual(b"data", data)
+
+
+class WriteTest(LoopbackTest):
+    @defer.inlineCallbacks
+    def test_a_write_refused_without_effect_is_sent_again(self):
+        rule = faults.FaultRule(faults.Fault.DOWN, count=2)
+        self.platform.switch.switch([rule])
+        row = (yield self.table.insert_if_absent("k", b"a")).ok
+        self.assertEqual(1, row.version)
+        self.assertEqual(3, self.platform.switch.operations[OPERATION.INSERT])
+
+    @defer.inlineCallbacks
+    def test_a_closed_port_is_certainly_without_effect(self):
+        yield self.platform.port.stopListening()
+        error = (yield self.table.insert_if_absent("k", b"a")).error
+        self.assertEqual(KINDS.UNAVAILABLE, error.kind)
+
+
+class BadAnswerTest(LoopbackTest):
+    """Answers that the adapter cannot understand."""
+
+    scenarios = [
+        ("not JSON", {"status": 200, "body": b"<html>"}),
+        ("another shape", {"status": 200, "body": b'{"rows": 3}'}),
+        ("no row", {"status": 200, "body": b'{"rows": []}'}),
+        ("a proxy's page", {"status": 503, "body": b"<html>"}),
+        ("a server's fault", {"status": 500, "body": b""}),
+    ]
+
+    @defer.inlineCallbacks
+    def test_a_read_is_malformed_and_a_write_of_unknown_outcome(self):
+        page = _Page(self.status, self.body)
+        site = server.Site(page)
+        port = reactor.listenTCP(0, site, interface=stand_in.LOOPBACK)
+        self.addCleanup(port.stopListening)
+        platform = self.platform.client
+        sender = platform._sender
+        sender._base_url = f"http://{stand_in.LOOPBACK}:{port.getHost().port}"
+        read = yield self.table.read("k")
+        write = yield self.table.insert_if_absent("k", b"a")
+        self.assertEqual(KINDS.MALFORMED, read.error.kind)
+        self.assertEqual(KINDS.OUTCOME_UNKNOWN, write.error.kind)
+        self.assertEqual(1, page.writes)
+
+
+class _Page(resource.Resource):
+    isLeaf = True  # noqa: N815 (twisted's name)
+
+    def __init__(self, status, body):
+        super().__init__()
+        self.status, self.body, self.writes = status, body, 0
+
+    def render_POST(self, request):
+        self.writes += request.path.endswith(b"insert")
+        request.setResponseCode(self.status)
+        return self.body
+
+
+class StandInTest(LoopbackTest):
+    scenarios = [
+        ("no JSON", {"path": "/table/read", "body": b"{"}),
+        ("a field missing", {"path": "/table/insert", "body": b"{}"}),
+        ("unknown operation", {"path": "/table/drop", "body": b"{}"}),
+        ("unknown fault", {"path": http_api.FAULTS_PATH, "body": b"[3]"}),
+    ]
+
+    @defer.inlineCallbacks
+    def test_a_malformed_request_is_refused_and_changes_nothing(self):
+        status = yield self.post(self.path, self.body)
+        self.assertEqual(400, status)
+        self.assertEqual([], self.platform.platform.rows.list_rows("", 9))
+
+    @defer.inlineCallbacks
+    def test_the_control_resource_switches_faults_and_counts(self):
+        rules = {"rules": [{"fault": "down", "operations": ["read"]}]}
+        body = json.dumps(rules).encode()
+        status = yield self.post(http_api.FAULTS_PATH, body)
+        error = (yield self.table.read("k")).error
+        self.assertEqual(200, status)
+        self.assertEqual(KINDS.UNAVAILABLE, error.kind)
+
+    @defer.inlineCallbacks
+    def post(self, path, body):
+        agent = client.Agent(reactor)
+        response = yield agent.request(
+            b"POST",
+            (self.platform.url + path).encode(),
+            None,
+            client.FileBodyProducer(io.BytesIO(body)),
+        )
+        yield client.readBody(response)
+        return response.code
+
+
+class LoadLimitTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.task_clock = task.Clock()
+        self.clock = clocks.ReactorClock(self.task_clock)
+
+    def limiter(self, **fields):
+        share = load_limit.LoadShare(
+            **{
+                "reads_per_s": 2.0,
+                "writes_per_s": 1.0,
+                "read_burst": 3,
+                "write_burst": 1,
+                "max_in_flight": 100,
+                "max_wait_s": 1.0,
+                **fields,
+            }
+        )
+        return load_limit.LoadLimiter(self.clock, share)
+
+    def acquire(self, limiter, is_write=False):
+        coroutine = limiter.acquire(is_write=is_write)
+        return defer.Deferred.fromCoroutine(coroutine)
+
+    def test_reads_pass_at_the_burst_and_then_at_the_rate(self):
+        limiter = self.limiter()
+        turns = [self.acquire(limiter) for _ in range(5)]
+        self.assertEqual(3, sum(turn.called for turn in turns))
+        self.task_clock.advance(0.5)
+        self.assertEqual(4, sum(turn.called for turn in turns))
+
+    def test_a_turn_too_far_away_is_given_up_at_once(self):
+        limiter = self.limiter()
+        turns = [self.acquire(limiter) for _ in range(6)]
+        self.assertTrue(turns[5].called)
+        self.assertFalse(turns[5].result)
+
+    def test_writes_have_a_rate_of_their_own(self):
+        limiter = self.limiter()
+        for _ in range(3):
+            self.acquire(limiter)
+        self.assertTrue(self.acquire(limiter, is_write=True).result)
+
+    def test_requests_in_flight_are_bounded(self):
+        limiter = self.limiter(max_in_flight=2)
+        turns = [self.acquire(limiter) for _ in range(3)]
+        self.assertFalse(turns[2].called)
+        limiter.release()
+        self.assertTrue(turns[2].result)
+
+    def test_a_fleet_stays_under_what_the_platform_handles(self):
+        for nodes in (5, 1100):
+            share = load_limit.make_node_share(nodes)
+            self.assertLessEqual(share.reads_per_s * nodes, 2000)
+            self.assertLessEqual(share.writes_per_s * nodes, 400)
