--- /dev/null
+++ b/src/cyclamendale/overload/_wait_queue.py
@@ -0,0 +1,89 @@
+"""Requests that wait at a gate, in the order in which they may run."""
+
+from __future__ import annotations
+
+import bisect
+from collections.abc import Iterator
+import heapq
+
+from cyclamendale.overload import admission
+
+
+class WaitQueue:
+    """Sorted by key, with a second order by the latest useful start.
+
+    The sorted list is short, bounded by the gate, so an insertion is a
+    binary search and a small memory move. It is kept in descending order,
+    because the lowest key is taken most often.
+    """
+
+    __slots__ = ("_by_key", "_by_latest_start", "_sequence", "_waiting")
+
+    def __init__(self) -> None:
+        self._by_key: list[tuple[int, int, admission.Ticket]] = []
+        self._by_latest_start: list[tuple[float, int, admission.Ticket]] = []
+        self._waiting: dict[admission.Ticket, tuple[int, int]] = {}
+        self._sequence = 0
+
+    def __len__(self) -> int:
+        return len(self._by_key)
+
+    def add(
+        self, ticket: admission.Ticket, key: int, latest_start_s: float
+    ) -> None:
+        """Puts a ticket in its place."""
+        self._sequence += 1
+        sequence = self._sequence
+        # Negated, so that the lowest key and the earliest arrival are last.
+        bisect.insort(self._by_key, (-key, -sequence, ticket))
+        heapq.heappush(
+            self._by_latest_start, (latest_start_s, sequence, ticket)
+        )
+        self._waiting[ticket] = (-key, -sequence)
+
+    def highest_key(self) -> int:
+        """Returns the key that would be refused first."""
+        return -self._by_key[0][0]
+
+    def take_lowest(self) -> admission.Ticket:
+        """Takes out the ticket to run first."""
+        ticket = self._by_key.pop()[2]
+        del self._waiting[ticket]
+        return ticket
+
+    def take_highest(self) -> admission.Ticket:
+        """Takes out the ticket to refuse first."""
+        ticket = self._by_key.pop(0)[2]
+        del self._waiting[ticket]
+        return ticket
+
+    def remove(self, ticket: admission.Ticket) -> bool:
+        """Takes out one ticket; False when it does not wait."""
+        place = self._waiting.pop(ticket, None)
+        if place is None:
+            return False
+        del self._by_key[bisect.bisect_left(self._by_key, place)]
+        return True
+
+    def next_expiry_s(self) -> float | None:
+        """Returns the earliest latest start, or None when empty."""
+        self._drop_gone()
+        return self._by_latest_start[0][0] if self._by_latest_start else None
+
+    def take_expired(self, now_s: float) -> Iterator[admission.Ticket]:
+        """Takes out and yields the tickets whose latest start passed."""
+        heap = self._by_latest_start
+        while heap and heap[0][0] <= now_s:
+            _, sequence, ticket = heapq.heappop(heap)
+            place = self._waiting.get(ticket)
+            if place is not None and place[1] == -sequence:
+                self.remove(ticket)
+                yield ticket
+
+    def _drop_gone(self) -> None:
+        heap = self._by_latest_start
+        while heap:
+            place = self._waiting.get(heap[0][2])
+            if place is not None and place[1] == -heap[0][1]:
+                return
+            heapq.heappop(heap)
--- /dev/null
+++ b/src/cyclamendale/overload/gate_admission.py
@@ -0,0 +1,255 @@
+"""Admission at one upstream: limit, short queue, strict order."""
+
+from __future__ import annotations
+
+import math
+import random as random_module
+
+from cyclamendale import clocks
+from cyclamendale import refusals
+from cyclamendale.intents import model
+from cyclamendale.overload import _threshold_control
+from cyclamendale.overload import _wait_queue
+from cyclamendale.overload import admission
+from cyclamendale.overload import fair_use
+from cyclamendale.overload import feedback
+from cyclamendale.overload import limit as limits
+from cyclamendale.overload import shed_key as shed_keys
+
+RETRY_AFTER_S = 1.0
+"""Mean time after which a refused caller may try again."""
+
+FEWEST_WAITING = 4
+"""Queue length allowed at any rate of service."""
+
+RATE_WINDOW_S = 0.25
+"""Time over which the rate of service is averaged."""
+
+OVERUSE_RATIO = 1.02
+"""Customer's use over the average from which its requests give way."""
+
+_IMPORTANCE_SHIFT = shed_keys.OVER_SHARE_BITS + shed_keys.COHORT_BITS
+_CLASS_MASK = (1 << _IMPORTANCE_SHIFT) - 1
+_KEYS_PER_SHARE = fair_use.UNITS_PER_SHARE << shed_keys.COHORT_BITS
+
+
+class GateAdmission(admission.Admission):
+    """Hands requests over in the order of their shed keys.
+
+    Within one importance, the fairness bits of a key are raised for a
+    customer that was served more than its share by this very upstream.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        random: random_module.Random,
+        service: model.Service,
+        limit: limits.ConcurrencyLimit,
+        weight_of: fair_use.WeightOf,
+    ) -> None:
+        self._clock = clock
+        self._random = random
+        self._service = service
+        self._limit = limit
+        self._weight_of = weight_of
+        self._shares: dict[int, fair_use.CustomerShares] = {}
+        self._control = _threshold_control.ThresholdControl(clock)
+        self._queue = _wait_queue.WaitQueue()
+        self._in_service = 0
+        self._closed = False
+        self._expiry: clocks.DelayedCall | None = None
+        self._expiry_s = math.inf
+        self._finished = 0
+        self._rate_since_s = clock.now_s()
+        self._rate_per_s = 0.0
+
+    def submit(self, ticket: admission.Ticket) -> None:
+        """See base class."""
+        now_s = self._clock.now_s()
+        ticket.arrived_s = now_s
+        if self._closed:
+            self._refuse(ticket, refusals.RefusalReason.LEAVING)
+            return
+        latest_start_s = ticket.deadline_s - self._limit.expected_own_time_s
+        if latest_start_s <= now_s:
+            self._refuse(ticket, refusals.RefusalReason.DEADLINE)
+            return
+        self._control.offered(ticket.shed_key)
+        if not len(self._queue) and self._in_service < self._limit.current:
+            self._start(ticket, now_s)
+            self._control.update(True)
+            return
+        self._enqueue(ticket, latest_start_s, now_s)
+        self._control.update(False)
+
+    def finish(
+        self,
+        ticket: admission.Ticket,
+        own_time_s: float,
+        completion: admission.Completion,
+    ) -> None:
+        """See base class."""
+        self._limit.observe(own_time_s, self._in_service, completion)
+        self._in_service -= 1
+        self._finished += 1
+        self._run_waiting()
+
+    def withdraw(self, ticket: admission.Ticket) -> bool:
+        """See base class."""
+        return self._queue.remove(ticket)
+
+    def set_capacity(self, slots: int, connections: int) -> None:
+        """See base class."""
+        self._limit.set_capacity(slots, connections)
+        self._run_waiting()
+
+    def close(self) -> None:
+        """See base class."""
+        self._closed = True
+        while len(self._queue):
+            self._refuse(
+                self._queue.take_lowest(), refusals.RefusalReason.LEAVING
+            )
+
+    def reopen(self, cold: bool) -> None:
+        """See base class."""
+        self._closed = False
+        if cold:
+            self._limit.start_cold()
+
+    def feedback(self) -> feedback.Feedback:
+        """See base class."""
+        limit = self._limit.current
+        waiting = len(self._queue)
+        self._control.update(not waiting and self._in_service < limit)
+        return feedback.Feedback(
+            self._control.threshold, (self._in_service + waiting) / limit
+        )
+
+    def _key(self, ticket: admission.Ticket) -> int:
+        shed_key = ticket.shed_key
+        ratio = self._shares_of(shed_key).ratio(ticket.customer)
+        if ratio <= OVERUSE_RATIO:
+            return shed_key
+        raised = shed_key + int((ratio - OVERUSE_RATIO) * _KEYS_PER_SHARE)
+        return min(raised, shed_key | _CLASS_MASK)
+
+    def _shares_of(self, shed_key: int) -> fair_use.CustomerShares:
+        importance = shed_key >> _IMPORTANCE_SHIFT
+        shares = self._shares.get(importance)
+        if shares is None:
+            shares = fair_use.CustomerShares(self._clock, self._weight_of)
+            self._shares[importance] = shares
+        return shares
+
+    def _enqueue(
+        self,
+        ticket: admission.Ticket,
+        latest_start_s: float,
+        now_s: float,
+    ) -> None:
+        queue = self._queue
+        key = self._key(ticket)
+        if len(queue) >= self._most_waiting(now_s):
+            if key >= queue.highest_key():
+                self._refuse_for_room(ticket, refusals.RefusalReason.QUEUE_FULL)
+                return
+            self._refuse_for_room(
+                queue.take_highest(), refusals.RefusalReason.QUEUE_FULL
+            )
+        patience_s = now_s + self._service.max_queue_s
+        expiry_s = min(latest_start_s, patience_s)
+        queue.add(ticket, key, expiry_s)
+        if expiry_s < self._expiry_s:
+            self._schedule_expiry(expiry_s, now_s)
+
+    def _most_waiting(self, now_s: float) -> int:
+        elapsed_s = now_s - self._rate_since_s
+        if elapsed_s >= RATE_WINDOW_S:
+            self._rate_per_s = self._finished / elapsed_s
+            self._finished = 0
+            self._rate_since_s = now_s
+        served = int(self._rate_per_s * self._service.max_queue_s)
+        return max(FEWEST_WAITING, served)
+
+    def _run_waiting(self) -> None:
+        queue = self._queue
+        if not len(queue):
+            return
+        now_s = self._clock.now_s()
+        self._expire(now_s)
+        while len(queue) and self._in_service < self._limit.current:
+            self._start(queue.take_lowest(), now_s)
+
+    def _start(self, ticket: admission.Ticket, now_s: float) -> None:
+        self._in_service += 1
+        self._control.served()
+        self._shares_of(ticket.shed_key).count(ticket.customer)
+        ticket.started_s = now_s
+        ticket.start()
+
+    def _schedule_expiry(self, expiry_s: float, now_s: float) -> None:
+        if self._expiry is not None:
+            self._expiry.cancel()
+        self._expiry_s = expiry_s
+        self._expiry = self._clock.call_later(
+            max(0.0, expiry_s - now_s), self._on_expiry
+        )
+
+    def _on_expiry(self) -> None:
+        self._expiry = None
+        self._expiry_s = math.inf
+        now_s = self._clock.now_s()
+        self._expire(now_s)
+        self._run_waiting()
+        expiry_s = self._queue.next_expiry_s()
+        if expiry_s is not None and expiry_s < self._expiry_s:
+            self._schedule_expiry(expiry_s, now_s)
+
+    def _expire(self, now_s: float) -> None:
+        expected_s = self._limit.expected_own_time_s
+        for ticket in self._queue.take_expired(now_s):
+            if ticket.deadline_s - expected_s <= now_s:
+                reason = refusals.RefusalReason.DEADLINE
+            else:
+                reason = refusals.RefusalReason.SHED
+            self._refuse_for_room(ticket, reason)
+
+    def _refuse_for_room(
+        self, ticket: admission.Ticket, reason: refusals.RefusalReason
+    ) -> None:
+        self._control.refused()
+        self._refuse(ticket, reason)
+
+    def _refuse(
+        self, ticket: admission.Ticket, reason: refusals.RefusalReason
+    ) -> None:
+        # Jitter keeps refused callers from coming back together.
+        retry_after_s = RETRY_AFTER_S * (0.5 + self._random.random())
+        ticket.refuse(refusals.Refusal(reason, retry_after_s=retry_after_s))
+
+
+def make_admission(
+    clock: clocks.Clock,
+    random: random_module.Random,
+    service: model.Service,
+    weight_of: fair_use.WeightOf = fair_use.equal_weight,
+    limit: limits.ConcurrencyLimit | None = None,
+) -> admission.Admission:
+    """Returns the admission decision for one upstream.
+
+    Args:
+        clock: Time source and scheduler.
+        random: Source of jitter.
+        service: Limits of the upstream's service.
+        weight_of: Weight of a customer in the share of the upstream.
+        limit: Another limit than the usual one.
+    """
+    return GateAdmission(
+        clock,
+        random,
+        service,
+        limit or limits.make_limit(clock, service.slow_start_s),
+        weight_of,
+    )
--- /dev/null
+++ b/src/cyclamendale/overload/retry_throttle.py
@@ -0,0 +1,42 @@
+"""Bound on the retries of one node, over all requests together."""
+
+from __future__ import annotations
+
+RETRY_SHARE = 0.1
+"""Retries per call that a node may send in the long run."""
+
+MOST_SAVED = 10.0
+"""Retries that may be saved up for a burst of failures."""
+
+
+class RetryThrottle:
+    """Token bucket that calls fill and retries drain.
+
+    Over any stretch, retries stay within `RETRY_SHARE` of the calls plus
+    `MOST_SAVED`, so retries cannot multiply an overload.
+    """
+
+    __slots__ = ("_most_saved", "_share", "_tokens")
+
+    def __init__(
+        self, share: float = RETRY_SHARE, most_saved: float = MOST_SAVED
+    ) -> None:
+        self._share = share
+        self._most_saved = most_saved
+        self._tokens = most_saved
+
+    def call_sent(self) -> None:
+        """Counts a first attempt."""
+        self._tokens = min(self._most_saved, self._tokens + self._share)
+
+    def may_retry(self) -> bool:
+        """Takes leave for one retry; False when there is none."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+def make_retry_throttle() -> RetryThrottle:
+    """Returns the throttle of one node."""
+    return RetryThrottle()
--- /dev/null
+++ b/src/cyclamendale/overload/threshold_shed.py
@@ -0,0 +1,127 @@
+"""Shedding at the entry, by thresholds learned from answers."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+import random as random_module
+
+from cyclamendale import clocks
+from cyclamendale import ids
+from cyclamendale.overload import early_shed
+from cyclamendale.overload import feedback
+from cyclamendale.overload import shed_key as shed_keys
+
+MEMORY_S = 1.0
+"""Age at which a threshold is forgotten."""
+
+MOST_REMEMBERED = 64
+"""Thresholds remembered for each route."""
+
+REFRESH_S = 0.02
+"""Time between two evaluations of what is remembered."""
+
+PROBE_SHARE = 0.01
+"""Share of the requests to be shed that go through as probes."""
+
+PROBE_EVERY_S = 0.5
+"""Longest time without a probe while requests are shed."""
+
+AGREEMENT = 0.5
+"""Share of the remembered thresholds that must exclude a request."""
+
+
+def combine(
+    own: feedback.Feedback, met: Iterable[feedback.Feedback]
+) -> feedback.Feedback:
+    """Returns what an answer says of its own gate and those behind it.
+
+    Args:
+        own: Feedback of the gate that the request passed.
+        met: Feedback of the onward calls made for this request.
+    """
+    threshold = own.threshold
+    for onward in met:
+        if onward.threshold < threshold:
+            threshold = onward.threshold
+    if threshold is own.threshold:
+        return own
+    return feedback.Feedback(threshold, own.load)
+
+
+class _RouteThreshold:
+    __slots__ = ("probed_s", "refreshed_s", "remembered", "threshold")
+
+    def __init__(self, now_s: float) -> None:
+        self.remembered: collections.deque[tuple[float, int]] = (
+            collections.deque(maxlen=MOST_REMEMBERED)
+        )
+        self.threshold: int = shed_keys.MAX_SHED_KEY
+        self.refreshed_s = now_s
+        self.probed_s = now_s
+
+    def refresh(self, now_s: float) -> None:
+        """Takes the threshold on which enough answers agree."""
+        remembered = self.remembered
+        while remembered and now_s - remembered[0][0] > MEMORY_S:
+            remembered.popleft()
+        self.refreshed_s = now_s
+        if not remembered:
+            self.threshold = shed_keys.MAX_SHED_KEY
+            return
+        thresholds = sorted(threshold for _, threshold in remembered)
+        self.threshold = thresholds[int(AGREEMENT * (len(thresholds) - 1))]
+
+
+class ThresholdShed(early_shed.EarlyShed):
+    """Sheds roots above the threshold that their route's answers name.
+
+    An answer counts the onward calls that its own request made, so a
+    gate that few requests of a route reach does not decide for all.
+    """
+
+    def __init__(
+        self, clock: clocks.Clock, random: random_module.Random
+    ) -> None:
+        self._clock = clock
+        self._random = random
+        self._routes: dict[ids.RouteName, _RouteThreshold] = {}
+
+    def should_shed(
+        self, route: ids.RouteName, shed_key: shed_keys.ShedKey
+    ) -> bool:
+        """See base class."""
+        state = self._routes.get(route)
+        if state is None:
+            return False
+        now_s = self._clock.now_s()
+        if now_s - state.refreshed_s >= REFRESH_S:
+            state.refresh(now_s)
+        if shed_key <= state.threshold:
+            return False
+        if (
+            now_s - state.probed_s >= PROBE_EVERY_S
+            or self._random.random() < PROBE_SHARE
+        ):
+            state.probed_s = now_s
+            return False
+        return True
+
+    def observe(
+        self, route: ids.RouteName, answer_feedback: feedback.Feedback
+    ) -> None:
+        """See base class."""
+        now_s = self._clock.now_s()
+        state = self._routes.get(route)
+        if state is None:
+            if answer_feedback.threshold == shed_keys.MAX_SHED_KEY:
+                return
+            state = self._routes[route] = _RouteThreshold(now_s)
+        state.remembered.append((now_s, answer_feedback.threshold))
+
+
+def make_early_shed(
+    clock: clocks.Clock, random: random_module.Random
+) -> early_shed.EarlyShed:
+    """Returns the early shedding of one node."""
+    return ThresholdShed(clock, random)
