Parse, check, merge and explain intent files

The other parts read a merged configuration and need, for each entry and field, the file that decided it. One TOML file states one entry; files are laid over one another in the order of their names, field by field. All faults of all files are reported at once as structs with file, line, field and problem; nothing is built when there is one.

tomllib gives no line numbers for valid documents, so fields are located by a scan for their first assignment; a TOML library with positions would be a new dependency for that alone. Parsed files are kept by name and content, so that a change costs the parsing of changed files only. A withdrawn key needs no customer, so that removing the granting file never blocks a withdrawal.

--- /dev/null
+++ b/src/cyclamendale/intents/_references.py
@@ -0,0 +1,102 @@
+"""Checks that need more than one field or more than one entry."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from cyclamendale.intents import _drafts
+from cyclamendale.intents import errors
+from cyclamendale.intents import kinds
+from cyclamendale.intents import model
+
+
+def check(drafts: _drafts.Drafts) -> Iterator[errors.IntentError]:
+    """Yields the errors of entries taken together.
+
+    Args:
+        drafts: All entries, with all files laid over them.
+    """
+    yield from _dangling(drafts)
+    yield from _duplicate_prefixes(drafts)
+    yield from _contradictions(drafts)
+
+
+def _of_kind(
+    drafts: _drafts.Drafts, kind: kinds.Kind
+) -> Iterator[_drafts.Draft]:
+    return (draft for draft in drafts.values() if draft.kind is kind)
+
+
+def _error(
+    draft: _drafts.Draft, field: str, problem: errors.Problem, allowed: str
+) -> errors.IntentError:
+    decided = draft.fields[field]
+    return errors.IntentError(
+        decided.file,
+        problem,
+        line=decided.line,
+        field=field,
+        value=errors.shorten(kinds.to_file_value(decided.value)),
+        allowed=allowed,
+    )
+
+
+def _dangling(drafts: _drafts.Drafts) -> Iterator[errors.IntentError]:
+    references = (
+        (kinds.Kind.ROUTE, "service", kinds.Kind.SERVICE),
+        (kinds.Kind.KEY, "customer", kinds.Kind.CUSTOMER),
+    )
+    for kind, field, target in references:
+        for draft in _of_kind(drafts, kind):
+            if field not in draft.fields or draft.is_withdrawn_key():
+                continue
+            if (target, draft.fields[field].value) not in drafts:
+                yield _error(
+                    draft, field, errors.Problem.NAME_DANGLING, target.value
+                )
+
+
+def _duplicate_prefixes(
+    drafts: _drafts.Drafts,
+) -> Iterator[errors.IntentError]:
+    by_prefix: dict[str, list[_drafts.Draft]] = {}
+    for draft in _of_kind(drafts, kinds.Kind.ROUTE):
+        if "path_prefix" not in draft.fields:
+            continue
+        same = by_prefix.setdefault(draft.fields["path_prefix"].value, [])
+        for other in same:
+            if _methods_overlap(draft, other):
+                yield _error(
+                    draft,
+                    "path_prefix",
+                    errors.Problem.PREFIX_DUPLICATE,
+                    f"route {other.name} in {other.last_file}",
+                )
+                break
+        same.append(draft)
+
+
+def _methods_overlap(one: _drafts.Draft, other: _drafts.Draft) -> bool:
+    ours, theirs = one.value("methods"), other.value("methods")
+    return not ours or not theirs or bool(set(ours) & set(theirs))
+
+
+def _contradictions(drafts: _drafts.Drafts) -> Iterator[errors.IntentError]:
+    for draft in _of_kind(drafts, kinds.Kind.ROUTE):
+        if "idempotent" in draft.faulty:
+            continue
+        idempotent = draft.value("idempotent")
+        if draft.value("hedge") and not idempotent:
+            yield _error(
+                draft,
+                "hedge",
+                errors.Problem.CONTRADICTION,
+                "idempotent = true",
+            )
+        if draft.value("once") is model.Once.TABLE and idempotent:
+            yield _error(
+                draft,
+                "once",
+                errors.Problem.CONTRADICTION,
+                "idempotent = false",
+            )
--- /dev/null
+++ b/src/cyclamendale/intents/parse.py
@@ -0,0 +1,218 @@
+"""Reads one intent file into a statement about one entry."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import functools
+import re
+import tomllib
+from typing import Any
+
+import msgspec
+
+from cyclamendale import ids
+from cyclamendale.intents import _values
+from cyclamendale.intents import errors
+from cyclamendale.intents import kinds
+
+MAX_FILE_BYTES = 16 * 1024
+MAX_CACHED_FILES = 8192
+"""Parsed files kept, so that a change costs only the changed files."""
+
+FILE_NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,120}\.toml")
+
+_KIND_FIELD = "kind"
+_CLEAR_KEY_FIELD = "key"
+_FIELD_LINE = re.compile(
+    r"""\s*\[{0,2}\s*["']?([A-Za-z0-9_-]+)["']?\s*[=.\]]"""
+)
+_ERROR_LINE = re.compile(r" \(at line (\d+), column \d+\)$")
+_UNIT_SUFFIX = re.compile(
+    r"_(per_)?(ns|us|ms|s|sec|seconds|m|min|minute|minutes|h|hour|hours|"
+    r"day|days|bytes|kb|mb|gb|kib|mib|gib|bits|percent)$"
+)
+
+
+class StatedField(msgspec.Struct, frozen=True):
+    """A field's value as one file states it."""
+
+    value: Any
+    line: int
+
+
+class Statement(msgspec.Struct, frozen=True):
+    """What one file says about one entry.
+
+    Attributes:
+        file: The file.
+        kind: Kind of the entry.
+        name: Name of the entry.
+        line: Where the entry is named.
+        fields: The fields that the file states.
+        faulty: Fields that it states wrongly.
+    """
+
+    file: ids.IntentFileName
+    kind: kinds.Kind
+    name: str
+    line: int
+    fields: dict[str, StatedField]
+    faulty: frozenset[str] = frozenset()
+
+
+class ParsedFile(msgspec.Struct, frozen=True):
+    """A file's statement, if its entry is known, and its errors."""
+
+    statement: Statement | None
+    errors: tuple[errors.IntentError, ...] = ()
+
+
+@functools.lru_cache(maxsize=MAX_CACHED_FILES)
+def parse_file(file: ids.IntentFileName, data: bytes) -> ParsedFile:
+    """Reads and checks one file by itself.
+
+    Args:
+        file: Its name.
+        data: Its content.
+
+    Returns:
+        What it states, and every error that does not need other files.
+    """
+    return _Reader(file).read(data)
+
+
+class _Reader:
+    """Collects the errors of one file while it is read."""
+
+    def __init__(self, file: ids.IntentFileName) -> None:
+        self._file = file
+        self._lines: dict[str, int] = {}
+        self._errors: list[errors.IntentError] = []
+
+    def read(self, data: bytes) -> ParsedFile:
+        if not FILE_NAME_PATTERN.fullmatch(self._file):
+            self._report(
+                errors.Problem.FILE_NAME_MALFORMED,
+                allowed=FILE_NAME_PATTERN.pattern,
+            )
+        document = self._document(data)
+        statement = None if document is None else self._statement(document)
+        return ParsedFile(statement, tuple(self._errors))
+
+    def _report(
+        self, problem: errors.Problem, field: str = "", **details: Any
+    ) -> None:
+        details.setdefault("line", self._lines.get(field, 0))
+        self._errors.append(
+            errors.IntentError(self._file, problem, field=field, **details)
+        )
+
+    def _document(self, data: bytes) -> dict[str, Any] | None:
+        if len(data) > MAX_FILE_BYTES:
+            self._report(
+                errors.Problem.FILE_TOO_LARGE,
+                value=str(len(data)),
+                allowed=str(MAX_FILE_BYTES),
+            )
+            return None
+        try:
+            text = data.decode()
+        except UnicodeDecodeError as error:
+            line = data.count(b"\n", 0, error.start) + 1
+            self._report(errors.Problem.NOT_TEXT, line=line)
+            return None
+        try:
+            document = tomllib.loads(text)
+        except (tomllib.TOMLDecodeError, RecursionError) as error:
+            self._report_not_toml(text, str(error))
+            return None
+        self._lines = _field_lines(text)
+        return document
+
+    def _report_not_toml(self, text: str, message: str) -> None:
+        found = _ERROR_LINE.search(message)
+        self._report(
+            errors.Problem.NOT_TOML,
+            line=int(found.group(1)) if found else text.count("\n") + 1,
+            value=_ERROR_LINE.sub("", message),
+        )
+
+    def _statement(self, document: dict[str, Any]) -> Statement | None:
+        kind = self._kind(document)
+        if kind is None:
+            return None
+        fields = dict(self._fields(kind, document))
+        name_field = kinds.SPECS[kind].name_field
+        if name_field is None:
+            name, line = kinds.DEFAULTS_NAME, self._lines[_KIND_FIELD]
+        elif name_field in fields:
+            name, line = fields[name_field].value, fields[name_field].line
+        else:
+            if name_field not in document:
+                self._report(errors.Problem.NAME_MISSING, name_field)
+            return None
+        faulty = frozenset(error.field for error in self._errors)
+        return Statement(self._file, kind, name, line, fields, faulty)
+
+    def _kind(self, document: dict[str, Any]) -> kinds.Kind | None:
+        known = ", ".join(kind.value for kind in kinds.Kind)
+        if _KIND_FIELD not in document:
+            self._report(
+                errors.Problem.KIND_MISSING, _KIND_FIELD, allowed=known
+            )
+            return None
+        try:
+            return kinds.Kind(document[_KIND_FIELD])
+        except ValueError:
+            self._report(
+                errors.Problem.KIND_UNKNOWN,
+                _KIND_FIELD,
+                value=errors.shorten(document[_KIND_FIELD]),
+                allowed=known,
+            )
+            return None
+
+    def _fields(
+        self, kind: kinds.Kind, document: dict[str, Any]
+    ) -> Iterator[tuple[str, StatedField]]:
+        known = kinds.FIELDS[kind]
+        for name, raw in document.items():
+            if name == _KIND_FIELD:
+                continue
+            if name not in known:
+                self._report_unknown(kind, name)
+                continue
+            converted = _values.convert(kinds.SPECS[kind], known[name], raw)
+            if converted.is_ok():
+                yield name, StatedField(converted.ok, self._lines.get(name, 0))
+            else:
+                fault = converted.error
+                self._report(
+                    fault.problem,
+                    name,
+                    value=fault.value,
+                    allowed=fault.allowed,
+                )
+
+    def _report_unknown(self, kind: kinds.Kind, name: str) -> None:
+        known = kinds.FIELDS[kind]
+        if kind is kinds.Kind.KEY and name == _CLEAR_KEY_FIELD:
+            self._report(errors.Problem.KEY_IN_CLEAR, name, allowed="digest")
+            return
+        stem = _UNIT_SUFFIX.sub("", name)
+        alike = [
+            other for other in known if _UNIT_SUFFIX.sub("", other) == stem
+        ]
+        problem = (
+            errors.Problem.UNIT_WRONG if alike else errors.Problem.FIELD_UNKNOWN
+        )
+        self._report(problem, name, allowed=", ".join(alike or known))
+
+
+def _field_lines(text: str) -> dict[str, int]:
+    lines: dict[str, int] = {}
+    for number, line in enumerate(text.splitlines(), start=1):
+        found = _FIELD_LINE.match(line)
+        if found:
+            lines.setdefault(found.group(1), number)
+    return lines
--- /dev/null
+++ b/tests/test_intents_merge.py
@@ -0,0 +1,311 @@
+"""Tests of parsing, merging, checking and explaining intent files."""
+
+from __future__ import annotations
+
+import pathlib
+
+import hypothesis
+from hypothesis import strategies
+import testscenarios
+import testtools
+
+from cyclamendale import ids
+from cyclamendale.intents import explain
+from cyclamendale.intents import folder
+from cyclamendale.intents import keys
+from cyclamendale.intents import kinds
+from cyclamendale.intents import merge
+from cyclamendale.intents import model
+from cyclamendale.intents import parse
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_DIGEST = "a" * 64
+_GOOD = {
+    "10-shop.toml": 'kind = "service"\nname = "shop"\n',
+    "20-route.toml": (
+        'kind = "route"\nname = "buy"\nservice = "shop"\n'
+        'path_prefix = "/buy"\ndeadline_s = 2\n'
+    ),
+    "30-masons.toml": (
+        'kind = "customer"\nname = "masons"\nrate_per_s = 5\nburst = 9\n'
+    ),
+    "40-key.toml": (
+        f'kind = "key"\ndigest = "{_DIGEST}"\ncustomer = "masons"\n'
+    ),
+}
+
+
+def encoded(files):
+    return {name: text.encode() for name, text in files.items()}
+
+
+def route(*lines):
+    return "\n".join(('kind = "route"', 'name = "r"', *lines))
+
+
+def fault(text, *expected, file="50-x.toml"):
+    """A row: an added file and its (line, field, problem) faults."""
+    return {"added": {file: text}, "expected": {(file, *e) for e in expected}}
+
+
+_FAULTS = {
+    "not toml": fault('kind = "key"\ndigest =\n', (2, "", "not-toml")),
+    "no end": fault('kind = "key', (1, "", "not-toml")),
+    "stated twice": fault('kind = "key"\nkind = "key"', (2, "", "not-toml")),
+    "no kind": fault('name = "x"', (0, "kind", "kind-missing")),
+    "bad kind": fault('\nkind = "tenant"', (2, "kind", "kind-unknown")),
+    "kind no text": fault("kind = [1]", (1, "kind", "kind-unknown")),
+    "no name": fault('kind = "service"', (0, "name", "name-missing")),
+    "empty": fault('kind = "service"\nname = ""', (2, "name", "name-empty")),
+    "odd name": fault(
+        'kind = "service"\nname = "a b"', (2, "name", "name-malformed")
+    ),
+    "name no text": fault(
+        'kind = "service"\nname = 3', (2, "name", "type-wrong")
+    ),
+    "unknown field": fault(
+        'kind = "service"\nname = "s"\ncolour = 1',
+        (3, "colour", "field-unknown"),
+    ),
+    "table": fault(
+        'kind = "service"\nname = "s"\n[limits]\nslots = 1',
+        (3, "limits", "field-unknown"),
+    ),
+    "other unit": fault(
+        'kind = "service"\nname = "s"\nmax_queue_ms = 1',
+        (3, "max_queue_ms", "unit-wrong"),
+    ),
+    "no unit": fault(
+        'kind = "customer"\nname = "masons"\nrate = 1',
+        (3, "rate", "unit-wrong"),
+    ),
+    "wrong type": fault(
+        'kind = "customer"\nname = "masons"\nburst = "9"',
+        (3, "burst", "type-wrong"),
+    ),
+    "truth is no number": fault(
+        'kind = "customer"\nname = "masons"\nburst = true',
+        (3, "burst", "type-wrong"),
+    ),
+    "below range": fault(
+        'kind = "customer"\nname = "masons"\nrate_per_s = 0',
+        (3, "rate_per_s", "out-of-range"),
+    ),
+    "not a number": fault(
+        'kind = "customer"\nname = "masons"\nburst = nan',
+        (3, "burst", "out-of-range"),
+    ),
+    "endless": fault(
+        'kind = "customer"\nname = "masons"\nburst = inf',
+        (3, "burst", "out-of-range"),
+    ),
+    "share above one": fault(
+        'kind = "defaults"\nretained_share = 1.5',
+        (2, "retained_share", "out-of-range"),
+    ),
+    "importance": fault(
+        'kind = "route"\nname = "buy"\nimportance = "top"',
+        (3, "importance", "out-of-range"),
+    ),
+    "importance as number": fault(
+        'kind = "route"\nname = "buy"\nimportance = 1',
+        (3, "importance", "type-wrong"),
+    ),
+    "missing fields": fault(
+        'kind = "customer"\nname = "c"',
+        (2, "rate_per_s", "field-missing"),
+        (2, "burst", "field-missing"),
+    ),
+    "dangling service": fault(
+        route('service = "gone"', 'path_prefix = "/r"'),
+        (3, "service", "name-dangling"),
+    ),
+    "dangling customer": fault(
+        f'kind = "key"\ndigest = "{"b" * 64}"\ncustomer = "who"',
+        (3, "customer", "name-dangling"),
+    ),
+    "same prefix": fault(
+        route('service = "shop"', 'path_prefix = "/buy"'),
+        (4, "path_prefix", "prefix-duplicate"),
+    ),
+    "prefix without slash": fault(
+        route('service = "shop"', 'path_prefix = "r"'),
+        (4, "path_prefix", "name-malformed"),
+    ),
+    "method": fault(
+        route('service = "shop"', 'path_prefix = "/r"', 'methods = ["get"]'),
+        (5, "methods", "name-malformed"),
+    ),
+    "hedged but not idempotent": fault(
+        'kind = "route"\nname = "buy"\nhedge = true',
+        (3, "hedge", "contradiction"),
+    ),
+    "once but idempotent": fault(
+        'kind = "route"\nname = "buy"\nidempotent = true\nonce = "table"',
+        (4, "once", "contradiction"),
+    ),
+    "short digest": fault(
+        'kind = "key"\ndigest = "abc"\ncustomer = "masons"',
+        (2, "digest", "digest-malformed"),
+    ),
+    "key in clear": fault(
+        f'kind = "key"\ndigest = "{_DIGEST}"\nkey = "hush"',
+        (3, "key", "key-in-clear"),
+    ),
+    "node id": fault(
+        'kind = "gone"\nnode = "10.0.0.1"', (2, "node", "name-malformed")
+    ),
+    "file name": fault(
+        'kind = "service"\nname = "s"',
+        (0, "", "file-name-malformed"),
+        file="../x.toml",
+    ),
+    "too large": fault(
+        "#" * (parse.MAX_FILE_BYTES + 1), (0, "", "file-too-large")
+    ),
+    "all at once": fault(
+        'kind = "customer"\nname = "masons"\nburst = 0\nrate_per_s = ""\nx = 1',
+        (3, "burst", "out-of-range"),
+        (4, "rate_per_s", "type-wrong"),
+        (5, "x", "field-unknown"),
+    ),
+}
+
+
+class FaultTest(testscenarios.WithScenarios, testtools.TestCase):
+    scenarios = list(_FAULTS.items())
+
+    def test_a_fault_names_file_line_field_and_problem(self):
+        merged = merge.validate(encoded(_GOOD | self.added))
+        found = {
+            (error.file, error.line, error.field, error.problem.value)
+            for error in merged.error.errors
+        }
+        self.assertEqual(self.expected, found)
+        for error in merged.error.errors:
+            self.assertNotIn("hush", str(error))
+            self.assertTrue(str(error).startswith(error.file))
+
+
+class MergeTest(testtools.TestCase):
+    def merged(self, **added):
+        files = {f"{name}.toml": text for name, text in added.items()}
+        return merge.merge(encoded(_GOOD | files), ids.ConfigVersion(7)).ok
+
+    def test_faults_of_several_files_are_reported_together(self):
+        files = {"a.toml": "kind =", "b.toml": "x = 1", "c.toml": "\xff"}
+        data = encoded(files) | {"c.toml": b"\xff"}
+        problems = [e.problem.value for e in merge.validate(data).error.errors]
+        self.assertEqual(["not-toml", "kind-missing", "not-text"], problems)
+
+    def test_too_many_files_are_refused_unread(self):
+        files = {f"{n}.toml": b"" for n in range(merge.MAX_FILES + 1)}
+        errors = merge.validate(files).error.errors
+        self.assertEqual(["too-many-files"], [e.problem.value for e in errors])
+
+    def test_a_later_file_overrides_only_the_fields_it_states(self):
+        configuration = self.merged(
+            z='kind = "customer"\nname = "masons"\nburst = 99'
+        )
+        customer = configuration.customers["masons"]
+        self.assertEqual((5.0, 99.0), (customer.rate_per_s, customer.burst))
+
+    def test_every_stated_field_names_its_file(self):
+        configuration = self.merged(
+            z='kind = "customer"\nname = "masons"\nburst = 99'
+        )
+
+        def file_of(field):
+            return str(configuration.decider("customer", "masons", field))
+
+        self.assertEqual("30-masons.toml@7", file_of("rate_per_s"))
+        self.assertEqual("z.toml@7", file_of("burst"))
+        self.assertEqual("z.toml@7", file_of(None))
+
+    def test_a_withdrawal_stands_without_the_file_that_granted(self):
+        digest = "c" * 64
+        configuration = self.merged(
+            z=f'kind = "key"\ndigest = "{digest}"\nstate = "withdrawn"'
+        )
+        self.assertIs(
+            model.KeyState.WITHDRAWN, configuration.keys[digest].state
+        )
+
+    def test_one_prefix_may_serve_different_methods(self):
+        get = 'service = "shop"\npath_prefix = "/m"\nmethods = ["GET"]'
+        configuration = self.merged(
+            y=f'kind = "route"\nname = "g"\n{get}',
+            z=f'kind = "route"\nname = "p"\n{get.replace("GET", "PUT")}',
+        )
+        self.assertIn("p", configuration.routes)
+
+    def test_an_explanation_lists_defaults_without_a_file(self):
+        entries = explain.explain_entries(self.merged())
+        files = {
+            (entry.kind, entry.name, field.name): field.file
+            for entry in entries
+            for field in entry.fields
+        }
+        self.assertIsNone(files["route", "buy", "once"])
+        self.assertEqual("20-route.toml", files["route", "buy", "deadline_s"])
+        self.assertIsNone(files["defaults", "defaults", "max_depth"])
+
+    @hypothesis.given(
+        strategies.permutations(sorted(_GOOD)),
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from("abcdef"), strategies.integers(1, 50)
+            ),
+            unique_by=lambda pair: pair[0],
+        ),
+    )
+    def test_the_last_name_decides_whatever_the_order_of_reading(
+        self, order, overrides
+    ):
+        good = {name: _GOOD[name].encode() for name in order}
+        text = 'kind = "customer"\nname = "masons"\nburst = {}'
+        added = {
+            f"50-{name}.toml": text.format(burst).encode()
+            for name, burst in overrides
+        }
+        configuration = merge.validate(added | good).ok
+        expected = max(overrides, default=("", 9))[1]
+        self.assertEqual(expected, configuration.customers["masons"].burst)
+
+
+class FolderTest(testscenarios.WithScenarios, testtools.TestCase):
+    scenarios = [
+        (name, {"name": name})
+        for name in ("quickstart", "sappaya", "cooperative")
+    ]
+
+    def test_the_check_of_an_example_folder_passes(self):
+        files = folder.read([_ROOT / "examples" / self.name]).ok
+        configuration = merge.validate(files).ok
+        for customer in configuration.customers:
+            digest = keys.digest_of(f"{customer}-key")
+            self.assertEqual(customer, configuration.keys[digest].customer)
+
+
+class PageTest(testtools.TestCase):
+    def test_the_operators_page_describes_every_field_and_default(self):
+        page = (_ROOT / "docs/operators/intents.md").read_text()
+        for kind, spec in kinds.SPECS.items():
+            section = page.partition(f"## `{kind.value}`\n")[2]
+            section = section.partition("\n## ")[0]
+            for field in kinds.FIELDS[kind].values():
+                with self.subTest(kind=kind, field=field.name):
+                    row = section.partition(f"\n| `{field.name}` |")[2]
+                    row = row.partition("\n")[0]
+                    self.assertNotEqual("", row)
+                    default = kinds.to_file_value(field.default)
+                    if not field.required:
+                        self.assertIn(f"`{_shown(default)}`", row)
+                    if field.name in spec.ranges:
+                        self.assertIn(str(spec.ranges[field.name]), row)
+
+
+def _shown(value):
+    if isinstance(value, bool):
+        return str(value).lower()
+    return f'"{value}"' if isinstance(value, str) else str(value)
