--- /dev/null
+++ b/src/cyclamendale/_setting_values.py
@@ -0,0 +1,234 @@
+"""Types of the daemon's settings and their conversion from text."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import enum
+import ipaddress
+import pathlib
+import re
+from typing import Any, TypeAlias
+import urllib.parse
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+MIN_SECRET_CHARS = 16
+MAX_SECRET_FILE_BYTES = 4096
+MAX_PORT = 65_535
+
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+
+
+class Problem(enum.Enum):
+    """What is wrong with a setting; the value is stable and public."""
+
+    UNKNOWN = "unknown"
+    MISSING = "missing"
+    VALUE_MISSING = "value-missing"
+    MALFORMED = "malformed"
+    OUT_OF_RANGE = "out-of-range"
+    NOT_LOOPBACK = "not-loopback"
+    BEYOND_LOOPBACK = "beyond-loopback"
+    ADDRESS_TWICE = "address-twice"
+    SECRET_TOO_SHORT = "secret-too-short"
+    SECRET_UNREADABLE = "secret-unreadable"
+    SECRET_TWICE = "secret-twice"
+
+
+_MESSAGES = {
+    Problem.UNKNOWN: "no such setting",
+    Problem.MISSING: "is required",
+    Problem.VALUE_MISSING: "has no value",
+    Problem.MALFORMED: "{value!r} is not {allowed}",
+    Problem.OUT_OF_RANGE: "{value!r} is not {allowed}",
+    Problem.NOT_LOOPBACK: "{value!r} is not a loopback address",
+    Problem.BEYOND_LOOPBACK: "{value!r} is not loopback, which needs {allowed}",
+    Problem.ADDRESS_TWICE: "{value!r} is also that of {allowed}",
+    Problem.SECRET_TOO_SHORT: "has less than {allowed} characters",
+    Problem.SECRET_UNREADABLE: "{value!r} cannot be read as text",
+    Problem.SECRET_TWICE: "the secret is given both as text and as file",
+}
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """What is wrong with a text, before its setting is known."""
+
+    problem: Problem
+    value: str = ""
+    allowed: str = ""
+
+
+class SettingError(msgspec.Struct, frozen=True):
+    """One fault of one setting.
+
+    Attributes:
+        setting: The flag or variable at fault.
+        problem: What is wrong.
+        value: What it says; empty for secrets.
+        allowed: What it may say.
+    """
+
+    setting: str
+    problem: Problem
+    value: str = ""
+    allowed: str = ""
+
+    @property
+    def message(self) -> str:
+        """Returns the fault in words, without the setting."""
+        return _MESSAGES[self.problem].format(
+            value=self.value, allowed=self.allowed
+        )
+
+    def __str__(self) -> str:
+        return f"{self.setting}: {self.message}"
+
+
+class Address(msgspec.Struct, frozen=True):
+    """An IP number and a port; port 0 lets the kernel choose."""
+
+    host: str
+    port: int
+
+    def is_loopback(self) -> bool:
+        """Returns whether only this host can connect."""
+        return ipaddress.ip_address(self.host).is_loopback
+
+    def __str__(self) -> str:
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
+
+
+class Secret:
+    """A text that is kept out of logs, errors and representations."""
+
+    __slots__ = ("_text",)
+
+    def __init__(self, text: str) -> None:
+        self._text = text
+
+    def reveal(self) -> bytes:
+        """Returns the secret itself."""
+        return self._text.encode()
+
+    def __repr__(self) -> str:
+        return "Secret(...)"
+
+
+Converter: TypeAlias = Callable[[str], Result[Any, Fault]]
+
+
+def to_address(text: str) -> Result[Any, Fault]:
+    """Converts `IP:PORT`; an IPv6 number stands in brackets."""
+    host, _, port = text.rpartition(":")
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+    elif ":" in host:
+        host = ""
+    try:
+        number = ipaddress.ip_address(host)
+    except ValueError:
+        return _malformed(text, "an IP number and port, IP:PORT")
+    if not (port.isascii() and port.isdigit() and int(port) <= MAX_PORT):
+        return _malformed(text, f"IP:PORT with a port up to {MAX_PORT}")
+    return Ok(Address(str(number), int(port)))
+
+
+def to_peer_address(text: str) -> Result[Any, Fault]:
+    """Converts an address that other hosts can connect to."""
+    return to_address(text).bind(_check_specified)
+
+
+def _check_specified(address: Address) -> Result[Any, Fault]:
+    if ipaddress.ip_address(address.host).is_unspecified:
+        return _malformed(str(address), "an address that others can reach")
+    return Ok(address)
+
+
+def to_loopback_address(text: str) -> Result[Any, Fault]:
+    """Converts an address that only this host can connect to."""
+    return to_address(text).bind(_check_loopback)
+
+
+def _check_loopback(address: Address) -> Result[Any, Fault]:
+    if not address.is_loopback():
+        return Error(Fault(Problem.NOT_LOOPBACK, str(address)))
+    return Ok(address)
+
+
+def to_name(text: str) -> Result[Any, Fault]:
+    """Checks the name of a failure domain or of metrics."""
+    if not _NAME.fullmatch(text):
+        return _malformed(text, f"a name like {_NAME.pattern}")
+    return Ok(text)
+
+
+def to_url(text: str) -> Result[Any, Fault]:
+    """Checks the base URL of the platform."""
+    allowed = "a URL like http://HOST:PORT"
+    try:
+        parts = urllib.parse.urlsplit(text)
+        good = parts.scheme == "http" and parts.hostname and parts.port != 0
+    except ValueError:
+        return _malformed(text, allowed)
+    if parts.username or parts.password:
+        # A password in the URL would be logged with it.
+        return _malformed("...", allowed + ", without user and password")
+    if not good or parts.query or parts.fragment:
+        return _malformed(text, allowed)
+    return Ok(text.rstrip("/"))
+
+
+def to_secret(text: str) -> Result[Any, Fault]:
+    """Checks the length of a secret."""
+    if len(text) < MIN_SECRET_CHARS:
+        return Error(
+            Fault(Problem.SECRET_TOO_SHORT, allowed=str(MIN_SECRET_CHARS))
+        )
+    return Ok(Secret(text))
+
+
+def to_secret_of_file(path: str) -> Result[Any, Fault]:
+    """Reads a secret from a file, without white space around it."""
+    try:
+        with pathlib.Path(path).open("rb") as file:
+            text = file.read(MAX_SECRET_FILE_BYTES).decode().strip()
+    except (OSError, ValueError):
+        return Error(Fault(Problem.SECRET_UNREADABLE, path))
+    return to_secret(text)
+
+
+def number_between(minimum: float, maximum: float) -> Converter:
+    """Returns a converter of numbers within bounds."""
+    allowed = f"{minimum:.15g} to {maximum:.15g}"
+
+    def convert(text: str) -> Result[Any, Fault]:
+        try:
+            number = msgspec.convert(text, float, strict=False)
+        except msgspec.ValidationError:
+            return _malformed(text, f"a number, {allowed}")
+        if not minimum <= number <= maximum:
+            return Error(Fault(Problem.OUT_OF_RANGE, text, allowed))
+        return Ok(number)
+
+    return convert
+
+
+def one_of(choices: type[enum.Enum]) -> Converter:
+    """Returns a converter to an Enum by the texts of its values."""
+    allowed = "one of " + ", ".join(choice.value for choice in choices)
+
+    def convert(text: str) -> Result[Any, Fault]:
+        try:
+            return Ok(choices(text.lower()))
+        except ValueError:
+            return _malformed(text, allowed)
+
+    return convert
+
+
+def _malformed(text: str, allowed: str) -> Result[Any, Fault]:
+    return Error(Fault(Problem.MALFORMED, text, allowed))
--- /dev/null
+++ b/src/cyclamendale/settings.py
@@ -0,0 +1,244 @@
+"""Settings of the daemon, from flags and environment variables."""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Iterator, Mapping, Sequence
+from typing import Any
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from cyclamendale import _setting_definitions as definitions
+from cyclamendale import _setting_values as values
+from cyclamendale import ids
+
+EXIT_WRONG_SETTINGS = 2
+
+TOOL_VARIABLES = frozenset({"CYCLAMENDALE_NODE_URL", "CYCLAMENDALE_WRITER"})
+"""Variables of the command-line tool, which the daemon passes over."""
+
+_SECRET_VARIABLE = definitions.VARIABLE_PREFIX + "FLEET_SECRET"
+_EPILOG = (
+    f"Each flag has a variable, {definitions.VARIABLE_PREFIX} and its name "
+    f"in capitals. The fleet secret has no flag; give it in "
+    f"{_SECRET_VARIABLE} or in a file."
+)
+_VALUE_MISSING = "\0value missing"
+
+
+class Settings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of one node.
+
+    Attributes:
+        http_address: Where callers and the host's own upstream connect.
+        peer_address: Where other nodes connect, for TCP and UDP alike.
+        control_address: Loopback listener of the host's upstream
+            (announcements) and its operators.
+        failure_domain: Failure domain of the host.
+        platform_url: Base URL of the platform's table and object store.
+        fleet_secret: Shared by all nodes; None binds to loopback.
+        statsd_address: Where metrics go, if anywhere.
+        statsd_prefix: Put before the names of all metrics.
+        log_level: Least severe level that is logged.
+        shutdown_timeout_s: Longest time that a graceful stop waits for
+            requests in flight.
+        platform_timeout_s: Longest wait for one answer of the platform.
+        configuration_poll_s: Time between two looks for a new version.
+        announcement_timeout_s: Silence after which the host's upstream
+            gets no new work.
+        peer_connect_timeout_s: Longest wait for a connection to a node.
+        http_idle_timeout_s: Idle time after which a caller's connection
+            is closed.
+        http_head_timeout_s: Longest time that a caller may take to send
+            the head of a request.
+        metrics_interval_s: Time between two sends of the metrics.
+    """
+
+    http_address: values.Address
+    peer_address: values.Address
+    control_address: values.Address
+    failure_domain: ids.FailureDomainName
+    platform_url: str
+    fleet_secret: values.Secret | None
+    statsd_address: values.Address | None
+    statsd_prefix: str
+    log_level: definitions.LogLevel
+    shutdown_timeout_s: float
+    platform_timeout_s: float
+    configuration_poll_s: float
+    announcement_timeout_s: float
+    peer_connect_timeout_s: float
+    http_idle_timeout_s: float
+    http_head_timeout_s: float
+    metrics_interval_s: float
+
+
+class SettingsErrors(msgspec.Struct, frozen=True):
+    """All faults of the settings."""
+
+    errors: tuple[values.SettingError, ...]
+
+    def __str__(self) -> str:
+        return "\n".join(map(str, self.errors))
+
+
+def load(
+    arguments: Sequence[str], environment: Mapping[str, str]
+) -> Result[Settings, SettingsErrors]:
+    """Reads the settings; a flag goes before its variable.
+
+    Args:
+        arguments: Command line without the program's name.
+        environment: Environment variables.
+
+    Returns:
+        The settings, or all their faults at once.
+
+    Raises:
+        SystemExit: After `--help`.
+    """
+    chosen, unknown = make_parser().parse_known_args(arguments)
+    found = [
+        *_unknown_flags(unknown),
+        *_unknown_variables(environment),
+    ]
+    results = {
+        definition.name: _read(definition, vars(chosen), environment)
+        for definition in definitions.DEFINITIONS
+    }
+    found.extend(
+        result.error for result in results.values() if result.is_error()
+    )
+    good = {
+        name: result.ok for name, result in results.items() if result.is_ok()
+    }
+    found.extend(_contradictions(good))
+    if found:
+        return Error(SettingsErrors(tuple(found)))
+    good["fleet_secret"] = good["fleet_secret"] or good["fleet_secret_file"]
+    del good["fleet_secret_file"]
+    return Ok(Settings(**good))
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Returns the parser of the daemon's command line."""
+    parser = argparse.ArgumentParser(
+        prog="cyclamendaled",
+        description="Overload control node; one runs on each host.",
+        epilog=_EPILOG,
+        allow_abbrev=False,
+    )
+    for definition in definitions.DEFINITIONS:
+        if definition.has_flag:
+            parser.add_argument(
+                definition.flag,
+                metavar=definition.metavar,
+                help=_help(definition),
+                # A missing value is reported together with other faults.
+                nargs="?",
+                const=_VALUE_MISSING,
+            )
+    return parser
+
+
+def _help(definition: definitions.Definition) -> str:
+    if definition.default is None:
+        return f"{definition.help} (required)"
+    if not definition.default:
+        return definition.help
+    return f"{definition.help} (default: {definition.default})"
+
+
+def _read(
+    definition: definitions.Definition,
+    flags: Mapping[str, str | None],
+    environment: Mapping[str, str],
+) -> Result[Any, values.SettingError]:
+    source, text = definition.flag, flags.get(definition.name)
+    if text is None:
+        source = definition.variable
+        text = environment.get(definition.variable) or definition.default
+    if text is None:
+        return Error(_fault(definition.flag, values.Problem.MISSING))
+    if text == _VALUE_MISSING:
+        return Error(_fault(definition.flag, values.Problem.VALUE_MISSING))
+    if not text and definition.default == "":
+        return Ok(None)
+    return definition.convert(text).map_error(
+        lambda fault: values.SettingError(
+            source, fault.problem, fault.value, fault.allowed
+        )
+    )
+
+
+def _unknown_flags(unknown: Sequence[str]) -> Iterator[values.SettingError]:
+    flag = ""
+    for word in unknown:
+        if word.startswith("-"):
+            flag, _, _ = word.partition("=")
+            yield _fault(flag, values.Problem.UNKNOWN)
+        elif not flag:
+            yield _fault(word, values.Problem.UNKNOWN)
+        # What follows an unknown flag is not repeated: it may be a secret.
+
+
+def _unknown_variables(
+    environment: Mapping[str, str],
+) -> Iterator[values.SettingError]:
+    known = {definition.variable for definition in definitions.DEFINITIONS}
+    for name in sorted(environment):
+        if name.startswith(definitions.VARIABLE_PREFIX) and (
+            name not in known | TOOL_VARIABLES
+        ):
+            yield _fault(name, values.Problem.UNKNOWN)
+
+
+def _contradictions(good: Mapping[str, Any]) -> Iterator[values.SettingError]:
+    if good.get("fleet_secret") and good.get("fleet_secret_file"):
+        yield _fault("--fleet-secret-file", values.Problem.SECRET_TWICE)
+    names = ("http_address", "peer_address", "control_address")
+    addresses = {name: good[name] for name in names if name in good}
+    if not good.get("fleet_secret", True) and not good.get(
+        "fleet_secret_file", True
+    ):
+        for name, address in addresses.items():
+            if not address.is_loopback():
+                yield _beyond_loopback(name, address)
+    yield from _used_twice(addresses)
+
+
+def _beyond_loopback(name: str, address: values.Address) -> values.SettingError:
+    return _fault(
+        _flag_of(name),
+        values.Problem.BEYOND_LOOPBACK,
+        str(address),
+        f"{_SECRET_VARIABLE} or --fleet-secret-file",
+    )
+
+
+def _used_twice(
+    addresses: Mapping[str, values.Address],
+) -> Iterator[values.SettingError]:
+    first: dict[values.Address, str] = {}
+    for name, address in addresses.items():
+        other = first.setdefault(address, name)
+        if other != name and address.port:
+            yield _fault(
+                _flag_of(name),
+                values.Problem.ADDRESS_TWICE,
+                str(address),
+                _flag_of(other),
+            )
+
+
+def _flag_of(name: str) -> str:
+    return "--" + name.replace("_", "-")
+
+
+def _fault(
+    setting: str, problem: values.Problem, value: str = "", allowed: str = ""
+) -> values.SettingError:
+    return values.SettingError(setting, problem, value, allowed)
