Retry and hedge by the node's policy; claim idempotency keys in the table

Cause: retries need the node-wide throttle, hedges their own bound, and once = table must hold across nodes. Request events get a ring of their own, so traffic does not push out changes of state.

--- a/src/cyclamendale/entry/call.py
+++ b/src/cyclamendale/entry/call.py
@@ -49,6 +49,8 @@
         ended: Whether the caller was answered, refused or is gone.
         caller: Who waits for the answer.
         on_cancel: Set by the forwarder; cancels the work in flight.
+        on_ended: Set by a filter that must know the outcome; called with
+            the refusal, or with None after an answer.
     """
 
     __slots__ = (
@@ -67,6 +69,7 @@
         "method",
         "more",
         "on_cancel",
+        "on_ended",
         "parent",
         "path",
         "request",
@@ -106,6 +109,7 @@
         self.budget: retry_budget.RetryBudget | None = None
         self.ended = False
         self.on_cancel: Callable[[], None] | None = None
+        self.on_ended: Callable[[refusals.Refusal | None], None] | None = None
 
     def header(self, name: bytes) -> bytes | None:
         """Returns the first value of a header, or None."""
--- a/src/cyclamendale/entry/http_entry.py
+++ b/src/cyclamendale/entry/http_entry.py
@@ -68,6 +68,7 @@
         self.chain: base.FilterChain | None = None
         self.closing = False
         self.active: set[EntryRequest] = set()
+        self.channels: set[EntryChannel] = set()
         self._drained: list[Callable[[], None]] = []
 
     def set_filters(self, filters: list[base.Filter]) -> None:
@@ -88,6 +89,12 @@
         self._drained.append(drained)
         self.check_drained()
 
+    def close_idle_connections(self) -> None:
+        """Closes connections on which no request is in progress."""
+        for channel in tuple(self.channels):
+            if not channel.requests:
+                channel.transport.loseConnection()
+
     def check_drained(self) -> None:
         """Reports a drained entry to whoever waits for it."""
         if self.closing and not self.active:
@@ -119,6 +126,11 @@
         self.is_http_1_1 = True
         self._head_timer: clocks.DelayedCall | None = None
 
+    def connectionMade(self) -> None:
+        """Notes the connection."""
+        super().connectionMade()
+        self.entry.channels.add(self)
+
     def lineReceived(self, line: bytes) -> None:
         """Bounds the time that a request's head may take."""
         if self._head_timer is None and not self._handlingRequest:
@@ -136,6 +148,7 @@
     def connectionLost(self, reason: failure.Failure) -> None:  # type: ignore[override]
         """Tells the requests in progress that their caller is gone."""
         self._stop_head_timer()
+        self.entry.channels.discard(self)
         super().connectionLost(reason)
 
     def _stop_head_timer(self) -> None:
@@ -415,8 +428,13 @@
     def _end(self, outcome: refusals.Refusal | int | None) -> None:
         self._over = True
         self._entry.active.discard(self)
-        if outcome is not None and self._call is not None:
-            self._entry.observer(self._call, outcome)
+        call = self._call
+        if outcome is not None and call is not None:
+            if call.on_ended is not None:
+                call.on_ended(
+                    outcome if isinstance(outcome, refusals.Refusal) else None
+                )
+            self._entry.observer(call, outcome)
         self._entry.check_drained()
 
 
--- a/src/cyclamendale/events.py
+++ b/src/cyclamendale/events.py
@@ -4,6 +4,7 @@
 
 import collections
 from collections.abc import Callable, Iterator
+import heapq
 from typing import Any
 
 import msgspec
@@ -12,7 +13,7 @@
 from cyclamendale import ids
 
 DEFAULT_RING_EVENTS = 4096
-"""Events that a node keeps in memory."""
+"""Events of each ring that a node keeps in memory."""
 
 
 class HlcStamp(msgspec.Struct, frozen=True, order=True, array_like=True):
@@ -123,7 +124,11 @@
 
 
 class EventLog:
-    """Bounded in-memory ring of events of one node."""
+    """Bounded in-memory rings of events of one node.
+
+    Events of single requests have a ring of their own, so that traffic
+    does not push the rarer changes of state out.
+    """
 
     def __init__(
         self,
@@ -133,14 +138,18 @@
     ) -> None:
         self._node = node
         self.hlc = hlc
-        self._ring: collections.deque[tuple[HlcStamp, Event]] = (
+        self._changes: collections.deque[tuple[HlcStamp, Event]] = (
+            collections.deque(maxlen=capacity)
+        )
+        self._requests: collections.deque[tuple[HlcStamp, Event]] = (
             collections.deque(maxlen=capacity)
         )
         self._listeners: list[Callable[[Event], None]] = []
 
     def record(self, event: Event) -> None:
         """Stamps and keeps an event; the oldest goes when full."""
-        self._ring.append((self.hlc.tick(), event))
+        ring = self._requests if event.request else self._changes
+        ring.append((self.hlc.tick(), event))
         for listener in self._listeners:
             listener(event)
 
@@ -150,7 +159,12 @@
 
     def recorded(self) -> Iterator[RecordedEvent]:
         """Yields the events kept, oldest first."""
-        for stamp, event in tuple(self._ring):
+        merged = heapq.merge(
+            tuple(self._changes),
+            tuple(self._requests),
+            key=lambda entry: entry[0],
+        )
+        for stamp, event in merged:
             fields = msgspec.to_builtins(event)
             kind = fields.pop("type")
             yield RecordedEvent(stamp, self._node, kind, fields)
--- /dev/null
+++ b/src/cyclamendale/filters/once.py
@@ -0,0 +1,172 @@
+"""Filter that runs a non-idempotent request at most once by its key.
+
+A row of the platform's table stands for each Idempotency-Key. It is
+inserted before the hand-over, so a repeat through any node finds it. When
+the request is proved not to have run, the row is deleted and a repeat may
+run.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import secrets
+
+from expression import Result
+import msgspec
+from twisted.internet import defer
+
+from cyclamendale import refusals
+from cyclamendale.entry import call as calls
+from cyclamendale.filters import base
+from cyclamendale.intents import model
+from cyclamendale.platform import table as tables
+
+IDEMPOTENCY_HEADER = b"Idempotency-Key"
+ROW_PREFIX = "once/"
+ROW_FORMAT = 1
+
+_Verdict = defer.Deferred[base.Verdict]
+
+
+class OnceRow(msgspec.Struct, frozen=True):
+    """Value of the row of one idempotency key.
+
+    Attributes:
+        format: Version of this layout.
+        writer: Random id of the attempt that inserted the row.
+        answered: Whether its caller received the answer.
+    """
+
+    format: int
+    writer: str
+    answered: bool
+
+
+class OnceFilter(base.Filter):
+    """Claims the idempotency key of a request, where a route asks so."""
+
+    def __init__(self, table: tables.Table) -> None:
+        self._table = table
+
+    def apply(
+        self, call: calls.Call
+    ) -> base.Verdict | defer.Deferred[base.Verdict]:
+        """See base class."""
+        assert call.route is not None
+        if call.route.once is not model.Once.TABLE:
+            return None
+        key = call.header(IDEMPOTENCY_HEADER)
+        if key is None:
+            return None
+        claim = _Claim(self._table, call, key)
+        return claim.begin()
+
+
+class _Claim:
+    """One attempt to claim an idempotency key."""
+
+    def __init__(
+        self, table: tables.Table, call: calls.Call, key: bytes
+    ) -> None:
+        assert call.route is not None
+        self._table = table
+        self._call = call
+        self._writer = secrets.token_hex(8)
+        self._version = tables.ABSENT_VERSION
+        digest = hashlib.sha256(
+            b"\0".join([call.customer.encode(), call.route.name.encode(), key])
+        ).hexdigest()
+        self._row_key = ROW_PREFIX + digest
+
+    def begin(self) -> _Verdict:
+        inserted = self._table.insert_if_absent(
+            self._row_key, self._value(answered=False)
+        )
+        verdict: _Verdict = inserted.addCallback(self._inserted)
+        return verdict
+
+    def _value(self, answered: bool) -> bytes:
+        return msgspec.json.encode(OnceRow(ROW_FORMAT, self._writer, answered))
+
+    def _inserted(
+        self, result: Result[tables.Row, tables.TableError]
+    ) -> base.Verdict | _Verdict:
+        if result.is_ok():
+            return self._claimed(result.ok)
+        kind = result.error.kind
+        if kind is tables.TableErrorKind.CONFLICT:
+            return self._occupied(result.error.current)
+        if kind is tables.TableErrorKind.OUTCOME_UNKNOWN:
+            return self._table.read(self._row_key).addCallback(self._settled)
+        return self._unavailable()
+
+    def _settled(
+        self, result: Result[tables.Row | None, tables.TableError]
+    ) -> base.Verdict:
+        """Settles a lost answer by reading the row back."""
+        if result.is_error() or result.ok is None:
+            return self._unavailable()
+        row = result.ok
+        found = _decode(row)
+        if found is not None and found.writer == self._writer:
+            return self._claimed(row)
+        return self._occupied(row)
+
+    def _claimed(self, row: tables.Row) -> base.Verdict:
+        self._version = row.version
+        self._call.on_ended = self._ended
+        return None
+
+    def _occupied(self, row: tables.Row | None) -> base.Verdict:
+        found = _decode(row) if row is not None else None
+        if found is not None and found.answered:
+            # This repeat did not run, but the request did.
+            return self._refusal(
+                refusals.RefusalReason.ALREADY_RUN, refusals.Execution.UNKNOWN
+            )
+        return self._refusal(
+            refusals.RefusalReason.MAY_HAVE_RUN, refusals.Execution.UNKNOWN
+        )
+
+    def _unavailable(self) -> base.Verdict:
+        return self._refusal(
+            refusals.RefusalReason.ONCE_UNAVAILABLE,
+            refusals.Execution.NOT_RUN,
+        )
+
+    def _refusal(
+        self, reason: refusals.RefusalReason, execution: refusals.Execution
+    ) -> refusals.Refusal:
+        assert self._call.route is not None
+        return refusals.Refusal(
+            reason,
+            execution,
+            self._call.configuration.decider(
+                "route", self._call.route.name, "once"
+            ),
+        )
+
+    def _ended(self, refusal: refusals.Refusal | None) -> None:
+        """Notes the outcome in the row; a lost note errs towards safety.
+
+        Args:
+            refusal: How the request was refused, or None when its caller
+                received an answer.
+        """
+        if refusal is None:
+            self._table.compare_and_set(
+                self._row_key, self._version, self._value(answered=True)
+            )
+        elif refusal.execution is refusals.Execution.NOT_RUN:
+            self._table.transact(
+                [tables.Write(self._row_key, self._version, delete=True)]
+            )
+
+
+def _decode(row: tables.Row) -> OnceRow | None:
+    """Returns the row's value, or None when another version wrote it."""
+    try:
+        value = msgspec.json.decode(row.value, type=OnceRow)
+    except msgspec.MsgspecError:
+        return None
+    return value if value.format == ROW_FORMAT else None
--- a/src/cyclamendale/forwarding/forwarder.py
+++ b/src/cyclamendale/forwarding/forwarder.py
@@ -129,11 +129,11 @@
             max(0.0, call.deadline_s - clock.now_s()) + DEADLINE_GRACE_S,
             self._deadline_passed,
         )
-        self._shared.policy.note_call()
+        hedge_delay_s = self._shared.policy.call_sent(self._route)
         if not self._attempt():
             self._refuse(refusals.Refusal(refusals.RefusalReason.NO_TARGET))
-        elif self._winner is None and not call.ended:
-            self._schedule_hedge()
+        elif hedge_delay_s is not None and not (call.ended or call.more):
+            self._hedge_timer = clock.call_later(hedge_delay_s, self._hedge)
 
     def pull(self) -> None:
         """Asks for the next part of the answer's body."""
@@ -164,11 +164,12 @@
             and self._route.idempotent
         ):
             self._maybe_run = True
-            if self._attempts or self._retry():
+            if self._attempts or self._retry(self._shared.policy.may_retry):
                 return
         self._winner = attempt
         for other in self._take_attempts():
             other.cancel()
+            self.answer_took(other.started_s)
         if answer.more:
             self._attempts.add(attempt)
         else:
@@ -190,7 +191,9 @@
             self._maybe_run = True
         if self._attempts:
             return
-        if self._may_retry(refusal) and self._retry():
+        if self._may_retry(refusal) and self._retry(
+            self._shared.policy.may_retry
+        ):
             return
         self._refuse(refusal)
 
@@ -265,13 +268,17 @@
             and refusal.reason is not refusals.RefusalReason.DEADLINE
         )
 
-    def _retry(self) -> bool:
-        """Sends a further attempt if body, budget and time allow it."""
+    def _retry(self, is_allowed: Callable[[], bool]) -> bool:
+        """Sends a further attempt if body, budget and time allow it.
+
+        Args:
+            is_allowed: Node-wide permission, asked last.
+        """
         call = self._call
         assert call.budget is not None
         if call.more or call.deadline_s <= self._shared.clock.now_s():
             return False
-        if call.budget.remaining <= 0 or not self._shared.policy.may_retry():
+        if call.budget.remaining <= 0 or not is_allowed():
             return False
         call.budget.spend()
         if self._attempt():
@@ -279,20 +286,10 @@
         call.budget.take_back(1, 1)
         return False
 
-    def _schedule_hedge(self) -> None:
-        route = self._route
-        if not (route.hedge and route.idempotent) or self._call.more:
-            return
-        delay_s = self._shared.policy.hedge_delay_s(route.name)
-        if delay_s is not None:
-            self._hedge_timer = self._shared.clock.call_later(
-                delay_s, self._hedge
-            )
-
     def _hedge(self) -> None:
         self._hedge_timer = None
         if self._winner is None and not self._call.ended and self._attempts:
-            self._retry()
+            self._retry(lambda: self._shared.policy.may_hedge(self._route))
 
     # The end.
 
@@ -383,11 +380,9 @@
         )
 
     def answer_took(self, started_s: float) -> None:
-        """Learns from the duration of a successful attempt."""
+        """Learns how long an attempt took that answered or lost."""
         shared = self._shared
-        shared.policy.note_duration(
-            self._route.name, shared.clock.now_s() - started_s
-        )
+        shared.policy.took(self._route, shared.clock.now_s() - started_s)
 
 
 class _Attempt(exchange.Receiver):
--- a/src/cyclamendale/forwarding/policy.py
+++ b/src/cyclamendale/forwarding/policy.py
@@ -4,8 +4,10 @@
 
 import abc
 
-from cyclamendale import ids
 from cyclamendale import refusals
+from cyclamendale.intents import model
+from cyclamendale.overload import hedge
+from cyclamendale.overload import retry_throttle
 
 RETRYABLE_REASONS = frozenset(
     {
@@ -28,20 +30,24 @@
     """Node-wide view of retries and hedges."""
 
     @abc.abstractmethod
-    def note_call(self) -> None:
-        """Counts a call, against which retries are measured."""
+    def call_sent(self, route: model.Route) -> float | None:
+        """Counts a call, against which retries are measured.
+
+        Returns:
+            After how many seconds to hedge it, or None for never.
+        """
 
     @abc.abstractmethod
     def may_retry(self) -> bool:
         """Counts and allows a retry while they are few for the calls."""
 
     @abc.abstractmethod
-    def note_duration(self, route: ids.RouteName, duration_s: float) -> None:
-        """Learns how long successful attempts take."""
+    def may_hedge(self, route: model.Route) -> bool:
+        """Counts and allows a hedge while they are few for the calls."""
 
     @abc.abstractmethod
-    def hedge_delay_s(self, route: ids.RouteName) -> float | None:
-        """Returns after how long to hedge, or None for not at all."""
+    def took(self, route: model.Route, duration_s: float) -> None:
+        """Learns how long an attempt took that answered or lost."""
 
     def is_retryable_status(self, status: int) -> bool:
         """Returns whether an idempotent request may be repeated."""
@@ -58,3 +64,42 @@
         the rest stays for the case that the whole attempt is lost.
         """
         return (remaining + 1) // 2
+
+
+class NodeRetryPolicy(RetryPolicy):
+    """Retries by a throttle, hedges after the usual duration."""
+
+    def __init__(
+        self,
+        throttle: retry_throttle.RetryThrottle,
+        hedging: hedge.HedgePolicy,
+    ) -> None:
+        self._throttle = throttle
+        self._hedging = hedging
+
+    def call_sent(self, route: model.Route) -> float | None:
+        """See base class."""
+        self._throttle.call_sent()
+        if not (route.hedge and route.idempotent):
+            return None
+        return self._hedging.call_sent(route.name)
+
+    def may_retry(self) -> bool:
+        """See base class."""
+        return self._throttle.may_retry()
+
+    def may_hedge(self, route: model.Route) -> bool:
+        """See base class."""
+        return self._hedging.may_hedge(route.name)
+
+    def took(self, route: model.Route, duration_s: float) -> None:
+        """See base class."""
+        if route.hedge:
+            self._hedging.observe(route.name, duration_s)
+
+
+def make_retry_policy() -> RetryPolicy:
+    """Returns the retry policy of one node."""
+    return NodeRetryPolicy(
+        retry_throttle.make_retry_throttle(), hedge.make_hedge_policy()
+    )
--- a/src/cyclamendale/refusals.py
+++ b/src/cyclamendale/refusals.py
@@ -37,6 +37,7 @@
     LOST = "lost"
     UPSTREAM_FAILED = "upstream-failed"
     ALREADY_RUN = "already-run"
+    MAY_HAVE_RUN = "may-have-run"
     ONCE_UNAVAILABLE = "once-unavailable"
     TOO_LARGE = "too-large"
     CANCELLED = "cancelled"
@@ -63,6 +64,7 @@
     RefusalReason.LOST: 502,
     RefusalReason.UPSTREAM_FAILED: 502,
     RefusalReason.ALREADY_RUN: 409,
+    RefusalReason.MAY_HAVE_RUN: 409,
     RefusalReason.ONCE_UNAVAILABLE: 503,
     RefusalReason.TOO_LARGE: 413,
     RefusalReason.CANCELLED: 499,
--- a/tests/support/path_node.py
+++ b/tests/support/path_node.py
@@ -122,18 +122,18 @@
     hedge_after_s = None
     retries = 0
 
-    def note_call(self):
-        self.noted = True
+    def call_sent(self, route):
+        return self.hedge_after_s
 
     def may_retry(self):
         self.retries += 1
         return True
 
-    def note_duration(self, route, duration_s):
-        self.last_s = duration_s
+    def may_hedge(self, route):
+        return True
 
-    def hedge_delay_s(self, route):
-        return self.hedge_after_s
+    def took(self, route, duration_s):
+        self.last_s = duration_s
 
 
 class PathNode:
