Publish changes of the configuration by compare-and-set

Operators had no way to change what the platform holds. A change is merged on top of the head of the moment; a file that another change touched since the operator's base version gives a conflict that names the other change. The union is validated before the compare-and-set.

A lost answer is settled by reading back the change id, from the list in the head row or from the file's last change in the manifest. The second matters when more changes came on top than the head lists. While a write of unknown outcome could still take effect (the head row has the version that it expected), every error is reported as unknown.

Ruled out: a row for each change id (grows for ever besides the version rows), and reading files one by one (500 reads for a new node): a bundle object holds the files, rewritten when more than 16 changed since.

--- /dev/null
+++ b/src/cyclamendale/configuration/_publication.py
@@ -0,0 +1,218 @@
+"""One change on its way into the platform."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Any, TypeAlias
+
+from expression import Error
+from expression import Ok
+from expression import Result
+from twisted.internet import defer
+
+from cyclamendale import clocks
+from cyclamendale import ids
+from cyclamendale.configuration import changes
+from cyclamendale.configuration import documents
+from cyclamendale.configuration import store as stores
+from cyclamendale.platform import object_store
+from cyclamendale.platform import table
+
+Files: TypeAlias = "Mapping[ids.IntentFileName, bytes]"
+Validate: TypeAlias = "Callable[[Files], Result[Any, Any]]"
+PublishResult: TypeAlias = "Result[changes.Published, changes.PublishError]"
+
+_KIND_BY_STORE_ERROR = {
+    stores.StoreErrorKind.UNAVAILABLE: changes.PublishErrorKind.UNAVAILABLE,
+    stores.StoreErrorKind.FORMAT_UNKNOWN: (
+        changes.PublishErrorKind.FORMAT_UNKNOWN
+    ),
+    stores.StoreErrorKind.DAMAGED: changes.PublishErrorKind.DAMAGED,
+}
+
+
+class Publication:
+    """One change on its way into the platform."""
+
+    def __init__(
+        self,
+        rows: table.Table,
+        objects: object_store.ObjectStore,
+        clock: clocks.Clock,
+        validate: Validate,
+        change: changes.Change,
+    ) -> None:
+        self._rows = rows
+        self._objects = objects
+        self._clock = clock
+        self._validate = validate
+        self._change = change
+        self._store = stores.ConfigurationStore(rows, objects)
+        self._known = {
+            documents.digest_of(data): data for data in change.puts.values()
+        }
+        # Head row version that a write of unknown outcome expected. The
+        # write can take effect only while the row still has it.
+        self._unsettled_row_version: int | None = None
+
+    async def attempt(self) -> PublishResult:
+        """Tries once on top of the present head."""
+        head_result = await self._store.read_head()
+        if head_result.is_error():
+            return Error(publish_error(head_result.error))
+        head = head_result.ok
+        folder = await self._store.read_folder(head.head, self._known)
+        if folder.is_error():
+            return Error(publish_error(folder.error))
+        self._known.update(folder.ok.contents)
+        manifest = folder.ok.manifest
+        applied = changes.find_applied(head.head, manifest, self._change)
+        if applied is not None:
+            return Ok(applied)
+        if head.row_version != self._unsettled_row_version:
+            self._unsettled_row_version = None
+        combined = changes.combine(head.head, manifest, self._change)
+        if combined.is_error():
+            return Error(combined.error)
+        return await self._store_version(head, combined.ok)
+
+    def goes_on(self, error: changes.PublishError) -> bool:
+        """Returns whether another attempt may succeed."""
+        kinds = changes.PublishErrorKind
+        if error.kind is kinds.UNAVAILABLE:
+            return self._unsettled_row_version is not None
+        return error.kind in (kinds.CONTENTION, kinds.OUTCOME_UNKNOWN)
+
+    def honest(self, error: changes.PublishError) -> changes.PublishError:
+        """Returns the error, less certain while a write is unsettled."""
+        if self._unsettled_row_version is None:
+            return error
+        return changes.PublishError(changes.PublishErrorKind.OUTCOME_UNKNOWN)
+
+    async def _store_version(
+        self, head: stores.HeadRow, manifest: documents.Manifest
+    ) -> PublishResult:
+        # The union with changes that came first is validated as well,
+        # not only the folder that the operator saw.
+        files = stores.Folder(manifest, self._known).files()
+        checked = self._validate(files)
+        if checked.is_error():
+            kind = changes.PublishErrorKind.INVALID
+            return Error(changes.PublishError(kind, invalid=checked.error))
+        data = documents.encode(manifest)
+        new_head = self._next_head(head.head, manifest, data)
+        if not await self._put_objects(head.head, new_head, manifest, data):
+            kind = changes.PublishErrorKind.UNAVAILABLE
+            return Error(changes.PublishError(kind))
+        return await self._commit(head, new_head)
+
+    def _next_head(
+        self,
+        old: documents.Head | None,
+        manifest: documents.Manifest,
+        data: bytes,
+    ) -> documents.Head:
+        change_id = self._change.change_id
+        last = old.version if old else documents.NO_VERSION
+        version = ids.ConfigVersion(last + 1)
+        recent = (
+            documents.RecentChange(change_id, version),
+            *(old.recent if old else ()),
+        )
+        bundle = old.bundle if old else ""
+        bundle_version = old.bundle_version if old else documents.NO_VERSION
+        if _loose_files(manifest, bundle_version) > stores.MAX_LOOSE_FILES:
+            bundle = documents.digest_of(self._encode_bundle(manifest))
+            bundle_version = version
+        return documents.Head(
+            version=version,
+            manifest=documents.digest_of(data),
+            writer=self._change.writer,
+            change_id=change_id,
+            recent=recent[: documents.RECENT_CHANGES],
+            bundle=bundle,
+            bundle_version=bundle_version,
+        )
+
+    def _encode_bundle(self, manifest: documents.Manifest) -> bytes:
+        digests = {state.digest for state in manifest.files.values()}
+        return documents.encode_bundle({d: self._known[d] for d in digests})
+
+    async def _put_objects(
+        self,
+        old: documents.Head | None,
+        new: documents.Head,
+        manifest: documents.Manifest,
+        data: bytes,
+    ) -> bool:
+        objects = [*self._change.puts.values(), data]
+        if new.bundle != (old.bundle if old else ""):
+            objects.append(self._encode_bundle(manifest))
+        stored = await defer.gatherResults(
+            [self._objects.put(each) for each in objects]
+        )
+        return all(result.is_ok() for result in stored)
+
+    async def _commit(
+        self, head: stores.HeadRow, new: documents.Head
+    ) -> PublishResult:
+        written = await self._rows.transact(
+            [
+                table.Write(
+                    documents.HEAD_KEY,
+                    head.row_version,
+                    documents.encode(new),
+                ),
+                table.Write(
+                    documents.version_key(new.version),
+                    table.ABSENT_VERSION,
+                    documents.encode(self._history_entry(new)),
+                ),
+            ]
+        )
+        match written:
+            case Result(tag="ok"):
+                return Ok(changes.Published(new.version))
+            case Result(error=error):
+                return Error(self._commit_error(error, head))
+
+    def _commit_error(
+        self, error: table.TableError, head: stores.HeadRow
+    ) -> changes.PublishError:
+        kinds = changes.PublishErrorKind
+        if error.kind is table.TableErrorKind.CONFLICT:
+            if error.key == documents.HEAD_KEY:
+                return changes.PublishError(kinds.CONTENTION)
+            # The row of the next version is there though the head does
+            # not name it: not written by this version of the program.
+            return changes.PublishError(kinds.FORMAT_UNKNOWN)
+        if error.kind is table.TableErrorKind.OUTCOME_UNKNOWN:
+            self._unsettled_row_version = head.row_version
+            return changes.PublishError(kinds.OUTCOME_UNKNOWN)
+        if error.kind is table.TableErrorKind.MALFORMED:
+            return changes.PublishError(kinds.FORMAT_UNKNOWN)
+        return changes.PublishError(kinds.UNAVAILABLE)
+
+    def _history_entry(self, new: documents.Head) -> documents.HistoryEntry:
+        return documents.HistoryEntry(
+            version=new.version,
+            manifest=new.manifest,
+            writer=new.writer,
+            change_id=new.change_id,
+            base_version=self._change.base_version,
+            puts=tuple(sorted(self._change.puts)),
+            removes=tuple(sorted(self._change.removes)),
+            written_ms=int(self._clock.wall_s() * 1000),
+        )
+
+
+def _loose_files(
+    manifest: documents.Manifest, bundle_version: ids.ConfigVersion
+) -> int:
+    states = manifest.files.values()
+    return sum(state.version > bundle_version for state in states)
+
+
+def publish_error(error: stores.StoreError) -> changes.PublishError:
+    """Returns what a failed read means for a change."""
+    return changes.PublishError(_KIND_BY_STORE_ERROR[error.kind])
--- /dev/null
+++ b/src/cyclamendale/configuration/changes.py
@@ -0,0 +1,200 @@
+"""Changes of operators and how they combine with a manifest."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+import enum
+from typing import Any
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from cyclamendale import ids
+from cyclamendale.configuration import documents
+
+MAX_REMOVED = 256
+"""Removed files that a manifest remembers."""
+
+
+class Change(msgspec.Struct, frozen=True):
+    """What an operator wants to change.
+
+    Attributes:
+        base_version: Version that the operator read.
+        puts: New contents of files.
+        removes: Files to remove.
+        writer: Name of the operator.
+        change_id: Unique for the change; the same when it is repeated.
+    """
+
+    base_version: ids.ConfigVersion
+    puts: Mapping[ids.IntentFileName, bytes]
+    removes: frozenset[ids.IntentFileName]
+    writer: str
+    change_id: ids.ChangeId
+
+    def files(self) -> Iterator[ids.IntentFileName]:
+        """Yields the files concerned, in name order."""
+        yield from sorted({*self.puts, *self.removes})
+
+
+class Published(msgspec.Struct, frozen=True):
+    """An accepted change.
+
+    Attributes:
+        version: Version that the change made.
+        repeated: Whether it had been accepted before this attempt.
+    """
+
+    version: ids.ConfigVersion
+    repeated: bool = False
+
+
+class PublishErrorKind(enum.Enum):
+    """Why a change was not accepted."""
+
+    EMPTY = "empty"
+    """The change names no file."""
+    AMBIGUOUS = "ambiguous"
+    """The change both writes and removes a file."""
+    CONFLICT = "conflict"
+    """Another change touched the same file since the base version."""
+    INVALID = "invalid"
+    """The folder with this change in it is not valid."""
+    FILE_UNKNOWN = "file-unknown"
+    """The change removes a file that does not exist."""
+    BASE_UNKNOWN = "base-unknown"
+    """The base version is newer than the version in force."""
+    BASE_TOO_OLD = "base-too-old"
+    """Removals since the base version are no longer known."""
+    CONTENTION = "contention"
+    """Other changes kept coming first; nothing was changed."""
+    UNAVAILABLE = "unavailable"
+    """The platform did not answer; nothing was changed."""
+    OUTCOME_UNKNOWN = "outcome-unknown"
+    """The change may have been accepted; repeat it with its change id."""
+    FORMAT_UNKNOWN = "format-unknown"
+    """Another version of this program wrote what the platform holds."""
+    DAMAGED = "damaged"
+    """An object is missing or does not match its digest."""
+
+
+class OtherChange(msgspec.Struct, frozen=True):
+    """The change that came first, for a conflict."""
+
+    writer: str
+    change_id: ids.ChangeId
+    version: ids.ConfigVersion
+    file: ids.IntentFileName
+
+
+class PublishError(msgspec.Struct, frozen=True):
+    """A change that was not accepted.
+
+    Attributes:
+        kind: Why.
+        other: The change that came first, for a conflict.
+        file: The file concerned, if it is one.
+        invalid: What the validation found wrong.
+    """
+
+    kind: PublishErrorKind
+    other: OtherChange | None = None
+    file: ids.IntentFileName | None = None
+    invalid: Any = None
+
+
+def find_applied(
+    head: documents.Head | None,
+    manifest: documents.Manifest,
+    change: Change,
+) -> Published | None:
+    """Returns how a change was accepted before, or None."""
+    if head is None:
+        return None
+    for recent in head.recent:
+        if recent.change_id == change.change_id:
+            return Published(recent.version, repeated=True)
+    for file in change.files():
+        last = manifest.last_change(file)
+        if last is not None and last.change_id == change.change_id:
+            return Published(last.version, repeated=True)
+    return None
+
+
+def combine(
+    head: documents.Head | None,
+    manifest: documents.Manifest,
+    change: Change,
+) -> Result[documents.Manifest, PublishError]:
+    """Returns the manifest of the next version, with the change in it."""
+    version = head.version if head else documents.NO_VERSION
+    error = next(_objections(version, manifest, change), None)
+    if error is not None:
+        return Error(error)
+    return Ok(_apply(ids.ConfigVersion(version + 1), manifest, change))
+
+
+def _objections(
+    version: ids.ConfigVersion,
+    manifest: documents.Manifest,
+    change: Change,
+) -> Iterator[PublishError]:
+    kinds = PublishErrorKind
+    if not change.puts and not change.removes:
+        yield PublishError(kinds.EMPTY)
+    for file in sorted(change.removes & change.puts.keys()):
+        yield PublishError(kinds.AMBIGUOUS, file=file)
+    if change.base_version > version:
+        yield PublishError(kinds.BASE_UNKNOWN)
+    for file in change.files():
+        last = manifest.last_change(file)
+        if last is not None and last.version > change.base_version:
+            yield _conflict(file, last)
+        elif last is None and change.base_version < manifest.removals_since:
+            yield PublishError(kinds.BASE_TOO_OLD, file=file)
+        elif file in change.removes and file not in manifest.files:
+            yield PublishError(kinds.FILE_UNKNOWN, file=file)
+
+
+def _conflict(
+    file: ids.IntentFileName, last: documents.FileState
+) -> PublishError:
+    other = OtherChange(last.writer, last.change_id, last.version, file)
+    return PublishError(PublishErrorKind.CONFLICT, other, file)
+
+
+def _apply(
+    version: ids.ConfigVersion,
+    manifest: documents.Manifest,
+    change: Change,
+) -> documents.Manifest:
+    files = dict(manifest.files)
+    removed = dict(manifest.removed)
+    for file in change.files():
+        files.pop(file, None)
+        removed.pop(file, None)
+        data = change.puts.get(file)
+        digest = "" if data is None else documents.digest_of(data)
+        state = documents.FileState(
+            digest, version, change.change_id, change.writer
+        )
+        (removed if data is None else files)[file] = state
+    return _forget_removals(
+        documents.Manifest(files, removed, manifest.removals_since)
+    )
+
+
+def _forget_removals(manifest: documents.Manifest) -> documents.Manifest:
+    if len(manifest.removed) <= MAX_REMOVED:
+        return manifest
+    versions = sorted(state.version for state in manifest.removed.values())
+    since = versions[-MAX_REMOVED - 1]
+    kept = {
+        file: state
+        for file, state in manifest.removed.items()
+        if state.version > since
+    }
+    return documents.Manifest(manifest.files, kept, since)
--- /dev/null
+++ b/src/cyclamendale/configuration/documents.py
@@ -0,0 +1,187 @@
+"""What the platform holds of the configuration, and its encoding.
+
+The head row names the version in force and the digest of its manifest.
+The manifest is an object that names each file's digest and last change.
+Each version also has a row of its own, which is never changed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import hashlib
+from typing import TypeVar
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from cyclamendale import ids
+
+FORMAT = 1
+"""Format of the documents that this program reads and writes."""
+
+HEAD_KEY = "configuration/head"
+VERSION_KEY_PREFIX = "configuration/version/"
+VERSION_KEY_DIGITS = 12
+RECENT_CHANGES = 64
+"""Change ids kept in the head row, to recognise a repeated change."""
+
+NO_VERSION = ids.ConfigVersion(0)
+"""Version of the empty configuration before the first change."""
+
+
+class FileState(msgspec.Struct, frozen=True):
+    """A file in a manifest, or one that was removed.
+
+    Attributes:
+        digest: Digest of its contents; empty when removed.
+        version: Version that last changed it.
+        change_id: Change that made that version.
+        writer: Operator who made the change.
+    """
+
+    digest: str
+    version: ids.ConfigVersion
+    change_id: ids.ChangeId
+    writer: str
+
+
+class Manifest(msgspec.Struct, frozen=True):
+    """The files of one version.
+
+    Attributes:
+        files: State of each file.
+        removed: Files removed, with the change that did it.
+        removals_since: Removals up to this version may be missing from
+            `removed`.
+        format: Format of this document.
+    """
+
+    files: Mapping[ids.IntentFileName, FileState] = {}
+    removed: Mapping[ids.IntentFileName, FileState] = {}
+    removals_since: ids.ConfigVersion = NO_VERSION
+    format: int = FORMAT
+
+    def last_change(self, file: ids.IntentFileName) -> FileState | None:
+        """Returns the last known change of a file, or None."""
+        return self.files.get(file) or self.removed.get(file)
+
+
+class RecentChange(msgspec.Struct, frozen=True):
+    """A change and the version it made."""
+
+    change_id: ids.ChangeId
+    version: ids.ConfigVersion
+
+
+class Head(msgspec.Struct, frozen=True):
+    """Value of the head row.
+
+    Attributes:
+        version: Version in force.
+        manifest: Digest of its manifest.
+        writer: Operator who made the version.
+        change_id: Change that made the version.
+        recent: Latest changes, newest first.
+        bundle: Digest of an object with many files' contents, so that
+            they are read at once; empty when there is none.
+        bundle_version: Version whose files the bundle holds.
+        format: Format of this document.
+    """
+
+    version: ids.ConfigVersion
+    manifest: str
+    writer: str
+    change_id: ids.ChangeId
+    recent: tuple[RecentChange, ...]
+    bundle: str = ""
+    bundle_version: ids.ConfigVersion = NO_VERSION
+    format: int = FORMAT
+
+
+class HistoryEntry(msgspec.Struct, frozen=True):
+    """Value of the row of one version.
+
+    Attributes:
+        version: The version.
+        manifest: Digest of its manifest.
+        writer: Operator who made it.
+        change_id: Change that made it.
+        base_version: Version that the operator had read.
+        puts: Files written.
+        removes: Files removed.
+        written_ms: Wall time of the writer, for display only.
+        format: Format of this document.
+    """
+
+    version: ids.ConfigVersion
+    manifest: str
+    writer: str
+    change_id: ids.ChangeId
+    base_version: ids.ConfigVersion
+    puts: tuple[ids.IntentFileName, ...]
+    removes: tuple[ids.IntentFileName, ...]
+    written_ms: int
+    format: int = FORMAT
+
+
+class FormatUnknown(msgspec.Struct, frozen=True):
+    """A document that this program does not understand.
+
+    Attributes:
+        format: Format that the document names, if it names one.
+    """
+
+    format: int | None = None
+
+
+class _AnyFormat(msgspec.Struct, frozen=True):
+    format: int
+
+
+EMPTY_MANIFEST = Manifest()
+
+D = TypeVar("D")
+
+
+def decode(data: bytes, kind: type[D]) -> Result[D, FormatUnknown]:
+    """Decodes a document of the format that this program writes."""
+    try:
+        found = msgspec.json.decode(data, type=_AnyFormat).format
+    except msgspec.MsgspecError:
+        return Error(FormatUnknown())
+    if found != FORMAT:
+        return Error(FormatUnknown(found))
+    try:
+        return Ok(msgspec.json.decode(data, type=kind))
+    except msgspec.MsgspecError:
+        return Error(FormatUnknown(found))
+
+
+def encode(document: msgspec.Struct) -> bytes:
+    """Encodes a document; equal documents give equal bytes."""
+    return msgspec.json.encode(document, order="sorted")
+
+
+def digest_of(data: bytes) -> str:
+    """Returns the digest that names an object."""
+    return hashlib.sha256(data).hexdigest()
+
+
+def version_key(version: ids.ConfigVersion) -> str:
+    """Returns the key of a version's row; keys sort by version."""
+    return f"{VERSION_KEY_PREFIX}{version:0{VERSION_KEY_DIGITS}d}"
+
+
+def encode_bundle(contents: Mapping[str, bytes]) -> bytes:
+    """Encodes many files' contents, by digest, as one object."""
+    return msgspec.msgpack.encode(contents, order="sorted")
+
+
+def decode_bundle(data: bytes) -> Mapping[str, bytes]:
+    """Decodes a bundle; one that is not understood has no files."""
+    try:
+        return msgspec.msgpack.decode(data, type=dict[str, bytes])
+    except msgspec.MsgspecError:
+        return {}
--- /dev/null
+++ b/src/cyclamendale/configuration/store.py
@@ -0,0 +1,204 @@
+"""Reads the configuration that the platform holds."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import enum
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+from twisted.internet import defer
+
+from cyclamendale import ids
+from cyclamendale.configuration import documents
+from cyclamendale.platform import object_store
+from cyclamendale.platform import table
+
+MAX_LOOSE_FILES = 16
+"""Files changed since the last bundle; with more, one is written."""
+
+
+class StoreErrorKind(enum.Enum):
+    """Why the configuration could not be read."""
+
+    UNAVAILABLE = "unavailable"
+    FORMAT_UNKNOWN = "format-unknown"
+    DAMAGED = "damaged"
+
+
+class StoreError(msgspec.Struct, frozen=True):
+    """A failed read; `key` names the row or object."""
+
+    kind: StoreErrorKind
+    key: str
+
+
+class HeadRow(msgspec.Struct, frozen=True):
+    """The head row as read; `head` is None before the first change."""
+
+    head: documents.Head | None
+    row_version: int
+
+    @property
+    def version(self) -> ids.ConfigVersion:
+        """Returns the version in force."""
+        return self.head.version if self.head else documents.NO_VERSION
+
+
+class Folder(msgspec.Struct, frozen=True):
+    """A version's manifest and the contents of its files, by digest."""
+
+    manifest: documents.Manifest
+    contents: Mapping[str, bytes]
+
+    def files(self) -> dict[ids.IntentFileName, bytes]:
+        """Returns the contents of each file."""
+        return {
+            file: self.contents[state.digest]
+            for file, state in self.manifest.files.items()
+        }
+
+
+class ConfigurationStore:
+    """Reads heads, manifests and files; keeps nothing."""
+
+    def __init__(
+        self, rows: table.Table, objects: object_store.ObjectStore
+    ) -> None:
+        self._rows = rows
+        self._objects = objects
+
+    async def read_head(self) -> Result[HeadRow, StoreError]:
+        """Reads the head row."""
+        match await self._rows.read(documents.HEAD_KEY):
+            case Result(tag="ok", ok=None):
+                return Ok(HeadRow(None, table.ABSENT_VERSION))
+            case Result(tag="ok", ok=table.Row() as row):
+                return _decode_head(row)
+            case Result(error=error):
+                return Error(_table_error(error))
+
+    async def read_folder(
+        self, head: documents.Head | None, known: Mapping[str, bytes]
+    ) -> Result[Folder, StoreError]:
+        """Reads the files of a version.
+
+        Args:
+            head: The version's head; None for the empty folder.
+            known: Contents, by digest, that need not be read.
+        """
+        if head is None:
+            return Ok(Folder(documents.EMPTY_MANIFEST, {}))
+        match await self._read_manifest(head.manifest):
+            case Result(tag="ok", ok=manifest):
+                return await self._read_files(head, manifest, known)
+            case Result(error=error):
+                return Error(error)
+
+    async def read_history(
+        self, limit: int
+    ) -> Result[list[documents.HistoryEntry], StoreError]:
+        """Reads the rows of the latest versions, newest first."""
+        match await self.read_head():
+            case Result(tag="ok", ok=head):
+                return await self._read_versions(head.version, limit)
+            case Result(error=error):
+                return Error(error)
+
+    async def _read_manifest(
+        self, digest: str
+    ) -> Result[documents.Manifest, StoreError]:
+        match await self._objects.get(digest):
+            case Result(tag="ok", ok=data):
+                decoded = documents.decode(data, documents.Manifest)
+                return decoded.map_error(lambda _: _format_unknown(digest))
+            case Result(error=error):
+                return Error(_object_error(error))
+
+    async def _read_files(
+        self,
+        head: documents.Head,
+        manifest: documents.Manifest,
+        known: Mapping[str, bytes],
+    ) -> Result[Folder, StoreError]:
+        wanted = {state.digest for state in manifest.files.values()}
+        contents = {d: known[d] for d in wanted if d in known}
+        if head.bundle and len(wanted) - len(contents) > MAX_LOOSE_FILES:
+            bundle = await self._read_bundle(head.bundle)
+            contents.update(
+                (digest, bundle[digest]) for digest in wanted & bundle.keys()
+            )
+        missing = sorted(wanted - contents.keys())
+        answers = await defer.gatherResults(
+            [self._objects.get(digest) for digest in missing]
+        )
+        for digest, answer in zip(missing, answers, strict=True):
+            match answer:
+                case Result(tag="ok", ok=data):
+                    contents[digest] = data
+                case Result(error=error):
+                    return Error(_object_error(error))
+        return Ok(Folder(manifest, contents))
+
+    async def _read_bundle(self, digest: str) -> Mapping[str, bytes]:
+        match await self._objects.get(digest):
+            case Result(tag="ok", ok=data):
+                return documents.decode_bundle(data)
+            case _:
+                # The files can still be read one by one.
+                return {}
+
+    async def _read_versions(
+        self, newest: ids.ConfigVersion, limit: int
+    ) -> Result[list[documents.HistoryEntry], StoreError]:
+        entries: list[documents.HistoryEntry] = []
+        # Rows list in rising order only, so they are read in blocks of
+        # a hundred, which share all but the last two digits.
+        for block in range(newest // 100, -1, -1):
+            key = documents.version_key(ids.ConfigVersion(block * 100))
+            match await self._rows.list_rows(key[:-2], 100):
+                case Result(tag="ok", ok=rows):
+                    decoded = [_decode_entry(row) for row in reversed(rows)]
+                case Result(error=error):
+                    return Error(_table_error(error))
+            for entry in decoded:
+                match entry:
+                    case Result(tag="ok", ok=known):
+                        entries.append(known)
+                    case Result(error=unknown):
+                        return Error(unknown)
+            if len(entries) >= limit:
+                break
+        return Ok(entries[:limit])
+
+
+def _decode_head(row: table.Row) -> Result[HeadRow, StoreError]:
+    decoded = documents.decode(row.value, documents.Head)
+    return decoded.map(lambda head: HeadRow(head, row.version)).map_error(
+        lambda _: _format_unknown(row.key)
+    )
+
+
+def _decode_entry(
+    row: table.Row,
+) -> Result[documents.HistoryEntry, StoreError]:
+    decoded = documents.decode(row.value, documents.HistoryEntry)
+    return decoded.map_error(lambda _: _format_unknown(row.key))
+
+
+def _format_unknown(key: str) -> StoreError:
+    return StoreError(StoreErrorKind.FORMAT_UNKNOWN, key)
+
+
+def _table_error(error: table.TableError) -> StoreError:
+    if error.kind is table.TableErrorKind.MALFORMED:
+        return StoreError(StoreErrorKind.FORMAT_UNKNOWN, error.key)
+    return StoreError(StoreErrorKind.UNAVAILABLE, error.key)
+
+
+def _object_error(error: object_store.ObjectError) -> StoreError:
+    if error.kind is object_store.ObjectErrorKind.UNAVAILABLE:
+        return StoreError(StoreErrorKind.UNAVAILABLE, error.digest)
+    return StoreError(StoreErrorKind.DAMAGED, error.digest)
--- /dev/null
+++ b/tests/test_configuration_publisher.py
@@ -0,0 +1,267 @@
+"""Publishing: merges, conflicts, lost answers and other formats."""
+
+from __future__ import annotations
+
+import testscenarios
+import testtools
+
+from cyclamendale.configuration import changes
+from cyclamendale.configuration import documents
+from cyclamendale.configuration import store
+from cyclamendale.platform import faults
+from cyclamendale.platform import table
+from tests.support import fake_platform_configuration as fake
+
+KINDS = changes.PublishErrorKind
+OPERATION = faults.Operation
+
+
+class PublisherTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.platform = fake.SharedPlatform()
+
+
+class MergeTest(PublisherTest):
+    def test_a_first_change_makes_version_one(self):
+        result = self.platform.publish(puts={"a": b"1", "b": b"2"})
+        self.assertEqual(changes.Published(1), result.ok)
+        self.assertEqual((1, {"a": b"1", "b": b"2"}), self.platform.folder())
+
+    def test_racing_changes_of_different_files_merge(self):
+        self.platform.publish(puts={"a": b"1"})
+        self.platform.publish(1, {"b": b"2"})
+        result = self.platform.publish(1, {"c": b"3"}, {"a"}, writer="bob")
+        self.assertEqual(changes.Published(3), result.ok)
+        self.assertEqual((3, {"b": b"2", "c": b"3"}), self.platform.folder())
+
+    def test_simultaneous_changes_of_different_files_both_stay(self):
+        operators = [self.platform.operator() for _ in range(4)]
+        answers = [
+            operator.publish(self.platform.change(puts={f"f{i}": b"x"}))
+            for i, operator in enumerate(operators)
+        ]
+        versions = [self.platform.result(answer).ok for answer in answers]
+        made = sorted(published.version for published in versions)
+        self.assertEqual([1, 2, 3, 4], made)
+        self.assertEqual(4, len(self.platform.folder()[1]))
+
+    def test_a_union_that_is_invalid_changes_nothing(self):
+        self.platform.publish(puts={"a": fake.EXCLUSIVE})
+        before = self.platform.rows.list_rows("", 99)
+        error = self.platform.publish(0, {"b": fake.EXCLUSIVE}).error
+        self.assertEqual(KINDS.INVALID, error.kind)
+        self.assertEqual(["a", "b"], error.invalid)
+        self.assertEqual(before, self.platform.rows.list_rows("", 99))
+
+    def test_the_history_lists_versions_newest_first(self):
+        for version in range(105):
+            self.platform.publish(version, {f"f{version % 3}": b"x"})
+        operator = self.platform.operator()
+        history = self.platform.result(operator.history(7)).ok
+        self.assertEqual(
+            list(range(105, 98, -1)), [entry.version for entry in history]
+        )
+        self.assertEqual(("f2",), history[0].puts)
+
+    def test_many_files_are_read_in_few_operations(self):
+        files = {f"f{i:03}": b"%d" % i for i in range(500)}
+        self.platform.publish(puts=files)
+        self.platform.publish(1, {"f007": b"changed"})
+        switch = faults.FaultSwitch()
+        operator = self.platform.operator(switch)
+        read = self.platform.result(operator.read()).ok
+        self.assertEqual({**files, "f007": b"changed"}, dict(read.files))
+        self.assertLessEqual(
+            switch.operations[OPERATION.GET_OBJECT], store.MAX_LOOSE_FILES + 2
+        )
+
+
+class ObjectionTest(testscenarios.WithScenarios, PublisherTest):
+    """Changes that are refused, on top of a change by bob."""
+
+    scenarios = [
+        (
+            "written by another since the base",
+            {"fields": {"puts": {"a": b"3"}}, "kind": KINDS.CONFLICT},
+        ),
+        (
+            "removed by another since the base",
+            {"fields": {"puts": {"gone": b"3"}}, "kind": KINDS.CONFLICT},
+        ),
+        (
+            "removing what another wrote",
+            {"fields": {"removes": {"a"}}, "kind": KINDS.CONFLICT},
+        ),
+        ("empty", {"fields": {}, "kind": KINDS.EMPTY}),
+        (
+            "written and removed",
+            {
+                "fields": {"puts": {"n": b""}, "removes": {"n"}},
+                "kind": KINDS.AMBIGUOUS,
+            },
+        ),
+        (
+            "removing an unknown file",
+            {"fields": {"removes": {"n"}}, "kind": KINDS.FILE_UNKNOWN},
+        ),
+        (
+            "based on the future",
+            {
+                "fields": {"base": 9, "puts": {"n": b""}},
+                "kind": KINDS.BASE_UNKNOWN,
+            },
+        ),
+    ]
+
+    def test_it_is_refused_and_changes_nothing(self):
+        self.platform.publish(puts={"a": b"1", "gone": b"1"})
+        other = self.platform.change(1, {"a": b"2"}, {"gone"}, writer="bob")
+        self.platform.result(self.platform.operator().publish(other))
+        before = self.platform.folder()
+        error = self.platform.publish(**{"base": 1, **self.fields}).error
+        self.assertEqual(self.kind, error.kind)
+        self.assertEqual(before, self.platform.folder())
+        if self.kind is KINDS.CONFLICT:
+            self.assertEqual(
+                changes.OtherChange("bob", other.change_id, 2, error.file),
+                error.other,
+            )
+
+
+class RepeatTest(PublisherTest):
+    """A whole command repeated with the change id of an accepted one."""
+
+    def setUp(self):
+        super().setUp()
+        self.change = self.platform.change(puts={"a": b"1"}, removes=())
+        self.operator = self.platform.operator()
+        self.platform.result(self.operator.publish(self.change))
+
+    def repeat(self):
+        return self.platform.result(self.operator.publish(self.change))
+
+    def test_it_is_recognised_and_not_applied_again(self):
+        self.assertEqual(changes.Published(1, True), self.repeat().ok)
+        self.assertEqual((1, {"a": b"1"}), self.platform.folder())
+
+    def test_it_is_recognised_below_more_changes_than_the_head_lists(self):
+        for version in range(1, documents.RECENT_CHANGES + 5):
+            self.platform.publish(version, {"b": b"%d" % version})
+        before = self.platform.folder()
+        self.assertEqual(changes.Published(1, True), self.repeat().ok)
+        self.assertEqual(before, self.platform.folder())
+
+    def test_it_does_not_bring_back_what_a_later_change_replaced(self):
+        for version in range(1, documents.RECENT_CHANGES + 5):
+            self.platform.publish(version, {"a": b"%d" % version})
+        before = self.platform.folder()
+        self.assertEqual(KINDS.CONFLICT, self.repeat().error.kind)
+        self.assertEqual(before, self.platform.folder())
+
+    def test_a_base_older_than_the_removals_known_is_refused(self):
+        names = [f"f{i}" for i in range(changes.MAX_REMOVED + 1)]
+        self.platform.publish(1, {name: b"" for name in names})
+        self.platform.publish(2, removes=names)
+        error = self.platform.publish(2, {"f0": b"back"}).error
+        self.assertEqual(KINDS.BASE_TOO_OLD, error.kind)
+
+
+class FaultTest(testscenarios.WithScenarios, PublisherTest):
+    """One fault at each step of a publication, then a repeat."""
+
+    scenarios = testscenarios.multiply_scenarios(
+        [
+            (operation.value, {"operation": operation, "skip": 0})
+            for operation in (
+                OPERATION.READ,
+                OPERATION.GET_OBJECT,
+                OPERATION.PUT_OBJECT,
+                OPERATION.TRANSACT,
+            )
+        ]
+        + [
+            ("second put", {"operation": OPERATION.PUT_OBJECT, "skip": 1}),
+            ("read back", {"operation": OPERATION.READ, "skip": 1}),
+        ],
+        [(fault.value, {"fault": fault}) for fault in faults.Fault],
+        [("once", {"count": 1}), ("for long", {"count": None})],
+        [("alone", {"racing": False}), ("raced", {"racing": True})],
+    )
+
+    def test_it_is_applied_once_and_an_error_is_honest(self):
+        self.platform.publish(puts={"a": b"1"})
+        switch = faults.FaultSwitch()
+        rule = faults.FaultRule(
+            self.fault, (self.operation,), self.skip, self.count, 3.0
+        )
+        switch.switch([rule])
+        operator = self.platform.operator(switch)
+        change = self.platform.change(1, {"a": b"2"})
+        answer = operator.publish(change)
+        if self.racing:
+            self.platform.task_clock.advance(0.045)
+            self.platform.publish(1, {"other": b"x"}, writer="bob")
+        result = self.platform.result(answer)
+        self.check_honest(result, change)
+        switch.switch()
+        repeated = self.platform.result(operator.publish(change))
+        self.assertTrue(repeated.is_ok())
+        self.assertEqual(1, len(self.versions_of(change)))
+        self.assertEqual(b"2", self.platform.folder()[1]["a"])
+
+    def check_honest(self, result, change):
+        made = self.versions_of(change)
+        if result.is_ok():
+            self.assertEqual([result.ok.version], made)
+        elif result.error.kind is not KINDS.OUTCOME_UNKNOWN:
+            self.platform.task_clock.advance(10.0)
+            self.assertEqual([], self.versions_of(change))
+
+    def versions_of(self, change):
+        operator = self.platform.operator()
+        history = self.platform.result(operator.history(99)).ok
+        return [
+            entry.version
+            for entry in history
+            if entry.change_id == change.change_id
+        ]
+
+
+class OtherFormatTest(testscenarios.WithScenarios, PublisherTest):
+    """Rows that another version of the program wrote."""
+
+    scenarios = testscenarios.multiply_scenarios(
+        [
+            ("head", {"key": documents.HEAD_KEY}),
+            ("next version", {"key": documents.version_key(2)}),
+        ],
+        [
+            ("newer format", {"value": b'{"format": 2, "version": "x"}'}),
+            ("not JSON", {"value": b"\xff\x00"}),
+            ("fields missing", {"value": b'{"format": 1}'}),
+        ],
+    )
+
+    def test_they_are_left_alone_with_a_typed_error(self):
+        self.platform.publish(puts={"a": b"1"})
+        row = self.platform.rows.read(self.key)
+        version = row.version if row else table.ABSENT_VERSION
+        self.platform.rows.transact(
+            [table.Write(self.key, version, self.value)]
+        )
+        before = self.platform.rows.list_rows("", 99)
+        error = self.platform.publish(1, {"b": b"2"}).error
+        self.assertEqual(KINDS.FORMAT_UNKNOWN, error.kind)
+        self.assertEqual(before, self.platform.rows.list_rows("", 99))
+
+
+class DamagedTest(PublisherTest):
+    def test_a_missing_object_is_a_typed_error_and_changes_nothing(self):
+        self.platform.publish(puts={"a": b"1"})
+        digest = documents.digest_of(b"1")
+        del self.platform.objects.objects[digest]
+        before = self.platform.rows.list_rows("", 99)
+        error = self.platform.publish(1, {"b": b"2"}).error
+        self.assertEqual(KINDS.DAMAGED, error.kind)
+        self.assertEqual(before, self.platform.rows.list_rows("", 99))
