--- /dev/null
+++ b/src/cyclamendale/controllers/_quota_divisions.py
@@ -0,0 +1,137 @@
+"""Divisions of quotas: the newest one, and those that rows refer to."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from expression import Result
+
+from cyclamendale import ids
+from cyclamendale.intents import model
+from cyclamendale.platform import table
+from cyclamendale.quotas import shard_row
+from cyclamendale.quotas import shares
+
+CustomersByShard = Mapping[ids.ShardId, Mapping[ids.CustomerId, model.Customer]]
+
+
+class DivisionStore:
+    """Divisions known here, kept in the table under their digests.
+
+    Attributes:
+        current: The newest division, with its index.
+        digest: Its digest.
+        customers: The customers of the newest configuration.
+    """
+
+    def __init__(
+        self,
+        platform_table: table.Table,
+        on_fetched: Callable[[], None],
+        on_stored: Callable[[], None],
+    ) -> None:
+        self._table = platform_table
+        self._on_fetched = on_fetched
+        self._on_stored = on_stored
+        self._known: dict[shares.DivisionDigest, shares.DivisionIndex] = {}
+        self._stored: set[shares.DivisionDigest] = set()
+        self._pending: set[shares.DivisionDigest] = set()
+        self._by_shard: dict[int, CustomersByShard] = {}
+        self.customers: Mapping[ids.CustomerId, model.Customer] = {}
+        self.current = shares.DivisionIndex(shares.Division(1, ()))
+        self.digest = self.current.division.digest
+
+    def set_current(self, division: shares.Division) -> bool:
+        """Sets the newest division; returns whether it changed."""
+        digest = division.digest
+        index = self._known.get(digest)
+        if index is None:
+            index = self._known[digest] = shares.DivisionIndex(division)
+        changed = digest != self.digest
+        self.current = index
+        self.digest = digest
+        return changed
+
+    def set_customers(
+        self, customers: Mapping[ids.CustomerId, model.Customer]
+    ) -> None:
+        """Sets the customers of the newest configuration."""
+        self.customers = customers
+        self._by_shard = {}
+
+    def find(
+        self, digest: shares.DivisionDigest
+    ) -> shares.DivisionIndex | None:
+        """Returns a division; fetches it when it is not known yet."""
+        index = self._known.get(digest)
+        if index is None and digest not in self._pending:
+            self._pending.add(digest)
+            reading = self._table.read(shard_row.division_key(digest))
+            reading.addCallback(self._fetched, digest)
+        return index
+
+    def is_stored(self) -> bool:
+        """Returns whether the newest division is in the table.
+
+        When it is not, the write is started.
+        """
+        digest = self.digest
+        if digest in self._stored:
+            return True
+        if digest not in self._pending:
+            self._pending.add(digest)
+            value = shares.encode_division(self.current.division)
+            key = shard_row.division_key(digest)
+            writing = self._table.insert_if_absent(key, value)
+            writing.addCallback(self._inserted, digest)
+        return False
+
+    def customers_of(
+        self,
+        shard: ids.ShardId,
+        divisions: list[shares.DivisionIndex | None],
+    ) -> Mapping[ids.CustomerId, model.Customer]:
+        """Returns the customers of a shard in any of the divisions."""
+        found: dict[ids.CustomerId, model.Customer] = {}
+        for division in divisions:
+            if division is not None:
+                count = division.division.shard_count
+                found.update(self._shards(count).get(shard, {}))
+        return found
+
+    def _shards(self, count: int) -> CustomersByShard:
+        by_shard = self._by_shard.get(count)
+        if by_shard is None:
+            grouped: dict[ids.ShardId, dict[ids.CustomerId, model.Customer]]
+            grouped = {}
+            for name, customer in self.customers.items():
+                shard = shares.shard_of(name, count)
+                grouped.setdefault(shard, {})[name] = customer
+            by_shard = self._by_shard[count] = grouped
+        return by_shard
+
+    def _fetched(
+        self,
+        result: Result[table.Row | None, table.TableError],
+        digest: shares.DivisionDigest,
+    ) -> None:
+        self._pending.discard(digest)
+        if result.is_error() or result.ok is None:
+            return
+        division = shares.decode_division(result.ok.value, digest)
+        if division is not None:
+            self._known[digest] = shares.DivisionIndex(division)
+            self._stored.add(digest)
+            self._on_fetched()
+
+    def _inserted(
+        self,
+        result: Result[table.Row, table.TableError],
+        digest: shares.DivisionDigest,
+    ) -> None:
+        self._pending.discard(digest)
+        if result.is_ok() or (
+            result.error.kind is table.TableErrorKind.CONFLICT
+        ):
+            self._stored.add(digest)
+            self._on_stored()
--- /dev/null
+++ b/src/cyclamendale/controllers/_quota_layout.py
@@ -0,0 +1,156 @@
+"""Fleet-wide steps on lease rows: creation, and ends of changes.
+
+Each step is one transaction that also checks the rows it relied on. So at
+all times there is a division that bounds every holder, old and new.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import random
+
+import msgspec
+
+from cyclamendale import ids
+from cyclamendale.platform import table
+from cyclamendale.quotas import lease
+from cyclamendale.quotas import shard_row
+from cyclamendale.quotas import shares
+
+_WRITE_ID_BITS = 62
+_LAYOUT_VALUE = b"{}"
+
+
+class LeaseRows(msgspec.Struct, frozen=True):
+    """All lease rows of the fleet, and the row that guards creation."""
+
+    layout_version: int
+    rows: dict[str, tuple[int, shard_row.ShardRow]]
+
+
+def decode_rows(
+    layout: table.Row | None, rows: Iterable[table.Row]
+) -> LeaseRows | None:
+    """Decodes all lease rows; None if one of them must be left alone."""
+    decoded = {}
+    for row in rows:
+        result = shard_row.decode_row(row.value)
+        if result.is_error():
+            return None
+        decoded[row.key] = (row.version, result.ok)
+    version = layout.version if layout else table.ABSENT_VERSION
+    return LeaseRows(version, decoded)
+
+
+def plan_creation(
+    found: LeaseRows,
+    domain: ids.FailureDomainName,
+    division: shares.Division,
+    kept_units: int,
+    rng: random.Random,
+) -> list[table.Write]:
+    """Returns the writes that create missing lease rows.
+
+    The first node of the fleet creates the rows of all failure domains.
+    Rows that come later start with no tokens, and are bounded by a
+    division that bounds all others.
+    """
+    shards = [ids.ShardId(shard) for shard in range(division.shard_count)]
+    if not found.rows:
+        epoch = ids.Epoch(0)
+        divisions: tuple[shares.DivisionDigest, ...] = (division.digest,)
+        domains = [entry.name for entry in division.domains]
+    else:
+        epoch = ids.Epoch(1)
+        divisions = _common_divisions(found)
+        domains = [domain]
+        if not divisions:
+            return []
+    missing = [
+        key
+        for name in domains
+        for shard in shards
+        if (key := shard_row.lease_key(name, shard)) not in found.rows
+    ]
+    if not missing:
+        return []
+    guard = table.Write(
+        shard_row.LAYOUT_KEY, found.layout_version, _LAYOUT_VALUE
+    )
+    checks = [
+        table.Write(key, version) for key, (version, _) in found.rows.items()
+    ]
+    created = [
+        table.Write(
+            key,
+            table.ABSENT_VERSION,
+            shard_row.encode_row(
+                shard_row.ShardRow(
+                    write_id=rng.getrandbits(_WRITE_ID_BITS),
+                    epoch=epoch,
+                    holder=shard_row.NO_HOLDER,
+                    units=shares.SHARE_UNITS,
+                    kept_units=kept_units,
+                    divisions=divisions,
+                )
+            ),
+        )
+        for key in missing
+    ]
+    return [guard, *checks, *created]
+
+
+def plan_narrowing(
+    found: LeaseRows,
+    own: dict[str, lease.PlannedWrite],
+    digest: shares.DivisionDigest,
+    gone: frozenset[ids.NodeId],
+    rng: random.Random,
+) -> list[table.Write] | None:
+    """Returns the writes that end a change of division for own rows.
+
+    Args:
+        found: All lease rows.
+        own: Narrowing writes of the leases that this node holds.
+        digest: The newest division.
+        gone: Nodes that an operator declared gone.
+        rng: Source of write ids.
+
+    Returns:
+        The transaction, or None while some row may be spent without
+        being bounded by the newest division.
+    """
+    writes = [table.Write(shard_row.LAYOUT_KEY, found.layout_version)]
+    for key, (version, row) in found.rows.items():
+        planned = own.get(key)
+        if any(
+            digest not in entry.divisions and entry.owner not in gone
+            for entry in row.retained
+        ):
+            return None
+        if planned is not None:
+            if planned.expected_version != version:
+                return None
+            value = shard_row.encode_row(planned.row)
+            writes.append(table.Write(key, version, value))
+        elif digest in row.divisions:
+            writes.append(table.Write(key, version))
+        elif row.holder == shard_row.NO_HOLDER or row.holder in gone:
+            unspent = msgspec.structs.replace(
+                row,
+                write_id=rng.getrandbits(_WRITE_ID_BITS),
+                divisions=(digest,),
+            )
+            value = shard_row.encode_row(unspent)
+            writes.append(table.Write(key, version, value))
+        else:
+            return None
+    return writes
+
+
+def _common_divisions(found: LeaseRows) -> tuple[shares.DivisionDigest, ...]:
+    """Returns the divisions that bound every holder."""
+    bounds = [set(row.divisions) for _, row in found.rows.values()]
+    for _, row in found.rows.values():
+        bounds.extend(set(entry.divisions) for entry in row.retained)
+    return tuple(sorted(set.intersection(*bounds)))
--- /dev/null
+++ b/src/cyclamendale/controllers/_quota_locator.py
@@ -0,0 +1,143 @@
+"""Finds the holders of quota shards, by the table or by other nodes."""
+
+from __future__ import annotations
+
+import random
+
+from expression import Result
+
+from cyclamendale import clocks
+from cyclamendale import ids
+from cyclamendale.membership import directory
+from cyclamendale.peer import kinds
+from cyclamendale.peer import network
+from cyclamendale.peer.generated.quota import ttypes
+from cyclamendale.platform import table
+from cyclamendale.quotas import holder_map
+from cyclamendale.quotas import shard_row
+
+MIN_REFRESH_S = 0.1
+"""Wait before a second look-up of one failure domain's holders."""
+
+MAX_REFRESH_S = 4.0
+"""Longest wait between look-ups that do not find the holder."""
+
+_ASK_TIMEOUT_S = 0.2
+_MAX_SHARDS = 4096
+
+
+class HolderLocator:
+    """Keeps the holder map fresh, with few look-ups."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        rng: random.Random,
+        node: ids.NodeId,
+        members: directory.Directory,
+        platform_table: table.Table,
+        peers: network.PeerNetwork,
+        holders: holder_map.HolderMap,
+    ) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._node = node
+        self._members = members
+        self._table = platform_table
+        self._peers = peers
+        self._map = holders
+        self._next_refresh_s: dict[ids.FailureDomainName, float] = {}
+        self._refresh_wait_s: dict[ids.FailureDomainName, float] = {}
+
+    def find(
+        self,
+        domain: ids.FailureDomainName,
+        shard: ids.ShardId,
+        now_s: float,
+    ) -> ids.NodeId | None:
+        """Returns the holder if it is known; else starts a look-up."""
+        node = self._map.find(domain, shard, now_s)
+        if node is None:
+            self._refresh(domain, shard, now_s)
+        elif domain in self._refresh_wait_s:
+            del self._refresh_wait_s[domain]
+        return node
+
+    def no_answer(self, node: ids.NodeId, now_s: float) -> None:
+        """Notes that a holder did not answer."""
+        self._map.avoid(node, now_s)
+
+    def not_holder(
+        self,
+        domain: ids.FailureDomainName,
+        shard: ids.ShardId,
+        node: ids.NodeId,
+    ) -> None:
+        """Notes that a node turned out not to hold a shard."""
+        self._map.forget(domain, shard, node)
+
+    def take_hints(self, hints: list[ttypes.QuotaHolderHint]) -> None:
+        """Learns holders from another node's answer."""
+        for hint in hints:
+            self._map.take_hint(hint)
+
+    def _refresh(
+        self,
+        domain: ids.FailureDomainName,
+        shard: ids.ShardId,
+        now_s: float,
+    ) -> None:
+        if now_s < self._next_refresh_s.get(domain, 0.0):
+            return
+        wait_s = self._refresh_wait_s.get(domain, MIN_REFRESH_S)
+        self._refresh_wait_s[domain] = min(2 * wait_s, MAX_REFRESH_S)
+        self._next_refresh_s[domain] = now_s + wait_s * self._rng.uniform(
+            0.5, 1.5
+        )
+        listing = self._table.list_rows(
+            f"{shard_row.LEASE_PREFIX}{domain}/", _MAX_SHARDS
+        )
+        listing.addCallback(self._listed, domain, shard)
+
+    def _listed(
+        self,
+        result: Result[list[table.Row], table.TableError],
+        domain: ids.FailureDomainName,
+        shard: ids.ShardId,
+    ) -> None:
+        if result.is_error():
+            self._ask_member(domain, shard)
+            return
+        for row in result.ok:
+            place = shard_row.parse_lease_key(row.key)
+            decoded = shard_row.decode_row(row.value)
+            if place is not None and decoded.is_ok():
+                self._map.learn(*place, decoded.ok.epoch, decoded.ok.holder)
+
+    def _ask_member(
+        self, domain: ids.FailureDomainName, shard: ids.ShardId
+    ) -> None:
+        """Asks some node of the failure domain who holds the shard."""
+        members = [
+            member
+            for member in self._members.members()
+            if member.failure_domain == domain and member.node != self._node
+        ]
+        if not members:
+            return
+        asking = self._peers.request(
+            self._rng.choice(members).address,
+            kinds.MessageKind.QUOTA_DRAW,
+            ttypes.QuotaDrawRequest(
+                self._node, [ttypes.QuotaWant(shard, "", 0)], []
+            ),
+            ttypes.QuotaDrawReply,
+            _ASK_TIMEOUT_S,
+        )
+        asking.addCallback(self._asked)
+
+    def _asked(
+        self, result: Result[ttypes.QuotaDrawReply, network.PeerError]
+    ) -> None:
+        if result.is_ok():
+            self.take_hints(result.ok.hints)
--- /dev/null
+++ b/src/cyclamendale/controllers/quotas.py
@@ -0,0 +1,221 @@
+"""Controller of quotas on a node: admits, draws and gives tokens back."""
+
+from __future__ import annotations
+
+import random
+
+from twisted.internet import defer
+
+from cyclamendale import clocks
+from cyclamendale import events
+from cyclamendale import ids
+from cyclamendale import refusals
+from cyclamendale.configuration import source
+from cyclamendale.controllers import _quota_borrowing
+from cyclamendale.controllers import _quota_draws
+from cyclamendale.controllers import _quota_locator
+from cyclamendale.controllers import base
+from cyclamendale.controllers import quota_holder
+from cyclamendale.controllers import quota_leases
+from cyclamendale.membership import directory
+from cyclamendale.peer import network
+from cyclamendale.platform import table
+from cyclamendale.quotas import gate
+from cyclamendale.quotas import holder_map
+from cyclamendale.quotas import lease
+from cyclamendale.quotas import token_cache
+
+MAX_WAIT_S = 1.0
+"""Longest time that a request waits for a token."""
+
+MAX_WAITING = 1024
+"""Most requests of one customer that wait on one node."""
+
+_MIN_RETRY_AFTER_S = 0.1
+_UNAVAILABLE_RETRY_AFTER_S = 1.0
+
+
+class QuotaController(base.Controller, gate.QuotaGate):
+    """Spends tokens that were drawn ahead of demand."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        rng: random.Random,
+        configuration: source.ConfigurationSource,
+        holders: quota_holder.QuotaHolders,
+        drawer: _quota_draws.Drawer,
+    ) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._configuration = configuration
+        self._holders = holders
+        self._drawer = drawer
+        self._tokens = drawer.tokens
+        self._ticking: clocks.DelayedCall | None = None
+        self._last_tick_s = 0.0
+        self._stopping = False
+
+    def start(self) -> None:
+        """See base class."""
+        self._holders.start()
+        self._last_tick_s = self._clock.now_s()
+        self._tick()
+
+    def stop(self) -> defer.Deferred[None]:
+        """Gives tokens, then leases, back; see base class."""
+        self._stopping = True
+        if self._ticking is not None:
+            self._ticking.cancel()
+        for tokens in self._tokens.values():
+            tokens.refuse_waiting(token_cache.Outcome.UNAVAILABLE)
+        returned = self._drawer.return_all()
+        returned.addCallback(lambda _: self._holders.stop())
+        return returned
+
+    def admit(
+        self, customer: ids.CustomerId, deadline_s: float
+    ) -> refusals.Refusal | None | defer.Deferred[refusals.Refusal | None]:
+        """See base class."""
+        tokens = self._tokens.get(customer)
+        if tokens is not None and tokens.spend(self._clock.now_s()):
+            return None
+        return self._admit_slowly(customer, deadline_s)
+
+    def _admit_slowly(
+        self, customer: ids.CustomerId, deadline_s: float
+    ) -> refusals.Refusal | None | defer.Deferred[refusals.Refusal | None]:
+        """Spends a younger token, or waits for tokens to be drawn."""
+        if self._stopping:
+            return self._refusal(customer, token_cache.Outcome.UNAVAILABLE)
+        entry = self._configuration.current.customers.get(customer)
+        if entry is None:
+            return self._refusal(customer, token_cache.Outcome.DRY)
+        now_s = self._clock.now_s()
+        tokens = self._drawer.tokens_of(customer)
+        if tokens.spend_younger(now_s):
+            return None
+        dry = now_s < tokens.dry_until_s
+        refilled = int(entry.rate_per_s * token_cache.PATIENCE_S)
+        most = min(MAX_WAITING, 1 + refilled) if dry else MAX_WAITING
+        if len(tokens.waiting) >= most:
+            return self._refusal(customer, token_cache.Outcome.DRY)
+        admission = _Admission(self, customer)
+        tokens.waiting.append(
+            token_cache.Waiter(
+                now_s, min(deadline_s, now_s + MAX_WAIT_S), admission.finish
+            )
+        )
+        if not dry:
+            self._drawer.draw(tokens)
+        return admission.result()
+
+    def _refusal(
+        self, customer: ids.CustomerId, outcome: token_cache.Outcome
+    ) -> refusals.Refusal:
+        configuration = self._configuration.current
+        entry = configuration.customers.get(customer)
+        reason = refusals.RefusalReason.QUOTA
+        wait_s = _MIN_RETRY_AFTER_S
+        if outcome is token_cache.Outcome.UNAVAILABLE:
+            reason = refusals.RefusalReason.QUOTA_UNAVAILABLE
+            wait_s = _UNAVAILABLE_RETRY_AFTER_S
+        elif entry is not None and entry.rate_per_s > 0:
+            wait_s = max(wait_s, 1.0 / entry.rate_per_s)
+        return refusals.Refusal(
+            reason,
+            decider=configuration.decider("customer", customer),
+            retry_after_s=wait_s * self._rng.uniform(1.0, 2.0),
+        )
+
+    def _tick(self) -> None:
+        self._ticking = self._clock.call_later(token_cache.TICK_S, self._tick)
+        now_s = self._clock.now_s()
+        elapsed_s = max(now_s - self._last_tick_s, 1e-3)
+        self._last_tick_s = now_s
+        self._drawer.tick(now_s, elapsed_s)
+
+
+class _Admission:
+    """The outcome of one wait, known at once or later."""
+
+    __slots__ = ("_controller", "_customer", "_deferred", "_outcome")
+
+    def __init__(
+        self, controller: QuotaController, customer: ids.CustomerId
+    ) -> None:
+        self._controller = controller
+        self._customer = customer
+        self._outcome: token_cache.Outcome | None = None
+        self._deferred: defer.Deferred[refusals.Refusal | None] | None = None
+
+    def finish(self, outcome: token_cache.Outcome) -> None:
+        """Takes the outcome of the wait."""
+        self._outcome = outcome
+        if self._deferred is not None:
+            self._deferred.callback(self._refusal())
+
+    def result(
+        self,
+    ) -> refusals.Refusal | None | defer.Deferred[refusals.Refusal | None]:
+        """Returns the outcome, or a Deferred of it."""
+        if self._outcome is not None:
+            return self._refusal()
+        self._deferred = defer.Deferred()
+        return self._deferred
+
+    def _refusal(self) -> refusals.Refusal | None:
+        assert self._outcome is not None
+        if self._outcome is token_cache.Outcome.ADMITTED:
+            return None
+        return self._controller._refusal(self._customer, self._outcome)
+
+
+def make_quota_controller(
+    clock: clocks.Clock,
+    rng: random.Random,
+    members: directory.Directory,
+    platform_table: table.Table,
+    peers: network.PeerNetwork,
+    configuration: source.ConfigurationSource,
+    event_log: events.EventLog,
+    settings: lease.LeaseSettings | None = None,
+) -> QuotaController:
+    """Returns the quota controller of a node, with all its parts.
+
+    Args:
+        clock: The host's clock.
+        rng: Source of jitter and of ids of writes.
+        members: The members; its own entry names this node.
+        platform_table: The platform's table.
+        peers: Requests to other nodes.
+        configuration: The configuration in force.
+        event_log: Where lease changes are recorded.
+        settings: Times of the leases.
+    """
+    own = members.own()
+    holders = holder_map.HolderMap()
+    leases = quota_leases.QuotaLeases(
+        clock,
+        rng,
+        own,
+        members,
+        platform_table,
+        configuration,
+        event_log,
+        holders,
+        settings or lease.LeaseSettings(),
+    )
+    locator = _quota_locator.HolderLocator(
+        clock, rng, own.node, members, platform_table, peers, holders
+    )
+    borrower = _quota_borrowing.Borrower(
+        clock, rng, own.node, peers, leases, locator
+    )
+    service = quota_holder.QuotaHolders(
+        clock, own.node, peers, leases, holders, borrower
+    )
+    drawer = _quota_draws.Drawer(
+        clock, rng, own, peers, leases, service, locator
+    )
+    return QuotaController(clock, rng, configuration, service, drawer)
--- /dev/null
+++ b/src/cyclamendale/peer/idl/quota.thrift
@@ -0,0 +1,62 @@
+// Messages between nodes and the holders of quota shards.
+
+// Tokens wanted for one customer.
+struct QuotaWant {
+  1: i32 shard
+  2: string customer
+  3: i32 tokens
+}
+
+// Tokens granted by one holder; they keep the age that they had there.
+struct QuotaGrant {
+  1: i32 shard
+  2: i64 epoch
+  3: i64 grant_id
+  4: string customer
+  5: i32 tokens
+  6: double age_limit_s
+  7: double age_s
+}
+
+// Unspent tokens of a grant, given back to its holder.
+struct QuotaReturn {
+  1: i32 shard
+  2: i64 epoch
+  3: i64 grant_id
+  4: i32 tokens
+}
+
+// Who holds a shard, as far as the sender knows.
+struct QuotaHolderHint {
+  1: string failure_domain
+  2: i32 shard
+  3: i64 epoch
+  4: string holder
+}
+
+struct QuotaDrawRequest {
+  1: string node
+  2: list<QuotaWant> wants
+  3: list<QuotaReturn> returns
+}
+
+struct QuotaDrawReply {
+  1: list<QuotaGrant> grants
+  2: list<QuotaHolderHint> hints
+}
+
+struct QuotaReturnRequest {
+  1: list<QuotaReturn> returns
+}
+
+struct QuotaReturnReply {
+  1: i32 credited
+}
+
+// Shards whose leases were given back and may be claimed at once.
+struct QuotaReleaseRequest {
+  1: list<QuotaHolderHint> released
+}
+
+struct QuotaReleaseReply {
+}
--- /dev/null
+++ b/src/cyclamendale/quotas/holder.py
@@ -0,0 +1,321 @@
+"""What the holder of one quota shard grants, takes back and lends."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable, Mapping, Sequence
+import math
+
+import msgspec
+
+from cyclamendale import ids
+from cyclamendale.intents import model
+from cyclamendale.peer.generated.quota import ttypes
+from cyclamendale.quotas import lease
+from cyclamendale.quotas import shares
+from cyclamendale.quotas import token_bucket
+
+RETURN_WINDOW_S = 10.0
+"""How long a grant is remembered, so that a return can be credited."""
+
+RESERVE_S = 0.2
+"""Local demand that a lender keeps back."""
+
+_DEMAND_WINDOW_S = 1.0
+_MAX_RESERVED = 0.5
+
+
+class _Borrowed(msgspec.Struct):
+    """Tokens of another failure domain; they keep their age."""
+
+    tokens: int
+    age_limit_s: float
+    born_s: float
+
+
+class _Granted(msgspec.Struct):
+    """A grant that may still come back, in part or whole."""
+
+    customer: ids.CustomerId
+    tokens: int
+    granted_s: float
+    borrowed: _Borrowed | None
+
+
+class _Account:
+    """One customer's tokens at this holder."""
+
+    __slots__ = (
+        "borrowed",
+        "bucket",
+        "customer",
+        "demand",
+        "demand_s",
+        "share",
+    )
+
+    def __init__(self, bucket: token_bucket.TokenBucket) -> None:
+        self.bucket = bucket
+        self.borrowed: collections.deque[_Borrowed] = collections.deque()
+        self.customer: model.Customer | None = None
+        self.share = 0.0
+        self.demand = 0.0
+        self.demand_s = 0.0
+
+    def limits(self, units: int) -> token_bucket.BucketLimits:
+        """Returns the limits of the bucket for a share of the shard."""
+        customer = self.customer
+        share = self.share * (units / shares.SHARE_UNITS)
+        if customer is None or share <= 0:
+            return token_bucket.NO_LIMITS
+        return token_bucket.bucket_limits(
+            share, customer.rate_per_s, customer.burst
+        )
+
+    def note_demand(self, tokens: int, now_s: float) -> None:
+        """Counts local demand, with exponential forgetting."""
+        elapsed_s = now_s - self.demand_s
+        self.demand *= math.exp(-elapsed_s / _DEMAND_WINDOW_S)
+        self.demand += tokens
+        self.demand_s = now_s
+
+    def reserve(self, now_s: float) -> float:
+        """Returns the tokens that are not lent."""
+        elapsed_s = now_s - self.demand_s
+        demand = self.demand * math.exp(-elapsed_s / _DEMAND_WINDOW_S)
+        most = self.bucket.limits.capacity * _MAX_RESERVED
+        return min(most, demand * RESERVE_S / _DEMAND_WINDOW_S)
+
+
+class ShardHolder:
+    """The buckets of one shard in one epoch of its lease.
+
+    Attributes:
+        domain: Failure domain of the shard.
+        shard: The shard.
+        epoch: Epoch of the lease; grants of other epochs are unknown.
+    """
+
+    def __init__(
+        self,
+        domain: ids.FailureDomainName,
+        shard: ids.ShardId,
+        epoch: ids.Epoch,
+        starts_full: bool,
+    ) -> None:
+        self.domain = domain
+        self.shard = shard
+        self.epoch = epoch
+        self._starts_full = starts_full
+        self._units = 0
+        self._accounts: dict[ids.CustomerId, _Account] = {}
+        self._granted: collections.OrderedDict[int, _Granted] = (
+            collections.OrderedDict()
+        )
+        self._last_grant_id = 0
+
+    def set_plan(
+        self,
+        customers: Mapping[ids.CustomerId, model.Customer],
+        divisions: Sequence[shares.DivisionIndex | None],
+        now_s: float,
+    ) -> None:
+        """Sets the customers and the divisions that bound their shares.
+
+        Args:
+            customers: Customers that may belong to this shard.
+            divisions: Each customer gets the smallest of its shares;
+                None stands for a division that is not known yet.
+            now_s: The time.
+        """
+        for name in self._accounts.keys() - customers.keys():
+            self._plan(self._accounts[name], None, 0.0, now_s)
+        for name, customer in customers.items():
+            share = self._smallest_share(name, divisions)
+            account = self._accounts.get(name)
+            if account is None:
+                self._open(customer, share, now_s)
+            elif account.customer != customer or account.share != share:
+                self._plan(account, customer, share, now_s)
+
+    def apply(self, changes: Iterable[lease.ShareChange]) -> None:
+        """Applies changes of this node's share, oldest first."""
+        for change in changes:
+            self._units = change.units
+            for account in self._accounts.values():
+                limits = account.limits(change.units)
+                account.bucket.set_limits(limits, change.at_s)
+
+    def draw(
+        self,
+        customer: ids.CustomerId,
+        wanted: int,
+        now_s: float,
+        lending: bool = False,
+    ) -> list[ttypes.QuotaGrant]:
+        """Grants up to `wanted` tokens; they are deducted at once.
+
+        Args:
+            customer: Whose tokens.
+            wanted: How many.
+            now_s: The time.
+            lending: Whether they are for another failure domain; it
+                gets neither borrowed tokens nor the local reserve.
+
+        Returns:
+            No more than two grants: borrowed tokens, and own ones.
+        """
+        account = self._accounts.get(customer)
+        if account is None or wanted <= 0:
+            return []
+        if lending:
+            reserve = account.reserve(now_s)
+            taken = account.bucket.take(wanted, now_s, reserve)
+            return list(self._grant(customer, account, taken, None, now_s))
+        account.note_demand(wanted, now_s)
+        grants: list[ttypes.QuotaGrant] = []
+        while account.borrowed and wanted:
+            part = _split(account.borrowed, wanted)
+            if part.born_s + part.age_limit_s > now_s:
+                wanted -= part.tokens
+                grants += self._grant(
+                    customer, account, part.tokens, part, now_s
+                )
+        taken = account.bucket.take(wanted, now_s)
+        grants += self._grant(customer, account, taken, None, now_s)
+        return grants
+
+    def take_back(self, grant_id: int, tokens: int, now_s: float) -> int:
+        """Credits unspent tokens of a grant; only the first time.
+
+        Returns:
+            How many tokens were credited.
+        """
+        granted = self._granted.pop(grant_id, None)
+        if granted is None:
+            return 0
+        credited = max(0, min(tokens, granted.tokens))
+        account = self._accounts[granted.customer]
+        if granted.borrowed is None:
+            account.bucket.put_back(credited, now_s)
+        elif credited:
+            lot = msgspec.structs.replace(granted.borrowed, tokens=credited)
+            account.borrowed.append(lot)
+        return credited
+
+    def deposit(
+        self,
+        customer: ids.CustomerId,
+        tokens: int,
+        age_limit_s: float,
+        born_s: float,
+    ) -> None:
+        """Adds borrowed tokens.
+
+        Args:
+            customer: Whose tokens.
+            tokens: How many.
+            age_limit_s: Their greatest age, on this host's clock.
+            born_s: Time from which their age counts.
+        """
+        account = self._accounts.get(customer)
+        if account is not None and tokens > 0:
+            account.borrowed.append(_Borrowed(tokens, age_limit_s, born_s))
+
+    def level(self, customer: ids.CustomerId, now_s: float) -> float:
+        """Returns the tokens in a customer's bucket."""
+        account = self._accounts.get(customer)
+        if account is None:
+            return 0.0
+        account.bucket.refill(now_s)
+        return account.bucket.level
+
+    def _grant(
+        self,
+        customer: ids.CustomerId,
+        account: _Account,
+        tokens: int,
+        borrowed: _Borrowed | None,
+        now_s: float,
+    ) -> Iterable[ttypes.QuotaGrant]:
+        if tokens <= 0 or account.customer is None:
+            return
+        self._forget_old_grants(now_s)
+        self._last_grant_id += 1
+        self._granted[self._last_grant_id] = _Granted(
+            customer, tokens, now_s, borrowed
+        )
+        if borrowed is None:
+            age_s = 0.0
+            limit_s = token_bucket.age_limit_s(
+                account.customer.rate_per_s, account.customer.burst
+            )
+        else:
+            age_s = now_s - borrowed.born_s
+            age_s /= 1.0 - token_bucket.ALLOWED_DRIFT
+            limit_s = borrowed.age_limit_s
+        yield ttypes.QuotaGrant(
+            shard=self.shard,
+            epoch=self.epoch,
+            grant_id=self._last_grant_id,
+            customer=customer,
+            tokens=tokens,
+            age_limit_s=limit_s,
+            age_s=age_s,
+        )
+
+    def _forget_old_grants(self, now_s: float) -> None:
+        while self._granted:
+            oldest = next(iter(self._granted))
+            if self._granted[oldest].granted_s > now_s - RETURN_WINDOW_S:
+                return
+            del self._granted[oldest]
+
+    def _open(
+        self, customer: model.Customer, share: float, now_s: float
+    ) -> None:
+        """Opens the account of a customer not seen here before.
+
+        Its bucket starts full only if no earlier holder can have spent
+        of it. One that has no share here yet stays empty when it grows.
+        """
+        bucket = token_bucket.TokenBucket(token_bucket.NO_LIMITS, 0.0, now_s)
+        account = self._accounts[customer.name] = _Account(bucket)
+        self._plan(account, customer, share, now_s)
+        if self._starts_full:
+            bucket.level = bucket.limits.capacity
+
+    def _plan(
+        self,
+        account: _Account,
+        customer: model.Customer | None,
+        share: float,
+        now_s: float,
+    ) -> None:
+        account.customer = customer
+        account.share = share
+        account.bucket.set_limits(account.limits(self._units), now_s)
+
+    def _smallest_share(
+        self,
+        customer: ids.CustomerId,
+        divisions: Sequence[shares.DivisionIndex | None],
+    ) -> float:
+        return min(
+            (
+                division.share(self.domain, self.shard, customer)
+                if division is not None
+                else 0.0
+                for division in divisions
+            ),
+            default=0.0,
+        )
+
+
+def _split(lots: collections.deque[_Borrowed], wanted: int) -> _Borrowed:
+    """Takes up to `wanted` tokens off the oldest lot."""
+    lot = lots[0]
+    if lot.tokens <= wanted:
+        return lots.popleft()
+    lot.tokens -= wanted
+    return msgspec.structs.replace(lot, tokens=wanted)
--- /dev/null
+++ b/src/cyclamendale/quotas/lease.py
@@ -0,0 +1,442 @@
+"""State machine of one node for the lease of one quota shard.
+
+It does no I/O: it says which read or write is due and takes the results.
+A lease is good for a fixed time from before the send of a write that is
+known to have taken effect. At its lapse the holder keeps a part of its
+share, which the next holder leaves out, so both may go on at once.
+"""
+
+from __future__ import annotations
+
+import enum
+import random
+
+import msgspec
+
+from cyclamendale import ids
+from cyclamendale.platform import table
+from cyclamendale.quotas import shard_row
+from cyclamendale.quotas import shares
+
+_WRITE_ID_BITS = 62
+
+
+class LeaseState(enum.Enum):
+    """What this node is to the shard."""
+
+    WATCHING = "watching"
+    HELD = "held"
+    LAPSED = "lapsed"
+    SUPERSEDED = "superseded"
+    RELEASING = "releasing"
+
+
+class Purpose(enum.Enum):
+    """Why a lease row is written."""
+
+    CLAIM = "claim"
+    RENEW = "renew"
+    NARROW = "narrow"
+    """Ends a change of division: only the newest still bounds."""
+    RELEASE = "release"
+    ACKNOWLEDGE = "acknowledge"
+    """Gives this node's own retained share back."""
+    RECLAIM = "reclaim"
+    """Gives back what an earlier process at this address retained."""
+
+
+class LeaseSettings(msgspec.Struct, frozen=True):
+    """Times of the leases.
+
+    Attributes:
+        renew_s: Interval of renewals.
+        lease_s: How long a renewal is good for.
+        watch_factor: Leases for which a row must stay unchanged on a
+            claimer's clock before it is taken over.
+        rank_delay_s: Extra wait of each further claimer.
+        watch_s: Interval of a claimer's reads.
+        retry_s: Longest wait after a failed operation.
+        retained_s: How long a lapsed holder keeps its retained share.
+    """
+
+    renew_s: float = 4.0
+    lease_s: float = 12.0
+    watch_factor: float = 1.25
+    rank_delay_s: float = 2.0
+    watch_s: float = 3.0
+    retry_s: float = 1.0
+    retained_s: float = 24 * 3600.0
+
+
+class Wish(msgspec.Struct, frozen=True):
+    """What the node wants of a lease at the moment.
+
+    Attributes:
+        rank: This node's place among the claimers; None for no claimer.
+        digest: The newest division.
+        kept_units: Part kept at a lapse, in `shares.SHARE_UNITS`.
+        gone: Nodes that an operator declared gone.
+        leaving: Whether this node is shutting down.
+    """
+
+    rank: int | None
+    digest: shares.DivisionDigest
+    kept_units: int
+    gone: frozenset[ids.NodeId] = frozenset()
+    leaving: bool = False
+
+
+class PlannedWrite(msgspec.Struct, frozen=True):
+    """A compare-and-set to be done.
+
+    Attributes:
+        purpose: Why it is written.
+        expected_version: Version that the row must still have.
+        row: What to write.
+        sent_s: Clock time before it is sent.
+        starts_full: Whether nobody can have spent this share before.
+        dropped: Divisions that no longer bound once it took effect.
+    """
+
+    purpose: Purpose
+    expected_version: int
+    row: shard_row.ShardRow
+    sent_s: float
+    starts_full: bool = False
+    dropped: tuple[shares.DivisionDigest, ...] = ()
+
+
+class ShareChange(msgspec.Struct, frozen=True):
+    """The share that this node may spend from a time on."""
+
+    at_s: float
+    units: int
+
+
+class ShardLease:
+    """One node's view of one shard's lease.
+
+    Attributes:
+        state: What this node is to the shard.
+        row: The row as last seen or written.
+        version: Its version; 0 when it does not exist or is not known.
+        epoch: Epoch in which this node holds or held the shard.
+        divisions: Divisions whose smallest share bounds this node.
+        starts_full: Whether the buckets of this epoch start full.
+    """
+
+    def __init__(
+        self, node: ids.NodeId, settings: LeaseSettings, rng: random.Random
+    ) -> None:
+        self._node = node
+        self._settings = settings
+        self._rng = rng
+        self.state = LeaseState.WATCHING
+        self.row: shard_row.ShardRow | None = None
+        self.version = table.ABSENT_VERSION
+        self.epoch = ids.Epoch(0)
+        self.divisions: tuple[shares.DivisionDigest, ...] = ()
+        self.starts_full = False
+        self._units = 0
+        self._kept_units = 0
+        self._valid_until_s = 0.0
+        self._lapsed_s = 0.0
+        self._changes: list[ShareChange] = []
+        self._unsettled: PlannedWrite | None = None
+        self._must_read = True
+        self._invited = False
+        self._next_read_s = 0.0
+        self._next_write_s = 0.0
+        self._unchanged_since_s: float | None = None
+        self._retained_since_s: dict[ids.Epoch, float] = {}
+
+    @property
+    def spends(self) -> bool:
+        """Returns whether this node may spend some of the share."""
+        return self.state in (LeaseState.HELD, LeaseState.LAPSED)
+
+    def advance(self, now_s: float) -> list[ShareChange]:
+        """Lets the lease lapse when due.
+
+        Must be called before every use of the share, since timers of a
+        paused process run late.
+
+        Returns:
+            Changes of the share since the last call, oldest first.
+        """
+        if self.state is LeaseState.HELD and now_s >= self._valid_until_s:
+            self.state = LeaseState.LAPSED
+            self._lapsed_s = self._valid_until_s
+            kept = self._units * self._kept_units // shares.SHARE_UNITS
+            self._set_units(kept, self._lapsed_s)
+        retained_until_s = self._lapsed_s + self._settings.retained_s
+        if self.state is LeaseState.LAPSED and now_s >= retained_until_s:
+            self._set_units(0, retained_until_s)
+        changes = self._changes
+        self._changes = []
+        return changes
+
+    def add_division(self, digest: shares.DivisionDigest) -> None:
+        """Bounds this node by one more division, at once."""
+        if digest not in self.divisions:
+            self.divisions = (*self.divisions, digest)
+
+    def read_due(self, now_s: float, wish: Wish) -> bool:
+        """Returns whether the row should be read now."""
+        if now_s < self._next_read_s:
+            return False
+        if self._must_read or self._unsettled is not None:
+            return True
+        watches = wish.rank is not None and not wish.leaving
+        return watches and self.state is LeaseState.WATCHING
+
+    def saw(
+        self, version: int, row: shard_row.ShardRow | None, now_s: float
+    ) -> None:
+        """Takes the row as read; None when absent or not understood."""
+        self._must_read = False
+        self._next_read_s = now_s + self._settings.watch_s
+        unsettled, self._unsettled = self._unsettled, None
+        if unsettled is not None and _is_result_of(unsettled, row):
+            self.took_effect(unsettled, version, now_s)
+            return
+        if version != self.version or self._unchanged_since_s is None:
+            self._unchanged_since_s = now_s
+        self.version = version
+        self.row = row
+        if self.spends or self.state is LeaseState.RELEASING:
+            self._check_still_holder(now_s)
+
+    def read_failed(self, now_s: float) -> None:
+        """Notes a failed read; a claimer starts to watch anew."""
+        self._must_read = True
+        self._unchanged_since_s = None
+        self._next_read_s = now_s + self._retry_wait_s()
+
+    def claim_soon(self) -> None:
+        """Lets any rank claim at once, since the lease was given back."""
+        self._invited = True
+        self._must_read = True
+        self._next_read_s = 0.0
+
+    def renew_soon(self) -> None:
+        """Makes the next renewal due, to show a new division."""
+        self._next_write_s = 0.0
+
+    def write_due(self, wish: Wish, now_s: float) -> PlannedWrite | None:
+        """Returns the write that is due now, if any."""
+        if wish.leaving and self.spends:
+            self._stop_spending(LeaseState.RELEASING, now_s)
+        settled = not self._must_read and self._unsettled is None
+        row = self.row
+        if not settled or row is None or now_s < self._next_write_s:
+            return None
+        if self.state is LeaseState.SUPERSEDED:
+            return self._give_back(row, Purpose.ACKNOWLEDGE, now_s)
+        if self.state is LeaseState.RELEASING:
+            return self._release(row, now_s)
+        if self.spends:
+            return self.plan_renewal(Purpose.RENEW, wish, now_s)
+        if self._retained_here(row):
+            return self._give_back(row, Purpose.RECLAIM, now_s)
+        if wish.leaving or not self._may_claim(row, wish, now_s):
+            return None
+        return self._claim(row, wish, now_s)
+
+    def plan_renewal(
+        self, purpose: Purpose, wish: Wish, now_s: float
+    ) -> PlannedWrite:
+        """Returns a write that renews, or that also ends a change."""
+        assert self.row is not None
+        self.add_division(wish.digest)
+        self._kept_units = min(self._kept_units, wish.kept_units)
+        narrow = purpose is Purpose.NARROW
+        returned = self._returned(self.row, wish, now_s)
+        row = msgspec.structs.replace(
+            self.row,
+            write_id=self._write_id(),
+            kept_units=wish.kept_units,
+            divisions=(wish.digest,) if narrow else self.divisions,
+            units=self.row.units + sum(entry.units for entry in returned),
+            retained=tuple(
+                entry for entry in self.row.retained if entry not in returned
+            ),
+        )
+        dropped = tuple(
+            digest
+            for digest in self.divisions
+            if narrow and digest != wish.digest
+        )
+        return PlannedWrite(purpose, self.version, row, now_s, dropped=dropped)
+
+    def took_effect(
+        self, write: PlannedWrite, version: int, now_s: float
+    ) -> None:
+        """Takes a write that certainly took effect."""
+        self.version = version
+        self.row = write.row
+        self._invited = False
+        self._unchanged_since_s = now_s
+        if write.purpose is Purpose.CLAIM:
+            self.epoch = write.row.epoch
+            self.starts_full = write.starts_full
+            self.state = LeaseState.LAPSED
+            self._units = 0
+            self._retained_since_s = {}
+        elif write.purpose not in (Purpose.RENEW, Purpose.NARROW):
+            self._stop_spending(LeaseState.WATCHING, now_s)
+            return
+        self._renewed(write, now_s)
+
+    def failed(
+        self, write: PlannedWrite, kind: table.TableErrorKind, now_s: float
+    ) -> None:
+        """Takes a write that did not, or may not, have taken effect."""
+        self._next_write_s = now_s + self._retry_wait_s()
+        if kind is table.TableErrorKind.OUTCOME_UNKNOWN:
+            self._unsettled = write
+        if kind is not table.TableErrorKind.UNAVAILABLE:
+            self._must_read = True
+            self._next_read_s = now_s
+
+    def _renewed(self, write: PlannedWrite, now_s: float) -> None:
+        valid_until_s = write.sent_s + self._settings.lease_s
+        self._kept_units = write.row.kept_units
+        if write.purpose is Purpose.CLAIM:
+            self.divisions = write.row.divisions
+        self.divisions = tuple(
+            digest for digest in self.divisions if digest not in write.dropped
+        )
+        self._valid_until_s = valid_until_s
+        self.state = LeaseState.HELD
+        self._set_units(write.row.units, now_s)
+        jitter = self._rng.uniform(0.9, 1.0)
+        self._next_write_s = write.sent_s + self._settings.renew_s * jitter
+
+    def _check_still_holder(self, now_s: float) -> None:
+        row = self.row
+        if row is None:
+            self._stop_spending(LeaseState.WATCHING, now_s)
+        elif row.epoch == self.epoch and row.holder == self._node:
+            if self.state is LeaseState.HELD:
+                self._set_units(row.units, now_s)
+        else:
+            owed = any(
+                entry.owner == self._node and entry.epoch == self.epoch
+                for entry in row.retained
+            )
+            state = LeaseState.SUPERSEDED if owed else LeaseState.WATCHING
+            self._stop_spending(state, now_s)
+
+    def _stop_spending(self, state: LeaseState, now_s: float) -> None:
+        self._set_units(0, now_s)
+        self.state = state
+        self._next_write_s = now_s
+
+    def _set_units(self, units: int, at_s: float) -> None:
+        if units != self._units:
+            self._units = units
+            self._changes.append(ShareChange(at_s, units))
+
+    def _retained_here(self, row: shard_row.ShardRow) -> bool:
+        return any(self._is_own(entry.owner) for entry in row.retained)
+
+    def _is_own(self, node: ids.NodeId) -> bool:
+        """Returns whether a node is this process or one it replaced.
+
+        Only called for shares that this process does not spend.
+        """
+        address = ids.address_of(node)
+        return node != shard_row.NO_HOLDER and address == ids.address_of(
+            self._node
+        )
+
+    def _give_back(
+        self, row: shard_row.ShardRow, purpose: Purpose, now_s: float
+    ) -> PlannedWrite:
+        own = [entry for entry in row.retained if self._is_own(entry.owner)]
+        given_back = msgspec.structs.replace(
+            row,
+            write_id=self._write_id(),
+            units=row.units + sum(entry.units for entry in own),
+            retained=tuple(entry for entry in row.retained if entry not in own),
+        )
+        return PlannedWrite(purpose, self.version, given_back, now_s)
+
+    def _release(self, row: shard_row.ShardRow, now_s: float) -> PlannedWrite:
+        released = msgspec.structs.replace(
+            row, write_id=self._write_id(), holder=shard_row.NO_HOLDER
+        )
+        return PlannedWrite(Purpose.RELEASE, self.version, released, now_s)
+
+    def _may_claim(
+        self, row: shard_row.ShardRow, wish: Wish, now_s: float
+    ) -> bool:
+        if self._is_own(row.holder):
+            return True
+        if wish.rank is None or self._unchanged_since_s is None:
+            return False
+        unchanged_s = now_s - self._unchanged_since_s
+        unspent = self._is_unspent(row, wish)
+        if unspent and self._invited:
+            return True
+        wait_s = wish.rank * self._settings.rank_delay_s
+        if not unspent:
+            wait_s += self._settings.lease_s * self._settings.watch_factor
+        return unchanged_s >= wait_s
+
+    def _is_unspent(self, row: shard_row.ShardRow, wish: Wish) -> bool:
+        released = row.holder == shard_row.NO_HOLDER
+        return released or row.holder in wish.gone or self._is_own(row.holder)
+
+    def _claim(
+        self, row: shard_row.ShardRow, wish: Wish, now_s: float
+    ) -> PlannedWrite:
+        units = row.units
+        retained = row.retained
+        if not self._is_unspent(row, wish):
+            kept = shard_row.RetainedShare(
+                row.epoch, row.holder, row.kept_at_lapse, row.divisions
+            )
+            retained = (*retained, kept)
+            units -= kept.units
+        gone = [entry for entry in retained if entry.owner in wish.gone]
+        divisions = row.divisions
+        if wish.digest not in divisions:
+            divisions = (*divisions, wish.digest)
+        claimed = shard_row.ShardRow(
+            write_id=self._write_id(),
+            epoch=ids.Epoch(row.epoch + 1),
+            holder=self._node,
+            units=units + sum(entry.units for entry in gone),
+            kept_units=wish.kept_units,
+            divisions=divisions,
+            retained=tuple(entry for entry in retained if entry not in gone),
+        )
+        return PlannedWrite(
+            Purpose.CLAIM, self.version, claimed, now_s, row.epoch == 0
+        )
+
+    def _returned(
+        self, row: shard_row.ShardRow, wish: Wish, now_s: float
+    ) -> list[shard_row.RetainedShare]:
+        """Returns retained shares that nobody can spend any more."""
+        hold_s = self._settings.retained_s * self._settings.watch_factor
+        returned = []
+        for entry in row.retained:
+            since_s = self._retained_since_s.setdefault(entry.epoch, now_s)
+            expired = now_s - since_s >= hold_s
+            if expired or entry.owner in wish.gone or self._is_own(entry.owner):
+                returned.append(entry)
+        return returned
+
+    def _retry_wait_s(self) -> float:
+        return self._settings.retry_s * self._rng.uniform(0.5, 1.0)
+
+    def _write_id(self) -> int:
+        return self._rng.getrandbits(_WRITE_ID_BITS)
+
+
+def _is_result_of(write: PlannedWrite, row: shard_row.ShardRow | None) -> bool:
+    """Returns whether a row shows that a write took effect."""
+    return row is not None and row.write_id == write.row.write_id
--- /dev/null
+++ b/src/cyclamendale/quotas/shard_row.py
@@ -0,0 +1,127 @@
+"""The lease row of one quota shard, as kept in the platform's table."""
+
+from __future__ import annotations
+
+import enum
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from cyclamendale import ids
+from cyclamendale.quotas import shares
+
+ROW_FORMAT = 1
+"""Newest format of lease rows that this version understands."""
+
+LEASE_PREFIX = "quota/lease/"
+DIVISION_PREFIX = "quota/division/"
+LAYOUT_KEY = "quota/layout"
+
+NO_HOLDER = ids.NodeId("")
+
+
+class RetainedShare(msgspec.Struct, frozen=True):
+    """A share that an earlier holder may still be spending.
+
+    Attributes:
+        epoch: The earlier holder's epoch.
+        owner: The earlier holder.
+        units: Its share, in `shares.SHARE_UNITS`.
+        divisions: Divisions that bound what it spends.
+    """
+
+    epoch: ids.Epoch
+    owner: ids.NodeId
+    units: int
+    divisions: tuple[shares.DivisionDigest, ...]
+
+
+class ShardRow(msgspec.Struct, frozen=True, kw_only=True):
+    """The lease of one shard of one failure domain.
+
+    Attributes:
+        format: Format of the row.
+        write_id: Random; tells whether a write of unknown outcome took
+            effect.
+        epoch: Rises with every claim; 0 before the first.
+        holder: The holder, or `NO_HOLDER` when it was given back.
+        units: The holder's share, in `shares.SHARE_UNITS`.
+        kept_units: Part of `shares.SHARE_UNITS` by which the holder's
+            share is multiplied when its lease lapses.
+        divisions: Divisions whose smallest share bounds the holder.
+        retained: Shares of earlier holders.
+    """
+
+    format: int = ROW_FORMAT
+    write_id: int
+    epoch: ids.Epoch
+    holder: ids.NodeId
+    units: int
+    kept_units: int
+    divisions: tuple[shares.DivisionDigest, ...]
+    retained: tuple[RetainedShare, ...] = ()
+
+    @property
+    def kept_at_lapse(self) -> int:
+        """Returns the share that the holder keeps when it lapses."""
+        return self.units * self.kept_units // shares.SHARE_UNITS
+
+
+class RowErrorKind(enum.Enum):
+    """Why a lease row is left alone."""
+
+    NEWER_FORMAT = "newer-format"
+    MALFORMED = "malformed"
+
+
+class RowError(msgspec.Struct, frozen=True):
+    """A lease row that this version must not touch."""
+
+    kind: RowErrorKind
+
+
+class _Header(msgspec.Struct):
+    format: int
+
+
+def lease_key(domain: ids.FailureDomainName, shard: ids.ShardId) -> str:
+    """Returns the key of a lease row."""
+    return f"{LEASE_PREFIX}{domain}/{shard}"
+
+
+def parse_lease_key(
+    key: str,
+) -> tuple[ids.FailureDomainName, ids.ShardId] | None:
+    """Returns the failure domain and shard of a lease row's key."""
+    domain, _, shard = key.removeprefix(LEASE_PREFIX).rpartition("/")
+    if not key.startswith(LEASE_PREFIX) or not domain or not shard.isdigit():
+        return None
+    return ids.FailureDomainName(domain), ids.ShardId(int(shard))
+
+
+def division_key(digest: shares.DivisionDigest) -> str:
+    """Returns the key of the row that holds a division."""
+    return DIVISION_PREFIX + digest
+
+
+def encode_row(row: ShardRow) -> bytes:
+    """Encodes a lease row."""
+    return msgspec.json.encode(row)
+
+
+def decode_row(value: bytes) -> Result[ShardRow, RowError]:
+    """Decodes a lease row and checks that its shares sum to a whole."""
+    try:
+        header = msgspec.json.decode(value, type=_Header)
+        if header.format > ROW_FORMAT:
+            return Error(RowError(RowErrorKind.NEWER_FORMAT))
+        row = msgspec.json.decode(value, type=ShardRow)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return Error(RowError(RowErrorKind.MALFORMED))
+    parts = [row.units, *(entry.units for entry in row.retained)]
+    whole = sum(parts) == shares.SHARE_UNITS and min(parts) >= 0
+    if not whole or not 0 <= row.kept_units <= shares.SHARE_UNITS:
+        return Error(RowError(RowErrorKind.MALFORMED))
+    return Ok(row)
--- /dev/null
+++ b/tests/support/quota_fleet.py
@@ -0,0 +1,341 @@
+"""A small fleet of quota controllers on one virtual clock, with faults."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+from expression import Error
+from expression import Ok
+from twisted.internet import defer
+from twisted.internet import task
+
+from cyclamendale import clocks
+from cyclamendale import events
+from cyclamendale import ids
+from cyclamendale.configuration import source
+from cyclamendale.controllers import quotas
+from cyclamendale.intents import model
+from cyclamendale.membership import directory
+from cyclamendale.platform import table
+from tests.support import fake_network
+
+
+class HostCall:
+    """A scheduled call that a pause may delay; cancellable until it runs."""
+
+    def __init__(self, function, args):
+        self.function = function
+        self.args = args
+        self.ended = False
+
+    def cancel(self):
+        assert not self.ended
+        self.ended = True
+
+    def active(self):
+        return not self.ended
+
+    def run(self):
+        if not self.ended:
+            self.ended = True
+            self.function(*self.args)
+
+
+class PausableClock(clocks.ReactorClock):
+    """Clock of one host; a paused process runs nothing, then all late."""
+
+    def __init__(self, reactor, rate=1.0):
+        super().__init__(reactor, rate)
+        self.paused = False
+        self.dead = False
+        self._late = collections.deque()
+
+    def call_later(self, delay_s, function, *args):
+        call = HostCall(function, args)
+        super().call_later(delay_s, self.when_awake, call.run)
+        return call
+
+    def when_awake(self, function, *args):
+        """Calls now, or once the process runs again."""
+        if self.dead:
+            return
+        if self.paused:
+            self._late.append((function, args))
+        else:
+            function(*args)
+
+    def resume(self):
+        self.paused = False
+        while self._late and not self.paused:
+            function, args = self._late.popleft()
+            function(*args)
+
+
+class MemoryTable:
+    """Rows shared by all views."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.rows = {}
+        self.down = False
+        self.writes = 0
+        self.reads = 0
+        self.delay_s = 0.002
+
+    def apply(self, writes):
+        """Applies writes, all or none; returns a Result."""
+        for write in writes:
+            current = self.rows.get(write.key)
+            version = current.version if current else table.ABSENT_VERSION
+            if version != write.expected_version:
+                return Error(
+                    table.TableError(
+                        table.TableErrorKind.CONFLICT, write.key, current
+                    )
+                )
+        written = []
+        for write in writes:
+            if write.delete:
+                self.rows.pop(write.key, None)
+            elif write.value is not None:
+                row = table.Row(
+                    write.key, write.value, write.expected_version + 1
+                )
+                self.rows[write.key] = row
+                written.append(row)
+        return Ok(written)
+
+
+class TableView(table.Table):
+    """One node's access to the table.
+
+    `lose_answers` counts write answers to lose after taking effect;
+    `late_writes` counts writes that time out and take effect later.
+    """
+
+    def __init__(self, store, host):
+        self._store = store
+        self._host = host
+        self.cut = False
+        self.lose_answers = 0
+        self.late_writes = 0
+
+    def read(self, key):
+        return self._do(lambda: Ok(self._store.rows.get(key)), False)
+
+    def list_rows(self, prefix, limit):
+        def find():
+            rows = sorted(self._store.rows.items())
+            found = [row for key, row in rows if key.startswith(prefix)]
+            return Ok(found[:limit])
+
+        return self._do(find, False)
+
+    def insert_if_absent(self, key, value):
+        return self.compare_and_set(key, table.ABSENT_VERSION, value)
+
+    def compare_and_set(self, key, expected_version, value):
+        done = self.transact([table.Write(key, expected_version, value)])
+        return done.addCallback(
+            lambda result: Ok(result.ok[0]) if result.is_ok() else result
+        )
+
+    def transact(self, writes):
+        return self._do(lambda: self._store.apply(writes), True)
+
+    def _do(self, operation, is_write):
+        answer = defer.Deferred()
+        self._store.clock.callLater(
+            self._store.delay_s, self._arrive, answer, operation, is_write
+        )
+        return answer
+
+    def _arrive(self, answer, operation, is_write):
+        if self._store.down or self.cut:
+            self._fail(answer, table.TableErrorKind.UNAVAILABLE)
+            return
+        if is_write and self.late_writes:
+            self.late_writes -= 1
+            self._fail(answer, table.TableErrorKind.OUTCOME_UNKNOWN)
+            self._store.clock.callLater(3.0, operation)
+            return
+        if is_write:
+            self._store.writes += 1
+        else:
+            self._store.reads += 1
+        result = operation()
+        if is_write and self.lose_answers:
+            self.lose_answers -= 1
+            self._fail(answer, table.TableErrorKind.OUTCOME_UNKNOWN)
+            return
+        self._host.when_awake(answer.callback, result)
+
+    def _fail(self, answer, kind):
+        self._host.when_awake(answer.callback, Error(table.TableError(kind)))
+
+
+class FleetPeer(fake_network.FakePeer):
+    """A fake peer whose process may be paused."""
+
+    def __init__(self, wires, address, host):
+        super().__init__(wires, address)
+        self._host = host
+        wires.peers[address] = self
+
+    def serve(self, kind, message_type, handler):
+        def awake(message):
+            handled = defer.Deferred()
+            self._host.when_awake(
+                lambda: defer.maybeDeferred(handler, message).chainDeferred(
+                    handled
+                )
+            )
+            return handled
+
+        super().serve(kind, message_type, awake)
+
+    def request(self, peer, kind, message, reply_type, timeout_s):
+        answer = defer.Deferred()
+        asked = super().request(peer, kind, message, reply_type, timeout_s)
+        asked.addCallback(
+            lambda result: self._host.when_awake(answer.callback, result)
+        )
+        return answer
+
+
+class FleetDirectory(directory.Directory):
+    """Members that all nodes agree on."""
+
+    def __init__(self, own, members):
+        self._own = own
+        self._members = members
+        self._listeners = []
+
+    def own(self):
+        return self._own
+
+    def members(self):
+        return list(self._members.values())
+
+    def targets(self, service):
+        return ()
+
+    def subscribe(self, listener):
+        self._listeners.append(listener)
+
+
+class FleetNode:
+    """One node process."""
+
+    def __init__(self, fleet, address, domain, rate):
+        self.fleet = fleet
+        self.clock = PausableClock(fleet.reactor, rate)
+        own = directory.Member(
+            ids.make_node_id(address), address, domain, incarnation=1
+        )
+        self.member = own
+        fleet.members[address] = own
+        self.table = TableView(fleet.table, self.clock)
+        self.peer = FleetPeer(fleet.wires, address, self.clock)
+        self.configuration = source.FixedConfiguration(fleet.configuration)
+        hlc = events.HybridLogicalClock(self.clock)
+        self.events = events.EventLog(own.node, hlc)
+        self.quotas = quotas.make_quota_controller(
+            self.clock,
+            random.Random(fleet.rng.random()),
+            FleetDirectory(own, fleet.members),
+            self.table,
+            self.peer,
+            self.configuration,
+            self.events,
+            fleet.settings,
+        )
+        self.quotas.start()
+
+    def crash(self):
+        self.clock.dead = True
+        self.fleet.members.pop(self.member.address, None)
+        self.fleet.wires.peers.pop(self.member.address, None)
+
+    def ask(self, customer, patience_s=1.0):
+        """Sends one request; the fleet records how it ended."""
+        if self.clock.paused or self.clock.dead:
+            return
+        now_s = self.clock.now_s()
+        result = self.quotas.admit(customer, now_s + patience_s)
+        if isinstance(result, defer.Deferred):
+            result.addCallback(self._asked, customer)
+        else:
+            self._asked(result, customer)
+
+    def _asked(self, refusal, customer):
+        now_s = self.fleet.reactor.seconds()
+        if refusal is None:
+            self.fleet.admitted[customer].append(now_s)
+        else:
+            self.fleet.refused[customer].append((now_s, refusal))
+
+
+class QuotaFleet:
+    """Nodes, their table and network, and the requests admitted."""
+
+    def __init__(self, configuration, settings=None, seed=0, delay_s=0.001):
+        self.rng = random.Random(seed)
+        self.reactor = task.Clock()
+        self.configuration = configuration
+        self.settings = settings
+        self.table = MemoryTable(self.reactor)
+        self.wires = fake_network.FakeNetwork(
+            clocks.ReactorClock(self.reactor), delay_s
+        )
+        self.members = {}
+        self.nodes = []
+        self.admitted = collections.defaultdict(list)
+        self.refused = collections.defaultdict(list)
+
+    def add(self, domain, rate=1.0, address=None):
+        address = address or f"10.0.0.{len(self.nodes) + 1}:7000"
+        node = FleetNode(self, address, domain, rate)
+        self.nodes.append(node)
+        return node
+
+    def run(self, seconds, step_s=0.01):
+        for _ in range(round(seconds / step_s)):
+            self.reactor.advance(step_s)
+
+    def replace(self, configuration):
+        self.configuration = configuration
+        for node in self.nodes:
+            node.clock.when_awake(node.configuration.replace, configuration)
+
+
+def make_configuration(version=1, customers=(), domains=(), **defaults):
+    """Returns a configuration of (name, rate, burst) and (name, weight)."""
+    return model.Configuration(
+        version=version,
+        customers={
+            name: model.Customer(name, rate_per_s, burst)
+            for name, rate_per_s, burst in customers
+        },
+        failure_domains={
+            name: model.FailureDomain(name, weight) for name, weight in domains
+        },
+        defaults=model.Defaults(**defaults),
+        sources={
+            ("customer", name): f"customer-{name}.toml"
+            for name, _, _ in customers
+        },
+    )
+
+
+def worst_excess(times, rate_per_s, burst):
+    """Returns the most by which any window exceeds burst + rate * t."""
+    worst = 0.0
+    level = 0.0
+    last_s = 0.0
+    for time_s in sorted(times):
+        level = max(0.0, level - (time_s - last_s) * rate_per_s) + 1
+        last_s = time_s
+        worst = max(worst, level - burst)
+    return worst
