Gather the time line and status of all nodes

Operators ask one node; it sends the query to every member it knows, merges the answers by hybrid logical clock stamp and names the nodes whose events are missing, also those that died within the hour and that the directory has forgotten. Collecting events in the platform's store or spreading them all the time was ruled out by cost (docs/design/timeline.md).

Replies are bounded in events and bytes, newest kept, and the ring is looked through in slices, since converting 4,096 events in one go would hold the loop for far over a millisecond.

--- /dev/null
+++ b/src/cyclamendale/controllers/_lost_members.py
@@ -0,0 +1,47 @@
+"""Members that stopped answering and have not come back or been replaced."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from cyclamendale import clocks
+from cyclamendale import ids
+from cyclamendale.membership import directory
+
+KEPT_S = 3600.0
+MAX_KEPT = 2000
+
+
+class LostMembers:
+    """Remembers dead members, so that a report can name them.
+
+    The directory forgets a dead member; a report that left it out would
+    look complete although a whole failure domain may be cut off.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._lost: dict[ids.PeerAddress, tuple[directory.Member, float]] = {}
+
+    def member_changed(self, member: directory.Member) -> None:
+        """Takes note of a member's new state."""
+        kept = self._lost.get(member.address)
+        if member.state is directory.MemberState.DEAD:
+            if kept is None and len(self._lost) >= MAX_KEPT:
+                del self._lost[next(iter(self._lost))]
+            self._lost[member.address] = (member, self._clock.now_s())
+        elif kept is not None and not (
+            # A late word about an earlier process at the same address.
+            member.state is directory.MemberState.LEFT
+            and member.node != kept[0].node
+        ):
+            del self._lost[member.address]
+
+    def nodes(self) -> Iterator[tuple[ids.NodeId, ids.FailureDomainName]]:
+        """Yields the members lost a short enough time ago."""
+        oldest_s = self._clock.now_s() - KEPT_S
+        for address, (member, lost_s) in tuple(self._lost.items()):
+            if lost_s < oldest_s:
+                del self._lost[address]
+            else:
+                yield member.node, member.failure_domain
--- /dev/null
+++ b/src/cyclamendale/controllers/timeline.py
@@ -0,0 +1,314 @@
+"""Serves this node's events and status, and gathers those of others."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable, Generator, Iterator
+import itertools
+import math
+from typing import Any, cast, TypeVar
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+from twisted.internet import defer
+from twisted.internet import task
+
+from cyclamendale import clocks
+from cyclamendale import events
+from cyclamendale import ids
+from cyclamendale import timeline
+from cyclamendale.configuration import source
+from cyclamendale.controllers import _lost_members
+from cyclamendale.controllers import base
+from cyclamendale.intents import explain
+from cyclamendale.membership import directory
+from cyclamendale.peer import kinds
+from cyclamendale.peer import network
+from cyclamendale.peer.generated.timeline import ttypes
+
+MAX_REPLY_BYTES = 256 * 1024
+MAX_CONCURRENT_REQUESTS = 32
+PEER_TIMEOUT_S = 1.0
+EVENTS_PER_SLICE = 32
+"""Events looked at before other work of the loop gets its turn."""
+
+_Answer = TypeVar("_Answer")
+_StatusSource = Callable[[], timeline.NodeStatus]
+_MemberResult = tuple[directory.Member, Result[Any, network.PeerError]]
+
+
+class TimelineController(base.Controller):
+    """Events and status of this node and, merged, of all nodes."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        members: directory.Directory,
+        peers: network.PeerNetwork,
+        event_log: events.EventLog,
+        status: _StatusSource,
+        configuration: source.ConfigurationSource,
+    ) -> None:
+        self._members = members
+        self._peers = peers
+        self._event_log = event_log
+        self._status = status
+        self._configuration = configuration
+        self._lost = _lost_members.LostMembers(clock)
+        self._cooperator = task.Cooperator(
+            # One slice at a time, then the loop's other work.
+            terminationPredicateFactory=lambda: lambda: True,
+            scheduler=lambda step: cast(Any, clock.call_later(0.0, step)),
+        )
+
+    def start(self) -> None:
+        """See base class."""
+        self._members.subscribe(self._lost.member_changed)
+        self._peers.serve(
+            kinds.MessageKind.TIMELINE,
+            ttypes.TimelineRequest,
+            self._serve_timeline,
+        )
+        self._peers.serve(
+            kinds.MessageKind.STATUS, ttypes.StatusRequest, self._serve_status
+        )
+
+    def stop(self) -> defer.Deferred[None]:
+        """See base class."""
+        return defer.succeed(None)
+
+    def own_status(self) -> timeline.NodeStatus:
+        """Returns this node's status."""
+        return self._status()
+
+    def configuration_in_force(
+        self, kind: str | None = None, name: str | None = None
+    ) -> timeline.ConfigurationInForce:
+        """Returns the entries in force on this node, with their files.
+
+        Args:
+            kind: Only entries of this kind.
+            name: Only entries of this name.
+        """
+        configuration = self._configuration.current
+        return timeline.ConfigurationInForce(
+            self._members.own().node,
+            configuration.version,
+            finite(self._configuration.confirmed_age_s()),
+            [
+                entry
+                for entry in explain.explain_entries(configuration)
+                if kind in (None, entry.kind) and name in (None, entry.name)
+            ],
+        )
+
+    @defer.inlineCallbacks
+    def gather_timeline(
+        self, query: timeline.TimelineQuery
+    ) -> Generator[defer.Deferred[Any], Any, timeline.MergedTimeline]:
+        """Merges the events of all nodes that answer."""
+        merger = timeline.TimelineMerger(query.limit_events)
+        request = _to_thrift(query)
+        own = yield self._serve_timeline(request)
+        merger.add(*_decode_timeline(own))
+
+        def merge(reply: ttypes.TimelineReply) -> None:
+            merger.add(*_decode_timeline(reply))
+
+        results = yield self._ask_all(
+            kinds.MessageKind.TIMELINE, request, ttypes.TimelineReply, merge
+        )
+        return merger.merged(node for node, _ in self._missing(results))
+
+    @defer.inlineCallbacks
+    def gather_status(
+        self, wanted: ids.ConfigVersion | None = None
+    ) -> Generator[defer.Deferred[Any], Any, timeline.FleetStatus]:
+        """Collects the status of all nodes that answer.
+
+        Args:
+            wanted: Configuration version that the failure domains are
+                compared with; the highest in force if None.
+        """
+        results = yield self._ask_all(
+            kinds.MessageKind.STATUS,
+            ttypes.StatusRequest(),
+            ttypes.StatusReply,
+            _decode_status,
+        )
+        answered = [result.ok for _, result in results if result.is_ok()]
+        return timeline.summarize(
+            [self._status(), *answered],
+            self._missing(results),
+            tuple(self._configuration.current.failure_domains),
+            wanted,
+        )
+
+    def _missing(
+        self, results: list[_MemberResult]
+    ) -> Iterator[tuple[ids.NodeId, ids.FailureDomainName]]:
+        for member, result in results:
+            if result.is_error():
+                yield member.node, member.failure_domain
+        yield from self._lost.nodes()
+
+    def _ask_all(
+        self,
+        kind: kinds.MessageKind,
+        message: network.ThriftStruct,
+        reply_type: type[network.ThriftStruct],
+        take: Callable[[Any], Any],
+    ) -> defer.Deferred[list[_MemberResult]]:
+        own = self._members.own().node
+        limit = defer.DeferredSemaphore(MAX_CONCURRENT_REQUESTS)
+
+        @defer.inlineCallbacks
+        def ask(
+            member: directory.Member,
+        ) -> Generator[defer.Deferred[Any], Any, _MemberResult]:
+            result = yield self._peers.request(
+                member.address, kind, message, reply_type, PEER_TIMEOUT_S
+            )
+            return member, result.bind(
+                lambda reply: _take(take, reply, member.address)
+            )
+
+        return defer.gatherResults(
+            limit.run(ask, member)
+            for member in tuple(self._members.members())
+            if member.node != own
+        )
+
+    def _serve_status(self, _: ttypes.StatusRequest) -> network.ThriftStruct:
+        return ttypes.StatusReply(status=msgspec.json.encode(self._status()))
+
+    def _serve_timeline(
+        self, request: ttypes.TimelineRequest
+    ) -> defer.Deferred[network.ThriftStruct]:
+        query = _from_thrift(request)
+        tail = _Tail(
+            query.limit_events,
+            max(0, min(request.limit_bytes, MAX_REPLY_BYTES)),
+        )
+        slices = self._encode_slices(query, tail)
+        finished = self._cooperator.coiterate(slices)
+        return finished.addCallback(lambda _: self._reply(tail))
+
+    def _encode_slices(
+        self, query: timeline.TimelineQuery, tail: _Tail
+    ) -> Iterator[None]:
+        looked_at = self._event_log.recorded()
+        while True:
+            some = tuple(itertools.islice(looked_at, EVENTS_PER_SLICE))
+            if not some:
+                return
+            for event in timeline.select(some, query):
+                tail.add(msgspec.json.encode(event))
+            yield
+
+    def _reply(self, tail: _Tail) -> network.ThriftStruct:
+        return ttypes.TimelineReply(
+            node=self._members.own().node,
+            events=b"[" + b",".join(tail.items) + b"]",
+            truncated=tail.truncated,
+        )
+
+
+class _Tail:
+    """The last encoded events that fit into a reply."""
+
+    def __init__(self, limit_events: int, limit_bytes: int) -> None:
+        self._limit_events = limit_events
+        self._limit_bytes = limit_bytes
+        self._bytes = 0
+        self.items: collections.deque[bytes] = collections.deque()
+        self.truncated = False
+
+    def add(self, item: bytes) -> None:
+        self.items.append(item)
+        self._bytes += len(item) + 1
+        while self.items and self._is_over():
+            self._bytes -= len(self.items.popleft()) + 1
+            self.truncated = True
+
+    def _is_over(self) -> bool:
+        return (
+            len(self.items) > self._limit_events
+            or self._bytes > self._limit_bytes
+        )
+
+
+def make_timeline_controller(
+    clock: clocks.Clock,
+    members: directory.Directory,
+    peers: network.PeerNetwork,
+    event_log: events.EventLog,
+    status: _StatusSource,
+    configuration: source.ConfigurationSource,
+) -> TimelineController:
+    """Returns the controller of the time line and of status.
+
+    Args:
+        clock: The node's clock.
+        members: The known members.
+        peers: Requests to other nodes.
+        event_log: This node's events.
+        status: Called for this node's status.
+        configuration: The configuration in force on this node.
+    """
+    return TimelineController(
+        clock, members, peers, event_log, status, configuration
+    )
+
+
+def finite(age_s: float) -> float | None:
+    """Returns an age, or None for one that JSON cannot carry."""
+    return age_s if math.isfinite(age_s) else None
+
+
+def _take(
+    take: Callable[[Any], _Answer], reply: Any, peer: ids.PeerAddress
+) -> Result[_Answer, network.PeerError]:
+    # A node of another release may answer what this one cannot read.
+    try:
+        return Ok(take(reply))
+    except msgspec.DecodeError:
+        return Error(network.PeerError(network.PeerErrorKind.REJECTED, peer))
+
+
+def _decode_timeline(
+    reply: ttypes.TimelineReply,
+) -> tuple[list[events.RecordedEvent], bool]:
+    recorded = msgspec.json.decode(
+        reply.events, type=list[events.RecordedEvent]
+    )
+    return recorded, bool(reply.truncated)
+
+
+def _decode_status(reply: ttypes.StatusReply) -> timeline.NodeStatus:
+    return msgspec.json.decode(reply.status, type=timeline.NodeStatus)
+
+
+def _to_thrift(query: timeline.TimelineQuery) -> ttypes.TimelineRequest:
+    return ttypes.TimelineRequest(
+        request=query.request,
+        customer=query.customer,
+        file=query.file,
+        since_ms=query.since_ms,
+        limit_events=query.limit_events,
+        limit_bytes=MAX_REPLY_BYTES,
+    )
+
+
+def _from_thrift(request: ttypes.TimelineRequest) -> timeline.TimelineQuery:
+    return timeline.TimelineQuery(
+        request=request.request,
+        customer=request.customer,
+        file=request.file,
+        since_ms=request.since_ms or 0,
+        limit_events=max(
+            1, min(request.limit_events, timeline.MAX_LIMIT_EVENTS)
+        ),
+    )
--- /dev/null
+++ b/src/cyclamendale/controllers/timeline_site.py
@@ -0,0 +1,163 @@
+"""HTTP resources of the time line, for the loopback control listener."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+import enum
+from typing import Any, TypeAlias
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+from twisted.internet import defer
+from twisted.logger import Logger
+from twisted.python import failure
+from twisted.web import http
+from twisted.web import resource
+from twisted.web import server
+
+from cyclamendale import ids
+from cyclamendale import timeline
+from cyclamendale.controllers import timeline as timelines
+
+MAX_PARAMETER_CHARS = 256
+
+
+class ParameterProblem(enum.Enum):
+    """What is wrong with a query parameter."""
+
+    UNKNOWN = "unknown"
+    REPEATED = "repeated"
+    MALFORMED = "malformed"
+
+
+class ParameterError(msgspec.Struct, frozen=True):
+    """A faulty query parameter; the body of a 400 answer."""
+
+    parameter: str
+    problem: ParameterProblem
+
+
+Parameters: TypeAlias = Mapping[str, str]
+_Parsed: TypeAlias = Result[Any, ParameterError]
+
+
+class _StatusParameters(msgspec.Struct, forbid_unknown_fields=True):
+    version: int | None = None
+
+
+class _TimelineParameters(msgspec.Struct, forbid_unknown_fields=True):
+    request: str | None = None
+    customer: str | None = None
+    file: str | None = None
+    since_ms: int = 0
+    limit: int = timeline.DEFAULT_LIMIT_EVENTS
+
+
+class _ConfigurationParameters(msgspec.Struct, forbid_unknown_fields=True):
+    kind: str | None = None
+    name: str | None = None
+
+
+class JsonResource(resource.Resource):
+    """Answers GET with the JSON of what a function returns."""
+
+    def __init__(
+        self,
+        parameters: type[msgspec.Struct],
+        answer: Callable[[Any], Any | defer.Deferred[Any]],
+    ) -> None:
+        super().__init__()
+        self.isLeaf = True
+        self._parameters = parameters
+        self._answer = answer
+
+    def render_GET(self, request: server.Request) -> bytes | int:
+        """Answers a request, now or when the answer is gathered."""
+        request.setHeader(b"content-type", b"application/json")
+        parsed = _parse(self._parameters, request.args or {})
+        if parsed.is_error():
+            request.setResponseCode(http.BAD_REQUEST)
+            return msgspec.json.encode(parsed.error)
+        gone: list[failure.Failure] = []
+        request.notifyFinish().addErrback(gone.append)
+        answered = defer.maybeDeferred(self._answer, parsed.ok)
+        answered.addCallback(msgspec.json.encode)
+        answered.addErrback(_report_defect, request)
+        answered.addCallback(_finish, request, gone)
+        return server.NOT_DONE_YET
+
+
+def add_resources(
+    root: resource.Resource, controller: timelines.TimelineController
+) -> None:
+    """Puts `/status`, `/timeline` and `/configuration` under `root`."""
+    children: dict[bytes, Any] = {
+        b"status": JsonResource(
+            _StatusParameters,
+            lambda wanted: controller.gather_status(wanted.version),
+        ),
+        b"timeline": JsonResource(
+            _TimelineParameters,
+            lambda wanted: controller.gather_timeline(_query(wanted)),
+        ),
+        b"configuration": JsonResource(
+            _ConfigurationParameters,
+            lambda wanted: controller.configuration_in_force(
+                wanted.kind, wanted.name
+            ),
+        ),
+    }
+    for path, child in children.items():
+        root.putChild(path, child)
+
+
+def _query(wanted: _TimelineParameters) -> timeline.TimelineQuery:
+    return timeline.TimelineQuery(
+        request=_or_none(ids.RequestId, wanted.request),
+        customer=_or_none(ids.CustomerId, wanted.customer),
+        file=_or_none(ids.IntentFileName, wanted.file),
+        since_ms=wanted.since_ms,
+        limit_events=max(1, min(wanted.limit, timeline.MAX_LIMIT_EVENTS)),
+    )
+
+
+def _or_none(make_id: Callable[[str], Any], text: str | None) -> Any:
+    return None if text is None else make_id(text)
+
+
+def _parse(
+    parameters: type[msgspec.Struct], given: Mapping[bytes, list[bytes]]
+) -> _Parsed:
+    known = {
+        field.name: field.type for field in msgspec.structs.fields(parameters)
+    }
+    values = {}
+    for raw_name, raw_values in given.items():
+        name = raw_name.decode(errors="replace")[:MAX_PARAMETER_CHARS]
+        if name not in known:
+            return Error(ParameterError(name, ParameterProblem.UNKNOWN))
+        if len(raw_values) != 1:
+            return Error(ParameterError(name, ParameterProblem.REPEATED))
+        try:
+            text = raw_values[0].decode()
+            values[name] = msgspec.convert(text, known[name], strict=False)
+        except (UnicodeDecodeError, msgspec.ValidationError):
+            return Error(ParameterError(name, ParameterProblem.MALFORMED))
+    return Ok(parameters(**values))
+
+
+def _report_defect(reason: failure.Failure, request: server.Request) -> bytes:
+    Logger().failure("defect while answering an operator", reason)
+    request.setResponseCode(http.INTERNAL_SERVER_ERROR)
+    return b"{}"
+
+
+def _finish(
+    body: bytes, request: server.Request, gone: list[failure.Failure]
+) -> None:
+    if not gone:
+        request.setHeader(b"content-length", str(len(body)).encode())
+        request.write(body)
+        request.finish()
--- /dev/null
+++ b/src/cyclamendale/peer/idl/timeline.thrift
@@ -0,0 +1,27 @@
+// Time line and status, as nodes gather them from one another.
+
+namespace py timeline
+
+struct TimelineRequest {
+  1: optional string request,
+  2: optional string customer,
+  3: optional string file,
+  4: i64 since_ms,
+  5: i32 limit_events,
+  6: i32 limit_bytes,
+}
+
+struct TimelineReply {
+  1: string node,
+  // JSON list of recorded events, in the order of their stamps.
+  2: binary events,
+  3: bool truncated,
+}
+
+struct StatusRequest {
+}
+
+struct StatusReply {
+  // JSON of the node's status.
+  1: binary status,
+}
