--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	touch $@
 
 demo: setup
-	$(RUN) examples/demo.py
+	$(RUN) -m examples.demo
 
 test: setup
 	@$(RUN) -m tests.run
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Runnable examples."""
--- /dev/null
+++ b/examples/fleet.py
@@ -0,0 +1,238 @@
+"""A small fleet on loopback: platform, nodes and upstreams as processes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Mapping, Sequence
+import contextlib
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+HERE = pathlib.Path(__file__).resolve().parent
+QUICKSTART = HERE / "quickstart"
+LOOPBACK = "127.0.0.1"
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 15.0
+FLEET_SECRET = "demo-fleet-secret-0000"
+
+
+class StepFailedError(Exception):
+    """Something that a script promises did not happen."""
+
+
+class Host:
+    """One node and its upstream."""
+
+    def __init__(
+        self, domain: str, service: str | None, onward: str | None
+    ) -> None:
+        self.domain = domain
+        self.service = service
+        self.onward = onward
+        self.http = free_address()
+        self.peer = free_address(udp=True)
+        self.control = free_address()
+        self.node: subprocess.Popen | None = None
+        self.upstream: subprocess.Popen | None = None
+
+
+def free_address(udp: bool = False) -> str:
+    """Returns a loopback address that nothing listens on."""
+    while True:
+        with socket.socket() as stream:
+            stream.bind((LOOPBACK, 0))
+            port = stream.getsockname()[1]
+            if not udp:
+                return f"{LOOPBACK}:{port}"
+            with (
+                socket.socket(type=socket.SOCK_DGRAM) as datagram,
+                contextlib.suppress(OSError),
+            ):
+                datagram.bind((LOOPBACK, port))
+                return f"{LOOPBACK}:{port}"
+
+
+def wait_until(what: str, probe: Callable[[], object], timeout_s: float):
+    """Repeats `probe` until it returns something true, and returns that."""
+    end_s = time.monotonic() + timeout_s
+    while time.monotonic() < end_s:
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            found = probe()
+            if found:
+                return found
+        time.sleep(0.1)
+    raise StepFailedError(f"not within {timeout_s:.0f} s: {what}")
+
+
+class Answer:
+    """An HTTP answer, read whole."""
+
+    def __init__(self, response: http.client.HTTPResponse) -> None:
+        self.status = response.status
+        self.headers = response.headers
+        self.body = response.read().decode()
+
+
+def get(
+    address: str,
+    path: str,
+    key: str,
+    connection: http.client.HTTPConnection | None = None,
+) -> Answer:
+    """Sends one keyed request, on `connection` if one is given."""
+    own = connection or http.client.HTTPConnection(address, timeout=10)
+    own.request("GET", path, headers={"X-Api-Key": key})
+    answer = Answer(own.getresponse())
+    if connection is None:
+        own.close()
+    return answer
+
+
+class Fleet:
+    """The processes of the demo."""
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        layout: Sequence[tuple[str, str | None, str | None]],
+        environment: Mapping[str, str] | None = None,
+    ) -> None:
+        """Plans the fleet.
+
+        Args:
+            folder: Where the processes' logs go.
+            layout: Failure domain, service of the upstream (None for no
+                upstream) and its onward call, for each host.
+            environment: Further variables of the nodes.
+        """
+        self._folder = folder
+        self._environment = environment or {}
+        self._processes: list[subprocess.Popen] = []
+        self.hosts = [Host(*row) for row in layout]
+        self.platform: subprocess.Popen | None = None
+        self.platform_url = ""
+
+    def start(self) -> None:
+        """Starts platform, nodes and upstreams."""
+        self._start_platform()
+        for number, host in enumerate(self.hosts):
+            self.start_node(number)
+            if host.service is not None:
+                self.start_upstream(number)
+
+    def _start_platform(self) -> None:
+        platform = self._run(
+            "platform",
+            ["-m", "cyclamendale.platform.stand_in"],
+            stdout=subprocess.PIPE,
+        )
+        assert platform.stdout is not None
+        port = json.loads(platform.stdout.readline())["port"]
+        self.platform = platform
+        self.platform_url = f"http://{LOOPBACK}:{port}"
+
+    def start_node(self, number: int) -> None:
+        """Starts the node of one host, a new one if it ran before."""
+        host = self.hosts[number]
+        host.node = self._run(
+            f"node-{number}",
+            ["-m", "cyclamendale.daemon", *self._flags(host)],
+        )
+
+    def start_upstream(self, number: int) -> None:
+        """Starts the upstream of one host."""
+        host = self.hosts[number]
+        assert host.service is not None
+        arguments = [host.service, host.http, host.control]
+        if host.onward is not None:
+            arguments.append(host.onward)
+        host.upstream = self._run(
+            f"upstream-{number}",
+            [str(HERE / "upstream.py"), *arguments],
+        )
+
+    def set_faults(self, rules: list[dict]) -> None:
+        """Switches the faults of the stand-in platform."""
+        address = self.platform_url.removeprefix("http://")
+        connection = http.client.HTTPConnection(address, timeout=10)
+        connection.request(
+            "POST", "/control/faults", json.dumps({"rules": rules})
+        )
+        connection.getresponse().read()
+        connection.close()
+
+    def _flags(self, host: Host) -> list[str]:
+        return [
+            f"--http-address={host.http}",
+            f"--peer-address={host.peer}",
+            f"--control-address={host.control}",
+            f"--failure-domain={host.domain}",
+            f"--platform-url={self.platform_url}",
+        ]
+
+    def _run(
+        self, name: str, arguments: list[str], stdout: int | None = None
+    ) -> subprocess.Popen:
+        log = (self._folder / f"{name}.log").open("ab")
+        process = subprocess.Popen(
+            [sys.executable, *arguments],
+            stdout=stdout or log,
+            stderr=log,
+            env={
+                **os.environ,
+                "CYCLAMENDALE_FLEET_SECRET": FLEET_SECRET,
+                **self._environment,
+            },
+        )
+        self._processes.append(process)
+        return process
+
+    def command(self, *arguments: str, expect: int = 0) -> str:
+        """Runs the command-line tool; returns what it printed."""
+        done = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "cyclamendale.cli.application",
+                *arguments,
+            ],
+            capture_output=True,
+            text=True,
+            timeout=30,
+            check=False,
+        )
+        if done.returncode != expect:
+            raise StepFailedError(
+                f"{arguments}: exit {done.returncode}\n"
+                f"{done.stdout}{done.stderr}"
+            )
+        return done.stdout
+
+    def stop_nodes(self) -> Iterator[int]:
+        """Stops the nodes gracefully; yields their exit codes."""
+        nodes = [host.node for host in self.hosts if host.node]
+        for node in nodes:
+            node.send_signal(signal.SIGTERM)
+        for node in nodes:
+            yield node.wait(STOP_TIMEOUT_S)
+
+    def kill(self) -> None:
+        """Ends whatever still runs."""
+        for process in self._processes:
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+
+    def logs(self) -> str:
+        """Returns the last lines of each process's log."""
+        return "\n".join(
+            f"--- {path.name}\n"
+            + "\n".join(path.read_text()[-1500:].split("\n"))
+            for path in sorted(self._folder.glob("*.log"))
+        )
--- /dev/null
+++ b/src/cyclamendale/_observation.py
@@ -0,0 +1,92 @@
+"""What a node notes of ended calls, and what it says of itself."""
+
+from __future__ import annotations
+
+from cyclamendale import clocks
+from cyclamendale import events
+from cyclamendale import metrics
+from cyclamendale import refusals
+from cyclamendale import timeline
+from cyclamendale.configuration import source
+from cyclamendale.controllers import quotas
+from cyclamendale.entry import call as calls
+from cyclamendale.membership import directory
+from cyclamendale.upstream import gate as gates
+
+
+class CallObserver:
+    """Records each ended call as an event and in the metrics."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        event_log: events.EventLog,
+        node_metrics: metrics.Metrics,
+    ) -> None:
+        self._clock = clock
+        self._event_log = event_log
+        self._metrics = node_metrics
+
+    def call_ended(
+        self, call: calls.Call, outcome: refusals.Refusal | int
+    ) -> None:
+        """Notes a call that was answered, with its status, or refused."""
+        if isinstance(outcome, refusals.Refusal):
+            self._refused(call, outcome)
+        else:
+            self._served(call, outcome)
+
+    def _served(self, call: calls.Call, status: int) -> None:
+        assert call.route is not None
+        duration_ms = (self._clock.now_s() - call.arrived_s) * 1000
+        self._metrics.count("calls.served")
+        self._metrics.timing("calls.duration", duration_ms)
+        self._event_log.record(
+            events.RequestServed(
+                request=call.request,
+                customer=call.customer,
+                route=call.route.name,
+                status=status,
+                duration_ms=duration_ms,
+            )
+        )
+
+    def _refused(self, call: calls.Call, refusal: refusals.Refusal) -> None:
+        self._metrics.count("calls.refused." + refusal.reason.value)
+        decider = refusal.decider
+        self._event_log.record(
+            events.RequestRefused(
+                request=call.request,
+                customer=call.customer,
+                route=call.route.name if call.route else None,
+                reason=refusal.reason.value,
+                execution=refusal.execution.value,
+                file=decider.file if decider else None,
+                version=decider.version if decider else None,
+            )
+        )
+
+
+def node_status(
+    members: directory.Directory,
+    configuration: source.ConfigurationSource,
+    gate: gates.Gate,
+    quota_controller: quotas.QuotaController,
+) -> timeline.NodeStatus:
+    """Returns what a node says of itself to operators."""
+    own = members.own()
+    age_s = configuration.confirmed_age_s()
+    upstream = own.upstream
+    return timeline.NodeStatus(
+        node=own.node,
+        failure_domain=own.failure_domain,
+        version=configuration.current.version,
+        confirmed_age_s=age_s if age_s != float("inf") else None,
+        leaving=own.leaving,
+        members=sum(1 for _ in members.members()),
+        service=upstream.service if upstream else None,
+        upstream_address=upstream.address if upstream else None,
+        upstream_state=upstream.state.value if upstream else None,
+        in_flight=len(gate.running),
+        held_shards=quota_controller.held_shards(),
+    )
--- /dev/null
+++ b/src/cyclamendale/daemon.py
@@ -0,0 +1,104 @@
+"""The daemon `cyclamendaled`: one node as a process."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import os
+import signal
+import sys
+from typing import Any
+
+from twisted.internet import reactor as default_reactor
+from twisted.python import failure
+
+from cyclamendale import logs
+from cyclamendale import node as nodes
+from cyclamendale import settings as settings_module
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+
+GC_THRESHOLD_YOUNG = 50_000
+"""Allocations between collections; few objects of a call form cycles."""
+
+_log = logging.getLogger(__name__)
+
+
+class Daemon:
+    """Runs a node until a signal ends it."""
+
+    def __init__(
+        self, reactor: Any, settings: settings_module.Settings
+    ) -> None:
+        self._reactor = reactor
+        self._settings = settings
+        self._stopping = False
+        self._node: nodes.Node | None = None
+        self.exit_code = EXIT_OK
+
+    def run(self) -> int:
+        """Serves until SIGTERM or SIGINT; returns the exit code."""
+        self._reactor.callWhenRunning(self._start)
+        self._reactor.run(installSignalHandlers=False)
+        return self.exit_code
+
+    def _start(self) -> None:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._signalled)
+        try:
+            self._node = nodes.make_node(self._reactor, self._settings)
+        except OSError:
+            self._failed(failure.Failure())
+            return
+        logs.begin(self._settings.log_level.value, self._node.own.node)
+        started = self._node.start()
+        started.addCallbacks(self._started, self._failed)
+
+    def _started(self, _result: None) -> None:
+        assert self._node is not None
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(GC_THRESHOLD_YOUNG)
+        _log.info("listening", extra=self._node.listening())
+
+    def _signalled(self, number: int, _frame: Any) -> None:
+        self._reactor.callFromThread(self._stop)
+
+    def _stop(self) -> None:
+        if self._stopping:
+            return
+        self._stopping = True
+        if self._node is None:
+            self._reactor.stop()
+            return
+        _log.info("stopping")
+        stopped = self._node.stop()
+        stopped.addErrback(self._failed)
+        stopped.addCallback(lambda _: self._finish())
+
+    def _finish(self) -> None:
+        _log.info("stopped")
+        if self._reactor.running:
+            self._reactor.stop()
+
+    def _failed(self, reason: failure.Failure) -> None:
+        _log.critical("failed", extra={"error": reason.getErrorMessage()})
+        _log.debug(reason.getTraceback())
+        self.exit_code = EXIT_FAILED
+        if not self._stopping:
+            self._reactor.stop()
+
+
+def main() -> None:
+    """Entry point of the program."""
+    loaded = settings_module.load(sys.argv[1:], os.environ)
+    if loaded.is_error():
+        sys.stderr.write(f"{loaded.error}\n")
+        sys.exit(settings_module.EXIT_WRONG_SETTINGS)
+    logs.begin(loaded.ok.log_level.value)
+    sys.exit(Daemon(default_reactor, loaded.ok).run())
+
+
+if __name__ == "__main__":
+    main()
--- a/src/cyclamendale/entry/http_entry.py
+++ b/src/cyclamendale/entry/http_entry.py
@@ -83,13 +83,18 @@
         """Returns the factory for a listening port."""
         return _EntryFactory(self)
 
+    def begin_close(self) -> None:
+        """Asks callers, with each answer, to move on."""
+        self.closing = True
+
     def close(self, drained: Callable[[], None]) -> None:
-        """Asks callers to move on; calls `drained` when none is left."""
+        """Closes idle connections; calls `drained` when none is active."""
         self.closing = True
         self._drained.append(drained)
+        self._close_idle_connections()
         self.check_drained()
 
-    def close_idle_connections(self) -> None:
+    def _close_idle_connections(self) -> None:
         """Closes connections on which no request is in progress."""
         for channel in tuple(self.channels):
             if not channel.requests:
@@ -97,7 +102,7 @@
 
     def check_drained(self) -> None:
         """Reports a drained entry to whoever waits for it."""
-        if self.closing and not self.active:
+        if not self.active:
             drained, self._drained = self._drained, []
             for notify in drained:
                 notify()
--- /dev/null
+++ b/src/cyclamendale/node.py
@@ -0,0 +1,354 @@
+"""One node: its controllers, its filter chain and their order of life."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from twisted.internet import defer
+from twisted.web import resource
+from twisted.web import server
+
+from cyclamendale import _observation
+from cyclamendale import clocks
+from cyclamendale import events
+from cyclamendale import ids
+from cyclamendale import metrics as metrics_module
+from cyclamendale import settings as settings_module
+from cyclamendale import timeline
+from cyclamendale.controllers import announcements
+from cyclamendale.controllers import configuration as configurations
+from cyclamendale.controllers import membership
+from cyclamendale.controllers import quotas
+from cyclamendale.controllers import timeline as timelines
+from cyclamendale.controllers import timeline_site
+from cyclamendale.entry import http_entry
+from cyclamendale.filters import base
+from cyclamendale.filters import context
+from cyclamendale.filters import deadline
+from cyclamendale.filters import early_shed
+from cyclamendale.filters import identify
+from cyclamendale.filters import match_route
+from cyclamendale.filters import once
+from cyclamendale.filters import quota
+from cyclamendale.forwarding import exchange
+from cyclamendale.forwarding import forwarder
+from cyclamendale.forwarding import policy
+from cyclamendale.intents import merge
+from cyclamendale.intents import model
+from cyclamendale.membership import directory
+from cyclamendale.membership import udp
+from cyclamendale.overload import admission
+from cyclamendale.overload import fair_use
+from cyclamendale.overload import gate_admission
+from cyclamendale.overload import power_of_two
+from cyclamendale.overload import threshold_shed
+from cyclamendale.peer import calls as peer_calls
+from cyclamendale.peer import thrift_network
+from cyclamendale.platform import http_client
+from cyclamendale.upstream import gate as gates
+
+LINGER_S = 1.0
+"""How long a stopping node still accepts requests, to relay them.
+
+Callers learn from `Connection: close` to move on meanwhile.
+"""
+
+
+class Node:
+    """All parts of one node process.
+
+    Attributes:
+        event_log: The node's events.
+        own: The node's own entry among the members.
+    """
+
+    def __init__(
+        self, reactor: Any, settings: settings_module.Settings
+    ) -> None:
+        self._reactor = reactor
+        self._settings = settings
+        self._clock = clocks.SystemClock(reactor)
+        self._random = random.Random()
+        self._metrics = _make_metrics(self._clock, settings)
+        secret = (settings.fleet_secret or "").encode()
+        self._network = thrift_network.ThriftPeerNetwork(
+            reactor, self._clock, secret, settings.peer_connect_timeout_s
+        )
+        peer_port = self._network.listen(
+            settings.peer_address.host, settings.peer_address.port
+        )
+        address = ids.PeerAddress(f"{settings.peer_address.host}:{peer_port}")
+        self.own = directory.Member(
+            ids.make_node_id(address), address, settings.failure_domain, 1
+        )
+        self.event_log = events.EventLog(
+            self.own.node, events.HybridLogicalClock(self._clock)
+        )
+        self._build_platform()
+        self._build_membership(secret, peer_port)
+        self._build_configuration()
+        self._build_request_path()
+        self._build_quotas()
+        self._build_control()
+        self._set_filters()
+        self._http_port: Any = None
+        self._control_port: Any = None
+
+    # Construction, part by part.
+
+    def _build_platform(self) -> None:
+        platform = http_client.make_platform(
+            self._reactor,
+            self._clock,
+            self._random,
+            http_client.HttpSettings(
+                self._settings.platform_url,
+                timeout_s=self._settings.platform_timeout_s,
+            ),
+        )
+        self._table = http_client.make_table(platform)
+        self._objects = http_client.make_object_store(platform)
+
+    def _build_membership(self, secret: bytes, peer_port: int) -> None:
+        self._membership = membership.make_membership_controller(
+            self._clock,
+            self._random,
+            self.own,
+            self._table,
+            self._network,
+            self.event_log,
+            secret,
+            udp.UdpPort(
+                self._reactor, self._settings.peer_address.host, peer_port
+            ),
+        )
+        self._directory: directory.Directory = self._membership.directory
+
+    def _build_configuration(self) -> None:
+        self._configuration = configurations.make_configuration_controller(
+            configurations.Dependencies(
+                rows=self._table,
+                objects=self._objects,
+                peers=self._network,
+                directory=self._directory,
+                clock=self._clock,
+                randomness=self._random,
+                merge=merge.merge,
+                log=self.event_log,
+            )
+        )
+
+    def _build_request_path(self) -> None:
+        self._gate = gates.Gate(
+            self._reactor,
+            self._clock,
+            self._random,
+            self._make_admission,
+            lambda own, running: threshold_shed.combine(own, running.met),
+        )
+        peer_calls.CallServer(self._network, self._clock, self._gate)
+        self._shed = threshold_shed.make_early_shed(self._clock, self._random)
+        self._observer = _observation.CallObserver(
+            self._clock, self.event_log, self._metrics
+        )
+        self._entry = http_entry.Entry(
+            self._clock,
+            self._configuration,
+            forwarder.Forwarder(
+                self._clock,
+                power_of_two.make_target_chooser(
+                    self._clock, self._random, self._directory
+                ),
+                self._shed,
+                policy.make_retry_policy(),
+                self._transport_for,
+            ),
+            self._observer.call_ended,
+        )
+
+    def _build_quotas(self) -> None:
+        self._quotas = quotas.make_quota_controller(
+            self._clock,
+            self._random,
+            self._directory,
+            self._table,
+            self._network,
+            self._configuration,
+            self.event_log,
+        )
+
+    def _build_control(self) -> None:
+        self._announcements = announcements.make_announcement_controller(
+            self._clock,
+            self._announced,
+            self._gate.failed_connections,
+            self.event_log,
+            self._settings.announcement_timeout_s,
+        )
+        self._timeline = timelines.make_timeline_controller(
+            self._clock,
+            self._directory,
+            self._network,
+            self.event_log,
+            self._status,
+            self._configuration,
+        )
+
+    def _set_filters(self) -> None:
+        customer_fairness = fair_use.make_fair_use(
+            self._clock, self._weight_of, self._service_of
+        )
+        filters: list[base.Filter] = [
+            identify.IdentifyFilter(self._gate.contexts, self._configuration),
+            match_route.MatchRouteFilter(),
+            context.ContextFilter(customer_fairness),
+            deadline.DeadlineFilter(self._clock),
+            quota.QuotaFilter(self._quotas),
+            early_shed.EarlyShedFilter(self._shed, self._random),
+            once.OnceFilter(self._table),
+        ]
+        self._entry.set_filters(filters)
+
+    # Life.
+
+    @defer.inlineCallbacks
+    def start(self) -> Any:
+        """Joins the cluster and takes requests once it is configured."""
+        self._membership.start()
+        self._timeline.start()
+        self._configuration.start()
+        self._metrics.start()
+        self._listen_control()
+        yield self._configuration.ready
+        self._quotas.start()
+        self._announcements.start()
+        self._http_port = self._reactor.listenTCP(
+            self._settings.http_address.port,
+            self._entry.make_factory(),
+            interface=self._settings.http_address.host,
+        )
+        self.event_log.record(
+            events.NodeStarted(failure_domain=self.own.failure_domain)
+        )
+
+    def listening(self) -> dict[str, str]:
+        """Returns the addresses in use, by the name of their setting."""
+        settings = self._settings
+        http_port = self._http_port.getHost().port
+        control_port = self._control_port.getHost().port
+        return {
+            "http_address": f"{settings.http_address.host}:{http_port}",
+            "peer_address": self.own.address,
+            "control_address": (
+                f"{settings.control_address.host}:{control_port}"
+            ),
+        }
+
+    @defer.inlineCallbacks
+    def stop(self) -> Any:
+        """Drains: cuts no request, and gives back what the node holds."""
+        self.event_log.record(events.NodeStopping())
+        self._membership.set_leaving()
+        gate_drained: defer.Deferred[None] = defer.Deferred()
+        self._gate.close(lambda: gate_drained.callback(None))
+        entry_drained: defer.Deferred[None] = defer.Deferred()
+        self._entry.begin_close()
+        yield self._pause(LINGER_S)
+        if self._http_port is not None:
+            yield self._http_port.stopListening()
+        self._entry.close(lambda: entry_drained.callback(None))
+        drained = defer.gatherResults([gate_drained, entry_drained])
+        yield self._within(drained, self._settings.shutdown_timeout_s)
+        yield self._quotas.stop()
+        yield self._announcements.stop()
+        yield self._configuration.stop()
+        yield self._timeline.stop()
+        yield self._membership.stop()
+        yield self._metrics.stop()
+        self._gate.disconnect()
+        yield self._control_port.stopListening()
+        yield self._network.close()
+
+    def _listen_control(self) -> None:
+        root: Any = resource.Resource()
+        root.putChild(b"announce", self._announcements.resource)
+        timeline_site.add_resources(root, self._timeline)
+        site = server.Site(root)
+        site.noisy = False
+        self._control_port = self._reactor.listenTCP(
+            self._settings.control_address.port,
+            site,
+            interface=self._settings.control_address.host,
+        )
+
+    def _pause(self, delay_s: float) -> defer.Deferred[None]:
+        paused: defer.Deferred[None] = defer.Deferred()
+        self._clock.call_later(delay_s, paused.callback, None)
+        return paused
+
+    def _within(
+        self, waited: defer.Deferred[Any], timeout_s: float
+    ) -> defer.Deferred[Any]:
+        """Returns `waited`, or a Deferred that fires after a timeout."""
+        waited.addTimeout(timeout_s, self._reactor)
+        waited.addErrback(lambda failure: failure.trap(defer.TimeoutError))
+        return waited
+
+    # What the parts ask of each other.
+
+    def _announced(self, announced: directory.Announcement | None) -> None:
+        self._gate.set_upstream(announced)
+        self._membership.set_upstream(announced)
+
+    def _make_admission(
+        self, announced: directory.Announcement
+    ) -> admission.Admission:
+        service = self._configuration.current.services.get(
+            announced.service, model.Service(announced.service)
+        )
+        return gate_admission.make_admission(
+            self._clock, self._random, service, self._weight_of
+        )
+
+    def _transport_for(
+        self, target: directory.Member
+    ) -> exchange.CallTransport:
+        if target.node == self.own.node:
+            return self._gate
+        return peer_calls.RemoteCallTransport(
+            self._network, self._clock, target.address
+        )
+
+    def _weight_of(self, customer: ids.CustomerId) -> float:
+        found = self._configuration.current.customers.get(customer)
+        return found.weight if found else 1.0
+
+    def _service_of(self, route: ids.RouteName) -> str:
+        found = self._configuration.current.routes.get(route)
+        return found.service if found else route
+
+    def _status(self) -> timeline.NodeStatus:
+        return _observation.node_status(
+            self._directory, self._configuration, self._gate, self._quotas
+        )
+
+
+def make_node(reactor: Any, settings: settings_module.Settings) -> Node:
+    """Returns a node that is not started yet."""
+    return Node(reactor, settings)
+
+
+def _make_metrics(
+    clock: clocks.Clock, settings: settings_module.Settings
+) -> metrics_module.Metrics:
+    address = settings.statsd_address
+    if address is None:
+        return metrics_module.NullMetrics()
+    return metrics_module.make_statsd_metrics(
+        clock,
+        address.host,
+        address.port,
+        settings.statsd_prefix,
+        settings.metrics_interval_s,
+    )
--- a/src/cyclamendale/peer/thrift_network.py
+++ b/src/cyclamendale/peer/thrift_network.py
@@ -47,9 +47,14 @@
     """Requests and calls to peers over one connection each."""
 
     def __init__(
-        self, reactor: Any, clock: clocks.Clock, secret: bytes
+        self,
+        reactor: Any,
+        clock: clocks.Clock,
+        secret: bytes,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> None:
         self._reactor = reactor
+        self._connect_timeout_s = connect_timeout_s
         self._clock = clock
         self._secret = secret
         self._links: dict[ids.PeerAddress, _Link] = {}
@@ -204,7 +209,7 @@
         )
         host, _, port = peer.rpartition(":")
         self._reactor.connectTCP(
-            host, int(port), factory, timeout=CONNECT_TIMEOUT_S
+            host, int(port), factory, timeout=self._connect_timeout_s
         )
 
 
