Keep the configuration in force up to date on every node

Nodes could not hear of a change. Two nodes of a failure domain read the head row each second; the others hear from peers: a digest to a few random peers at once when a version is taken, and one exchange a second besides. Fetches carry only files changed since the version that the asker has, and the result must give the digest of the peer's manifest.

A version is compared once more when it is taken, after the last wait, so that two sources in any order never make it go back. A new node is ready when the platform has no higher version, or, with the platform silent for 2 s, when a serving peer answered and none has a higher one.

The platform's last word travels as an age, counted from before the question, so no delay makes it look younger. It also confirms a higher version: dropping it on each change would have refused, for about a second after every change, the keys that ask for a fresh word.

Ruled out: waiting for the platform in each starting round (a slow one held a new node back by its time-outs).

--- /dev/null
+++ b/src/cyclamendale/configuration/polling.py
@@ -0,0 +1,86 @@
+"""When a node reads the head row from the platform."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import random
+
+import xxhash
+
+from cyclamendale import clocks
+from cyclamendale import ids
+from cyclamendale.membership import directory as directories
+
+POLLERS_PER_DOMAIN = 2
+"""Nodes of a failure domain that read the head row on every tick."""
+
+FALLBACK_POLL_S = 30.0
+"""Mean time between polls of a node that is no poller."""
+
+UNCONFIRMED_AFTER_S = 5.0
+"""Age of the confirmation from which every node polls more often."""
+
+UNCONFIRMED_POLL_S = 10.0
+"""Mean time between polls of such a node."""
+
+
+class PollSchedule:
+    """Decides on each tick of a node whether it polls."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        randomness: random.Random,
+        directory: directories.Directory,
+    ) -> None:
+        self._clock = clock
+        self._random = randomness
+        self._directory = directory
+        self._polled_s = float("-inf")
+        self._jitter = 1.0
+
+    def is_due(self, confirmed_age_s: float) -> bool:
+        """Returns whether to poll now.
+
+        Args:
+            confirmed_age_s: Age of the last confirmation.
+        """
+        directory = self._directory
+        if is_poller(directory.own(), directory.members()):
+            return True
+        wait_s = FALLBACK_POLL_S
+        if confirmed_age_s > UNCONFIRMED_AFTER_S:
+            wait_s = UNCONFIRMED_POLL_S
+        return self._clock.now_s() - self._polled_s > wait_s * self._jitter
+
+    def note_poll(self) -> None:
+        """Notes that a poll begins."""
+        self._polled_s = self._clock.now_s()
+        self._jitter = self._random.uniform(0.5, 1.5)
+
+
+def is_poller(
+    own: directories.Member, members: Iterable[directories.Member]
+) -> bool:
+    """Returns whether a node is among its domain's pollers.
+
+    They are picked by rendezvous hashing over the alive members, so that
+    all members pick the same ones and a loss moves only one.
+
+    Args:
+        own: The node.
+        members: The members that it knows of.
+    """
+    own_rank = _rank(own.node)
+    ahead = (
+        member
+        for member in members
+        if member.failure_domain == own.failure_domain
+        and member.state is directories.MemberState.ALIVE
+        and _rank(member.node) > own_rank
+    )
+    return sum(1 for _ in ahead) < POLLERS_PER_DOMAIN
+
+
+def _rank(node: ids.NodeId) -> int:
+    return xxhash.xxh64_intdigest(node.encode())
--- /dev/null
+++ b/src/cyclamendale/configuration/readiness.py
@@ -0,0 +1,46 @@
+"""When a new node may serve with the configuration that it has."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from cyclamendale import clocks
+from cyclamendale import ids
+from cyclamendale.configuration import spread
+
+PLATFORM_WAIT_S = 2.0
+"""Time for which a new node waits for the platform before the word of
+its peers is enough."""
+
+
+class Readiness:
+    """What a new node has heard of the latest version."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._started_s = clock.now_s()
+        self._platform_version: ids.ConfigVersion | None = None
+        self._digests: Sequence[spread.PeerDigest] = ()
+
+    def note_platform(self, version: ids.ConfigVersion) -> None:
+        """Notes the version that the platform has."""
+        self._platform_version = version
+
+    def note_peers(self, digests: Sequence[spread.PeerDigest]) -> None:
+        """Notes what the peers that answered have."""
+        self._digests = digests
+
+    def may_serve(self, version: ids.ConfigVersion) -> bool:
+        """Returns whether a node may serve with a version.
+
+        Either the platform has no higher one; or the platform did not
+        answer for `PLATFORM_WAIT_S`, and a peer that serves answered.
+        No peer that answered may have a higher version in either case.
+        """
+        if any(digest.version > version for digest in self._digests):
+            return False
+        if self._platform_version is not None:
+            return version >= self._platform_version
+        waited_s = self._clock.now_s() - self._started_s
+        is_any_ready = any(digest.ready for digest in self._digests)
+        return waited_s >= PLATFORM_WAIT_S and is_any_ready
--- /dev/null
+++ b/src/cyclamendale/configuration/snapshot.py
@@ -0,0 +1,140 @@
+"""One version of the configuration, as nodes hold and exchange it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from cyclamendale import ids
+from cyclamendale.configuration import documents
+from cyclamendale.configuration import store
+
+
+class FileChange(msgspec.Struct, frozen=True):
+    """The last change of a file; `content` is None when removed."""
+
+    file: ids.IntentFileName
+    version: ids.ConfigVersion
+    change_id: ids.ChangeId
+    writer: str
+    content: bytes | None
+
+
+class Delta(msgspec.Struct, frozen=True):
+    """What turns one version into a later one.
+
+    Attributes:
+        version: The later version.
+        manifest: Digest of its manifest.
+        complete: Whether `changes` are all files, not only the changed.
+        removals_since: Of its manifest.
+        changes: Last changes of files.
+    """
+
+    version: ids.ConfigVersion
+    manifest: str
+    complete: bool
+    removals_since: ids.ConfigVersion
+    changes: tuple[FileChange, ...]
+
+
+class DeltaMismatch(msgspec.Struct, frozen=True):
+    """A delta did not lead to the manifest that it names."""
+
+    version: ids.ConfigVersion
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """A version with the contents of its files.
+
+    Attributes:
+        version: The version.
+        digest: Digest of its manifest.
+        folder: Its manifest and the contents of its files.
+    """
+
+    version: ids.ConfigVersion
+    digest: str
+    folder: store.Folder
+
+    def lacks_removals(self, have: ids.ConfigVersion) -> bool:
+        """Returns whether removals after `have` may be forgotten."""
+        return have < self.folder.manifest.removals_since
+
+    def changes_since(self, have: ids.ConfigVersion) -> Iterator[FileChange]:
+        """Yields the last changes after version `have`, by file name.
+
+        Yields all files when removals after `have` are forgotten.
+        """
+        manifest = self.folder.manifest
+        if self.lacks_removals(have):
+            have = documents.NO_VERSION
+        states = {**manifest.removed, **manifest.files}
+        for file, state in sorted(states.items()):
+            if state.version > have:
+                yield self._change(file, state)
+
+    def apply(self, delta: Delta) -> Result[Snapshot, DeltaMismatch]:
+        """Returns the later version that a delta leads to."""
+        base = documents.EMPTY_MANIFEST
+        if not delta.complete:
+            base = self.folder.manifest
+        manifest = _changed(base, delta)
+        digest = documents.digest_of(documents.encode(manifest))
+        contents = {
+            **self.folder.contents,
+            **dict(_contents(delta.changes)),
+        }
+        wanted = {state.digest for state in manifest.files.values()}
+        if digest != delta.manifest or not wanted <= contents.keys():
+            return Error(DeltaMismatch(delta.version))
+        kept = {d: contents[d] for d in wanted}
+        return Ok(Snapshot(delta.version, digest, store.Folder(manifest, kept)))
+
+    def _change(
+        self, file: ids.IntentFileName, state: documents.FileState
+    ) -> FileChange:
+        content = self.folder.contents[state.digest] if state.digest else None
+        return FileChange(
+            file, state.version, state.change_id, state.writer, content
+        )
+
+
+def _changed(base: documents.Manifest, delta: Delta) -> documents.Manifest:
+    files = dict(base.files)
+    removed = dict(base.removed)
+    for change in delta.changes:
+        files.pop(change.file, None)
+        removed.pop(change.file, None)
+        digest = ""
+        if change.content is not None:
+            digest = documents.digest_of(change.content)
+        state = documents.FileState(
+            digest, change.version, change.change_id, change.writer
+        )
+        (files if digest else removed)[change.file] = state
+    since = delta.removals_since
+    kept = {f: state for f, state in removed.items() if state.version > since}
+    return documents.Manifest(files, kept, since)
+
+
+def _contents(changes: Iterable[FileChange]) -> Iterator[tuple[str, bytes]]:
+    for change in changes:
+        if change.content is not None:
+            yield documents.digest_of(change.content), change.content
+
+
+def make_empty() -> Snapshot:
+    """Returns the version before the first change."""
+    return Snapshot(
+        documents.NO_VERSION, "", store.Folder(documents.EMPTY_MANIFEST, {})
+    )
+
+
+def make_snapshot(head: documents.Head, folder: store.Folder) -> Snapshot:
+    """Returns a version as read from the platform."""
+    return Snapshot(head.version, head.manifest, folder)
--- /dev/null
+++ b/tests/test_configuration_controller.py
@@ -0,0 +1,277 @@
+"""A node's configuration: spread, rising versions, readiness, age."""
+
+from __future__ import annotations
+
+from expression import Error
+import testscenarios
+import testtools
+from thrift.protocol import TBinaryProtocol
+from thrift.transport import TTransport
+
+from cyclamendale.configuration import documents
+from cyclamendale.configuration import polling
+from cyclamendale.peer import kinds
+from cyclamendale.platform import faults
+from cyclamendale.platform import table
+from tests.support import fake_platform_cluster as fake_cluster
+from tests.support import fake_platform_configuration as fake
+
+SPREAD_TARGET_S = 3.0
+CONVERGENCE_TARGET_S = 14.0
+
+
+def wire_bytes(message):
+    buffer = TTransport.TMemoryBuffer()
+    message.write(TBinaryProtocol.TBinaryProtocolAccelerated(buffer))
+    return len(buffer.getvalue())
+
+
+class ControllerTest(testtools.TestCase):
+    sizes = (3, 3)
+
+    def setUp(self):
+        super().setUp()
+        watch = fake_cluster.no_defects()
+        watch.__enter__()
+        self.addCleanup(watch.__exit__, None, None, None)
+        self.cluster = fake_cluster.Cluster(self.sizes).start()
+        self.platform = self.cluster.platform
+        self.node = self.cluster.all[0]
+
+    def publish(self, *args, **kwargs):
+        return self.platform.publish(*args, **kwargs).ok.version
+
+    def settle(self, version):
+        return self.cluster.seconds_until(
+            lambda: self.cluster.all_have(version)
+        )
+
+
+class SpreadTest(testscenarios.WithScenarios, ControllerTest):
+    scenarios = testscenarios.multiply_scenarios(
+        [
+            ("two domains of three", {"sizes": (3, 3)}),
+            ("single nodes", {"sizes": (1, 1, 1, 1)}),
+            ("seven domains", {"sizes": (6,) * 7}),
+        ],
+        [
+            ("whole", {"cut": ()}),
+            ("a domain cut off from the platform", {"cut": ("domain-0",)}),
+        ],
+    )
+
+    def test_a_change_is_in_force_everywhere_within_the_target(self):
+        self.cluster.cut_from_platform(*self.cut)
+        for version in range(5):
+            self.publish(version, {"a": b"%d" % version})
+            took_s = self.settle(version + 1)
+            self.assertLess(took_s, SPREAD_TARGET_S)
+
+    def test_the_platforms_word_travels_on(self):
+        self.publish(0, {"a": b"1"})
+        self.cluster.cut_from_platform(*self.cut)
+        self.cluster.advance(30)
+        for node in self.cluster.all:
+            age_s = node.controller.confirmed_age_s()
+            self.assertLess(age_s, CONVERGENCE_TARGET_S)
+
+
+class RisingTest(ControllerTest):
+    def test_a_lower_version_is_never_taken(self):
+        old = self.publish(0, {"a": b"1"})
+        self.settle(old)
+        row = self.platform.rows.read(documents.HEAD_KEY)
+        version = self.publish(1, {"a": b"2"})
+        self.settle(version)
+        newer = self.platform.rows.read(documents.HEAD_KEY)
+        write = table.Write(documents.HEAD_KEY, newer.version, row.value)
+        self.platform.rows.transact([write])
+        self.cluster.advance(60)
+        self.assertTrue(self.cluster.all_have(version))
+
+    def test_a_restarted_node_cut_off_from_the_platform_asks_its_peers(self):
+        version = self.publish(0, {"a": b"1"})
+        self.settle(version)
+        self.cluster.cut_from_platform("domain-0", "domain-1")
+        self.node.start()
+        self.assertFalse(self.node.controller.is_ready)
+        took_s = self.cluster.seconds_until(
+            lambda: self.node.controller.is_ready
+        )
+        self.assertLess(took_s, CONVERGENCE_TARGET_S)
+        self.assertEqual(version, self.node.version)
+
+    def test_a_node_that_hears_from_no_one_is_not_ready(self):
+        self.cluster.cut_from_platform("domain-0", "domain-1")
+        for node in self.cluster.all:
+            node.start()
+        self.cluster.advance(60)
+        ready = [node.controller.is_ready for node in self.cluster.all]
+        self.assertNotIn(True, ready)
+        self.cluster.heal()
+        self.cluster.advance(CONVERGENCE_TARGET_S)
+        ready = [node.controller.is_ready for node in self.cluster.all]
+        self.assertNotIn(False, ready)
+
+    def test_a_slow_platform_does_not_hold_a_new_node_back(self):
+        version = self.publish(0, {"a": b"1"})
+        self.settle(version)
+        slow = faults.FaultRule(faults.Fault.SLOW, delay_s=100.0)
+        self.node.switch.switch([slow])
+        self.node.start()
+        took_s = self.cluster.seconds_until(
+            lambda: self.node.controller.is_ready
+        )
+        self.assertLess(took_s, CONVERGENCE_TARGET_S)
+        self.assertEqual(version, self.node.version)
+
+    def test_a_new_node_with_its_peers_gone_reads_from_the_platform(self):
+        version = self.publish(0, {"a": b"1"})
+        self.settle(version)
+        self.cluster.wires.lose = lambda *_: True
+        self.node.start()
+        self.cluster.advance(2)
+        self.assertTrue(self.node.controller.is_ready)
+        self.assertEqual(version, self.node.version)
+
+
+class OtherFormatTest(ControllerTest):
+    def test_a_head_of_another_format_leaves_the_version_in_force(self):
+        version = self.publish(0, {"a": b"1"})
+        self.settle(version)
+        row = self.platform.rows.read(documents.HEAD_KEY)
+        newer = b'{"format": 2}'
+        write = table.Write(documents.HEAD_KEY, row.version, newer)
+        self.platform.rows.transact([write])
+        self.cluster.advance(30)
+        self.assertEqual(version, self.node.version)
+        self.assertGreater(self.node.controller.confirmed_age_s(), 25)
+        row = self.platform.rows.read(documents.HEAD_KEY)
+        self.assertEqual(newer, row.value)
+
+    def test_files_that_do_not_merge_leave_the_version_in_force(self):
+        def merge(files, version):
+            bad = b"newer syntax" in files.values()
+            return Error("bad") if bad else fake.merge(files, version)
+
+        self.cluster.merge = merge
+        for node in self.cluster.all:
+            node.start()
+        version = self.publish(0, {"a": b"1"})
+        self.settle(version)
+        self.publish(1, {"a": b"newer syntax"})
+        self.cluster.advance(10)
+        self.assertEqual(version, self.node.version)
+        later = self.publish(2, {"a": b"3"})
+        self.assertLess(self.settle(later), SPREAD_TARGET_S)
+
+
+class AgeTest(ControllerTest):
+    def test_it_is_infinite_before_the_platforms_first_word(self):
+        self.cluster.cut_from_platform("domain-0", "domain-1")
+        self.node.start()
+        age_s = self.node.controller.confirmed_age_s()
+        self.assertEqual(float("inf"), age_s)
+
+    def test_it_grows_while_all_are_cut_off_from_the_platform(self):
+        self.cluster.advance(5)
+        self.cluster.cut_from_platform("domain-0", "domain-1")
+        self.cluster.advance(100)
+        for node in self.cluster.all:
+            age_s = node.controller.confirmed_age_s()
+            self.assertGreaterEqual(age_s, 100)
+
+    def test_a_late_answer_never_looks_younger_than_it_is(self):
+        self.cluster.advance(5)
+        cut_s = self.platform.clock.now_s()
+        self.cluster.cut_from_platform("domain-0", "domain-1")
+        self.cluster.wires.delay_s = 0.24
+        for _ in range(100):
+            self.cluster.advance(0.5)
+            passed_s = self.platform.clock.now_s() - cut_s
+            for node in self.cluster.all:
+                age_s = node.controller.confirmed_age_s()
+                self.assertGreaterEqual(age_s, passed_s - 0.1)
+
+
+class TrafficTest(ControllerTest):
+    """What travels, and how often the platform is asked."""
+
+    sizes = (8, 8)
+
+    def setUp(self):
+        super().setUp()
+        self.sent = []
+        lossless = self.cluster.wires.peers
+        for peer in lossless.values():
+            for kind, handler in list(peer._handlers.items()):
+                peer._handlers[kind] = self.recording(kind, handler)
+
+    def recording(self, kind, handler):
+        def handle(message):
+            reply = handler(message)
+            self.sent.append((kind, message, reply))
+            return reply
+
+        return handle
+
+    def test_only_changed_files_travel(self):
+        files = {f"f{i}": b"%d" % i * 400 for i in range(50)}
+        self.settle(self.publish(0, files))
+        self.sent.clear()
+        self.settle(self.publish(1, {"f7": b"changed"}, {"f8"}))
+        fetch = kinds.MessageKind.CONFIGURATION_FETCH
+        replies = [reply for kind, _, reply in self.sent if kind is fetch]
+        self.assertNotEqual([], replies)
+        for reply in replies:
+            names = [change.file for change in reply.changes]
+            self.assertEqual(["f7", "f8"], names)
+
+    def test_a_digest_is_tiny(self):
+        self.settle(self.publish(0, {"a": b"1"}))
+        self.cluster.advance(3)
+        digest = kinds.MessageKind.CONFIGURATION_DIGEST
+        for kind, request, reply in self.sent:
+            if kind is digest:
+                total = wire_bytes(request) + wire_bytes(reply)
+                self.assertLessEqual(total, 96)
+
+    def test_a_large_folder_travels_in_pages(self):
+        files = {f"f{i:03}": b"%03d" % i * 700 for i in range(300)}
+        version = self.publish(0, files)
+        self.settle(version)
+        self.cluster.cut_from_platform("domain-0", "domain-1")
+        self.sent.clear()
+        self.node.start()
+        self.cluster.advance(5)
+        self.assertEqual(version, self.node.version)
+        sizes = [
+            wire_bytes(reply)
+            for kind, _, reply in self.sent
+            if kind is kinds.MessageKind.CONFIGURATION_FETCH
+        ]
+        self.assertLess(max(sizes), 100_000)
+
+    def test_few_nodes_poll_the_platform(self):
+        reads = self.reads_per_s(60)
+        fallback = len(self.cluster.all) * 2 / polling.FALLBACK_POLL_S
+        expected = 2 * polling.POLLERS_PER_DOMAIN + fallback
+        self.assertLessEqual(reads, 1.2 * expected)
+
+    def test_a_platform_that_is_down_is_asked_little(self):
+        self.cluster.cut_from_platform("domain-0", "domain-1")
+        self.cluster.advance(10)
+        reads = self.reads_per_s(60)
+        often = len(self.cluster.all) * 2 / polling.UNCONFIRMED_POLL_S
+        expected = 2 * polling.POLLERS_PER_DOMAIN + often
+        self.assertLessEqual(reads, 1.2 * expected)
+
+    def reads_per_s(self, duration_s):
+        for node in self.cluster.all:
+            node.switch.operations.clear()
+        self.cluster.advance(duration_s)
+        total = sum(
+            node.switch.operations[faults.Operation.READ]
+            for node in self.cluster.all
+        )
+        return total / duration_s
