--- a/examples/upstream.py
+++ b/examples/upstream.py
@@ -39,7 +39,9 @@
         self._service = service
         self._node_http = node_http
         self._onward = onward
-        self._agent = client.Agent(reactor, client.HTTPConnectionPool(reactor))
+        self._agent = client.Agent(
+            reactor, pool=client.HTTPConnectionPool(reactor)
+        )
 
     def render(self, request: server.Request) -> int:
         """Answers one request."""
--- a/src/cyclamendale/_observation.py
+++ b/src/cyclamendale/_observation.py
@@ -88,5 +88,5 @@
         upstream_address=upstream.address if upstream else None,
         upstream_state=upstream.state.value if upstream else None,
         in_flight=len(gate.running),
-        held_shards=quota_controller.held_shards(),
+        held_shards=len(quota_controller.held_shards()),
     )
--- a/src/cyclamendale/controllers/quota_holder.py
+++ b/src/cyclamendale/controllers/quota_holder.py
@@ -63,6 +63,10 @@
         stopped.addCallback(lambda _: self._announce_release(held))
         return stopped
 
+    def held_shards(self) -> list[ids.ShardId]:
+        """Returns the shards whose lease this node holds."""
+        return self._leases.held_shards()
+
     def draw(
         self, request: ttypes.QuotaDrawRequest
     ) -> ttypes.QuotaDrawReply | defer.Deferred[ttypes.QuotaDrawReply]:
--- a/src/cyclamendale/controllers/quotas.py
+++ b/src/cyclamendale/controllers/quotas.py
@@ -73,6 +73,10 @@
         returned.addCallback(lambda _: self._holders.stop())
         return returned
 
+    def held_shards(self) -> list[ids.ShardId]:
+        """Returns the shards whose lease this node holds."""
+        return self._holders.held_shards()
+
     def admit(
         self, customer: ids.CustomerId, deadline_s: float
     ) -> refusals.Refusal | None | defer.Deferred[refusals.Refusal | None]:
--- a/src/cyclamendale/daemon.py
+++ b/src/cyclamendale/daemon.py
@@ -49,6 +49,7 @@
         try:
             self._node = nodes.make_node(self._reactor, self._settings)
         except OSError:
+            logs.begin(self._settings.log_level.value)
             self._failed(failure.Failure())
             return
         logs.begin(self._settings.log_level.value, self._node.own.node)
@@ -96,7 +97,6 @@
     if loaded.is_error():
         sys.stderr.write(f"{loaded.error}\n")
         sys.exit(settings_module.EXIT_WRONG_SETTINGS)
-    logs.begin(loaded.ok.log_level.value)
     sys.exit(Daemon(default_reactor, loaded.ok).run())
 
 
--- a/src/cyclamendale/metrics.py
+++ b/src/cyclamendale/metrics.py
@@ -18,7 +18,7 @@
 OVERFLOW_NAME = "metrics.overflow"
 
 
-class Metrics(abc.ABC):
+class Metrics(base.Controller):
     """Counters and gauges; cheap enough to call for each request."""
 
     @abc.abstractmethod
@@ -37,6 +37,13 @@
 class NullMetrics(Metrics):
     """Metrics that go nowhere."""
 
+    def start(self) -> None:
+        """See base class."""
+
+    def stop(self) -> defer.Deferred[None]:
+        """See base class."""
+        return defer.succeed(None)
+
     def count(self, name: str, amount: int = 1) -> None:
         """See base class."""
 
@@ -86,7 +93,7 @@
         self.largest_ms = max(self.largest_ms, duration_ms)
 
 
-class StatsdMetrics(Metrics, base.Controller):
+class StatsdMetrics(Metrics):
     """Sums metrics up and sends them once an interval."""
 
     def __init__(
--- a/src/cyclamendale/node.py
+++ b/src/cyclamendale/node.py
@@ -71,7 +71,8 @@
         self._clock = clocks.SystemClock(reactor)
         self._random = random.Random()
         self._metrics = _make_metrics(self._clock, settings)
-        secret = (settings.fleet_secret or "").encode()
+        fleet_secret = settings.fleet_secret
+        secret = fleet_secret.reveal() if fleet_secret else b""
         self._network = thrift_network.ThriftPeerNetwork(
             reactor, self._clock, secret, settings.peer_connect_timeout_s
         )
