--- a/src/cyclamendale/platform/_http_attempt.py
+++ b/src/cyclamendale/platform/_http_attempt.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 import enum
 import io
-from typing import Any
+from typing import Any, TypeAlias
 
 from expression import Error
 from expression import Ok
@@ -20,6 +21,7 @@
 from zope.interface import implementer  # type: ignore[import-untyped]
 
 from cyclamendale import clocks
+from cyclamendale.platform import faults
 
 
 class AttemptFailure(enum.Enum):
@@ -38,6 +40,13 @@
     body: bytes
 
 
+Send: TypeAlias = Callable[
+    [faults.Operation, str, str, bytes | None],
+    Awaitable[Result[HttpAnswer, AttemptFailure]],
+]
+"""Sends an operation, with its HTTP method, path and body."""
+
+
 @implementer(iweb.IAgentEndpointFactory)
 class _EndpointFactory:
     """Connects to IP numbers without the resolver and its threads."""
