Add the membership protocol and its controller

Nodes need to know each other without a coordination service. SWIM with Lifeguard's local health over authenticated datagrams, entries keyed by address so that a process that takes an address over outbids its predecessor's incarnation, whole state compared by fingerprint over the peer connections at joining and whenever settled digests differ.

Ruled out: keying by process, since random parts have no order and a stale entry could not be told from a newer one; a wall-clock generation, since hosts' clocks need not agree.

--- /dev/null
+++ b/src/cyclamendale/membership/contact_rows.py
@@ -0,0 +1,205 @@
+"""Rows in the platform's table through which nodes find each other."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+from typing import Any
+
+from expression import Result
+import msgspec
+from twisted.internet import defer
+
+from cyclamendale import clocks
+from cyclamendale import ids
+from cyclamendale.membership import member_list
+from cyclamendale.platform import table as tables
+
+PREFIX = "members/"
+ROW_FORMAT = 1
+"""Rows of a newer format are neither used nor deleted."""
+WRITE_INTERVAL_S = 60.0
+WRITE_RETRY_S = 2.0
+"""First delay after a failed write; it doubles up to the interval."""
+FIRST_LOOK_S = 1.0
+"""First delay between two readings; it doubles up to the interval."""
+LOOK_INTERVAL_S = 300.0
+STALE_S = 600.0
+"""Time for which a row is seen unchanged before it is deleted."""
+OWN_DOMAIN_ROWS = 1_024
+SAMPLE_ROWS = 64
+"""Rows read of all failure domains together."""
+CONTACTS = 3
+"""Unknown nodes contacted after each reading."""
+MAX_DELETIONS = 8
+JITTER = 0.25
+
+
+class ContactRow(msgspec.Struct, frozen=True):
+    """Value of a row."""
+
+    format: int
+    node: str
+
+
+class _Seen(msgspec.Struct):
+    version: int
+    since_s: float
+
+
+class ContactRows:
+    """Keeps the own row fresh, reads others' and clears old ones.
+
+    Everything is retried later when the table is down. A row is judged by
+    how long it was seen unchanged, so no two clocks are compared.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        rng: random.Random,
+        members: member_list.Membership,
+        table: tables.Table,
+        contact: Callable[[ids.PeerAddress], None],
+    ) -> None:
+        """Creates the keeper of a node's row.
+
+        Args:
+            clock: Time source and scheduler.
+            rng: Random source.
+            members: The members known.
+            table: The platform's table.
+            contact: Called with the address of an unknown node.
+        """
+        self._clock = clock
+        self._rng = rng
+        self._members = members
+        self._table = table
+        self._contact = contact
+        own = members.own()
+        self._key = row_key(own.failure_domain, own.address)
+        self._value = msgspec.json.encode(ContactRow(ROW_FORMAT, own.node))
+        self._version = tables.ABSENT_VERSION
+        self._retry_s = WRITE_RETRY_S
+        self._look_s = FIRST_LOOK_S
+        self._seen: dict[str, _Seen] = {}
+        self._calls: dict[Callable[[], Any], clocks.DelayedCall] = {}
+        self._stopped = False
+
+    def start(self) -> None:
+        """Writes the own row, then reads those of others, and goes on."""
+        self._write().addBoth(lambda _: self._look())
+
+    def stop(self) -> defer.Deferred[None]:
+        """Deletes the own row if the table can be reached."""
+        self._stopped = True
+        for call in self._calls.values():
+            if call.active():
+                call.cancel()
+        if self._version == tables.ABSENT_VERSION:
+            return defer.succeed(None)
+        deletion = tables.Write(self._key, self._version, delete=True)
+        done = self._table.transact([deletion])
+        return done.addCallback(lambda _: None)
+
+    def _write(self) -> defer.Deferred[None]:
+        if self._version == tables.ABSENT_VERSION:
+            written = self._table.insert_if_absent(self._key, self._value)
+        else:
+            written = self._table.compare_and_set(
+                self._key, self._version, self._value
+            )
+        return written.addCallback(self._written)
+
+    def _written(self, result: Result[tables.Row, tables.TableError]) -> None:
+        if result.is_ok():
+            self._version = result.ok.version
+            self._retry_s = WRITE_RETRY_S
+            self._later(WRITE_INTERVAL_S, self._write)
+            return
+        current = result.error.current
+        # After an unknown outcome the conflict of the next insert tells.
+        self._version = current.version if current else tables.ABSENT_VERSION
+        self._later(self._retry_s, self._write)
+        self._retry_s = min(WRITE_INTERVAL_S, self._retry_s * 2)
+
+    @defer.inlineCallbacks
+    def _look(self) -> Any:
+        own_prefix = f"{PREFIX}{self._members.own().failure_domain}/"
+        rows: dict[str, tables.Row] = {}
+        for prefix, limit in (
+            (own_prefix, OWN_DOMAIN_ROWS),
+            (PREFIX, SAMPLE_ROWS),
+        ):
+            result = yield self._table.list_rows(prefix, limit)
+            if result.is_ok():
+                rows.update((row.key, row) for row in result.ok)
+        if self._stopped:
+            return
+        unknown = [row for row in rows.values() if self._is_unknown(row)]
+        self._meet(unknown)
+        yield self._clear(unknown)
+        self._later(self._look_s, self._look)
+        self._look_s = min(LOOK_INTERVAL_S, self._look_s * 2)
+
+    def _is_unknown(self, row: tables.Row) -> bool:
+        address = row_address(row)
+        if address is None or row.key == self._key:
+            return False
+        record = self._members.record(address)
+        return record is None or not member_list.is_live(record.member)
+
+    def _meet(self, rows: list[tables.Row]) -> None:
+        own_prefix = f"{PREFIX}{self._members.own().failure_domain}/"
+        self._rng.shuffle(rows)
+        near = [row for row in rows if row.key.startswith(own_prefix)]
+        far = [row for row in rows if not row.key.startswith(own_prefix)]
+        chosen = near[: CONTACTS - 1]
+        chosen += far[: CONTACTS - len(chosen)]
+        for row in chosen:
+            address = row_address(row)
+            if address is not None:
+                self._contact(address)
+
+    def _clear(self, rows: list[tables.Row]) -> defer.Deferred[Any]:
+        now_s = self._clock.now_s()
+        seen = {row.key: self._note(row, now_s) for row in rows}
+        self._seen = seen
+        stale = [
+            tables.Write(row.key, row.version, delete=True)
+            for row in rows
+            if now_s - seen[row.key].since_s >= STALE_S
+        ]
+        return defer.DeferredList(
+            [self._table.transact([write]) for write in stale[:MAX_DELETIONS]]
+        )
+
+    def _note(self, row: tables.Row, now_s: float) -> _Seen:
+        seen = self._seen.get(row.key)
+        if seen is not None and seen.version == row.version:
+            return seen
+        return _Seen(row.version, now_s)
+
+    def _later(self, delay_s: float, function: Callable[[], Any]) -> None:
+        if self._stopped:
+            return
+        jitter = 1 + JITTER * (2 * self._rng.random() - 1)
+        self._calls[function] = self._clock.call_later(
+            delay_s * jitter, function
+        )
+
+
+def row_key(domain: ids.FailureDomainName, address: ids.PeerAddress) -> str:
+    """Returns the key of a node's row."""
+    return f"{PREFIX}{domain}/{address}"
+
+
+def row_address(row: tables.Row) -> ids.PeerAddress | None:
+    """Returns the address in a row, or None for one not understood."""
+    try:
+        value = msgspec.json.decode(row.value, type=ContactRow)
+    except msgspec.MsgspecError:
+        return None
+    if value.format != ROW_FORMAT:
+        return None
+    return ids.PeerAddress(row.key.rpartition("/")[2])
--- /dev/null
+++ b/src/cyclamendale/membership/member_list.py
@@ -0,0 +1,209 @@
+"""The members that a node knows of, indexed for use per request."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+import enum
+
+import msgspec
+import xxhash
+
+from cyclamendale import ids
+from cyclamendale.membership import directory
+from cyclamendale.membership import wire
+
+LIVE_STATES = frozenset(
+    (directory.MemberState.ALIVE, directory.MemberState.SUSPECT)
+)
+_PRECEDENCE = {
+    directory.MemberState.ALIVE: 0,
+    directory.MemberState.SUSPECT: 1,
+    directory.MemberState.DEAD: 2,
+    directory.MemberState.LEFT: 3,
+}
+
+
+class Comparison(enum.Enum):
+    """How a received entry relates to the one held."""
+
+    NEWER = "newer"
+    SAME = "same"
+    OLDER = "older"
+
+
+class Record:
+    """A member's entry with what is derived from it.
+
+    Attributes:
+        member: The entry.
+        encoded: The entry as sent to others.
+        fingerprint: Hash of what makes two entries differ.
+        changed_s: Clock time at which this node took the entry.
+    """
+
+    __slots__ = ("changed_s", "encoded", "fingerprint", "member")
+
+    def __init__(self, member: directory.Member, changed_s: float) -> None:
+        self.member = member
+        self.encoded = wire.encode_update(wire.Update(member))
+        self.fingerprint = fingerprint(member)
+        self.changed_s = changed_s
+
+
+def is_live(member: directory.Member) -> bool:
+    """Returns whether a member is neither dead nor left."""
+    return member.state in LIVE_STATES
+
+
+def fingerprint(member: directory.Member) -> int:
+    """Returns 64 bits that differ when entries differ for good.
+
+    A suspicion counts as alive, for it ends by itself.
+    """
+    state = "live" if is_live(member) else member.state.value
+    return xxhash.xxh3_64_intdigest(
+        f"{member.node}|{member.incarnation}|{state}".encode()
+    )
+
+
+def compare(
+    received: directory.Member, held: directory.Member | None
+) -> Comparison:
+    """Orders two entries of one address.
+
+    A process that takes over an address raises its incarnation above its
+    predecessor's, so the incarnation decides; ties are broken alike on
+    all nodes until it has done so.
+    """
+    if held is None:
+        return Comparison.NEWER
+    new = (received.incarnation, received.node, _PRECEDENCE[received.state])
+    old = (held.incarnation, held.node, _PRECEDENCE[held.state])
+    if new == old:
+        return Comparison.SAME
+    return Comparison.NEWER if new > old else Comparison.OLDER
+
+
+def takes_work(member: directory.Member) -> bool:
+    """Returns whether new requests may be sent to a member."""
+    upstream = member.upstream
+    return (
+        upstream is not None
+        and upstream.state is directory.UpstreamState.READY
+        and not member.leaving
+        and is_live(member)
+    )
+
+
+class Membership(directory.Directory):
+    """The member entries of one node, its own included.
+
+    Attributes:
+        digest: Fingerprints of all live entries, combined by XOR.
+        digest_changed_s: Clock time of the digest's last change.
+    """
+
+    def __init__(self, own: directory.Member, now_s: float) -> None:
+        self._own_address = own.address
+        self._records: dict[ids.PeerAddress, Record] = {}
+        self._live: tuple[ids.PeerAddress, ...] | None = None
+        self._working: dict[
+            ids.ServiceName, dict[ids.PeerAddress, directory.Member]
+        ] = {}
+        self._targets: dict[ids.ServiceName, tuple[directory.Member, ...]] = {}
+        self._listeners: list[Callable[[directory.Member], None]] = []
+        self.digest = 0
+        self.digest_changed_s = now_s
+        self.put(own, now_s)
+
+    def own(self) -> directory.Member:
+        """See base class."""
+        return self._records[self._own_address].member
+
+    def members(self) -> Iterator[directory.Member]:
+        """See base class."""
+        for address in self.live_addresses():
+            yield self._records[address].member
+
+    def targets(self, service: ids.ServiceName) -> tuple[directory.Member, ...]:
+        """See base class."""
+        found = self._targets.get(service)
+        if found is None:
+            working = self._working.get(service, {})
+            found = self._targets[service] = tuple(working.values())
+        return found
+
+    def subscribe(self, listener: Callable[[directory.Member], None]) -> None:
+        """See base class."""
+        self._listeners.append(listener)
+
+    def live_addresses(self) -> tuple[ids.PeerAddress, ...]:
+        """Returns the addresses of all live members, own included."""
+        if self._live is None:
+            self._live = tuple(
+                address
+                for address, record in self._records.items()
+                if is_live(record.member)
+            )
+        return self._live
+
+    def record(self, address: ids.PeerAddress) -> Record | None:
+        """Returns what is held of the member at `address`."""
+        return self._records.get(address)
+
+    def records(self) -> Iterator[Record]:
+        """Yields all records, those of dead and left members included."""
+        yield from self._records.values()
+
+    def put(self, member: directory.Member, now_s: float) -> Record:
+        """Replaces an entry, adjusts the indexes and tells listeners."""
+        record = Record(member, now_s)
+        held = self._records.get(member.address)
+        self._records[member.address] = record
+        self._adjust_digest(held, record, now_s)
+        self._reindex(held.member if held else None, member)
+        for listener in self._listeners:
+            listener(member)
+        return record
+
+    def forget(self, address: ids.PeerAddress) -> None:
+        """Drops the record of a member that is dead or left."""
+        del self._records[address]
+
+    def _adjust_digest(
+        self, held: Record | None, record: Record, now_s: float
+    ) -> None:
+        digest = self.digest
+        if held is not None and is_live(held.member):
+            digest ^= held.fingerprint
+        if is_live(record.member):
+            digest ^= record.fingerprint
+        if digest != self.digest:
+            self.digest = digest
+            self.digest_changed_s = now_s
+
+    def _reindex(
+        self, held: directory.Member | None, member: directory.Member
+    ) -> None:
+        if (held is not None and is_live(held)) != is_live(member):
+            self._live = None
+        if held is not None and takes_work(held):
+            self._index_of(held).pop(held.address, None)
+        if takes_work(member):
+            self._index_of(member)[member.address] = member
+
+    def _index_of(
+        self, member: directory.Member
+    ) -> dict[ids.PeerAddress, directory.Member]:
+        upstream = member.upstream
+        if upstream is None:
+            return {}
+        self._targets.pop(upstream.service, None)
+        return self._working.setdefault(upstream.service, {})
+
+
+def with_state(
+    member: directory.Member, state: directory.MemberState
+) -> directory.Member:
+    """Returns the entry in another state, same incarnation."""
+    return msgspec.structs.replace(member, state=state)
--- /dev/null
+++ b/src/cyclamendale/membership/prober.py
@@ -0,0 +1,195 @@
+"""Probes of one node: direct, through helpers, and for others."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from cyclamendale import ids
+from cyclamendale.membership import local_health
+from cyclamendale.membership import probe_targets
+from cyclamendale.membership import wire
+
+PROBE_PERIOD_S = 1.0
+DIRECT_TIMEOUT_S = 0.4
+"""Time after which helpers are asked to probe the target."""
+RELAY_TIMEOUT_S = 0.2
+"""Time after which a helper says that it heard nothing either."""
+HELPERS = 3
+
+
+class Send(Protocol):
+    """Sends one datagram of a probe."""
+
+    def __call__(
+        self,
+        kind: wire.DatagramKind,
+        receiver: ids.PeerAddress,
+        sequence: int,
+        target: ids.PeerAddress | None = None,
+    ) -> None:
+        """Sends a datagram of `kind`, piggybacked updates added."""
+
+
+class _Probe:
+    __slots__ = ("asked", "nacks", "sequence", "started_s", "target")
+
+    def __init__(
+        self, target: ids.PeerAddress, sequence: int, started_s: float
+    ) -> None:
+        self.target = target
+        self.sequence = sequence
+        self.started_s = started_s
+        self.asked: frozenset[ids.PeerAddress] | None = None
+        self.nacks: set[ids.PeerAddress] = set()
+
+
+class _Relay:
+    __slots__ = ("deadline_s", "requester", "sequence", "target")
+
+    def __init__(
+        self,
+        requester: ids.PeerAddress,
+        sequence: int,
+        target: ids.PeerAddress,
+        deadline_s: float,
+    ) -> None:
+        self.requester = requester
+        self.sequence = sequence
+        self.target = target
+        self.deadline_s = deadline_s
+
+
+class Prober:
+    """Probes one member each period and helps others to probe."""
+
+    def __init__(
+        self,
+        targets: probe_targets.ProbeTargets,
+        health: local_health.LocalHealth,
+        send: Send,
+        unreachable: Callable[[ids.PeerAddress], None],
+        first_probe_s: float,
+    ) -> None:
+        """Creates a prober.
+
+        Args:
+            targets: Whom to probe.
+            health: Own health, which stretches periods and timeouts.
+            send: Sends the datagrams.
+            unreachable: Called with a member whose probe failed.
+            first_probe_s: Clock time of the first probe.
+        """
+        self._targets = targets
+        self._health = health
+        self._send = send
+        self._unreachable = unreachable
+        self._next_probe_s = first_probe_s
+        self._sequence = 0
+        self._probe: _Probe | None = None
+        self._relays: dict[int, _Relay] = {}
+
+    def tick(self, now_s: float) -> None:
+        """Takes the steps that are due."""
+        self._end_relays(now_s)
+        if self._probe is not None:
+            self._follow_up(self._probe, now_s)
+        if self._probe is None and now_s >= self._next_probe_s:
+            self._begin(now_s)
+
+    def extend(self, pause_s: float) -> None:
+        """Moves all deadlines on by a time in which nothing was heard."""
+        self._next_probe_s += pause_s
+        if self._probe is not None:
+            self._probe.started_s += pause_s
+        for relay in self._relays.values():
+            relay.deadline_s += pause_s
+
+    def ping(self, target: ids.PeerAddress) -> None:
+        """Sends a ping whose outcome proves nothing against `target`."""
+        self._send(wire.DatagramKind.PING, target, self._next_sequence())
+
+    def acked(self, sequence: int) -> None:
+        """Notes an answer to a ping of this node or of one it helps."""
+        probe = self._probe
+        if probe is not None and probe.sequence == sequence:
+            self._probe = None
+            self._health.probe_answered()
+            return
+        relay = self._relays.pop(sequence, None)
+        if relay is not None:
+            self._send(
+                wire.DatagramKind.ACK,
+                relay.requester,
+                relay.sequence,
+                relay.target,
+            )
+
+    def nacked(self, sequence: int, helper: ids.PeerAddress) -> None:
+        """Notes that a helper did not reach the target either."""
+        probe = self._probe
+        if probe is not None and probe.sequence == sequence:
+            probe.nacks.add(helper)
+
+    def help(
+        self,
+        requester: ids.PeerAddress,
+        sequence: int,
+        target: ids.PeerAddress,
+        now_s: float,
+    ) -> None:
+        """Probes `target` for another node."""
+        own_sequence = self._next_sequence()
+        self._relays[own_sequence] = _Relay(
+            requester, sequence, target, now_s + RELAY_TIMEOUT_S
+        )
+        self._send(wire.DatagramKind.PING, target, own_sequence)
+
+    def _begin(self, now_s: float) -> None:
+        self._next_probe_s = now_s + PROBE_PERIOD_S * self._health.multiplier
+        target = self._targets.next()
+        if target is None:
+            return
+        self._probe = _Probe(target, self._next_sequence(), now_s)
+        self._send(wire.DatagramKind.PING, target, self._probe.sequence)
+
+    def _follow_up(self, probe: _Probe, now_s: float) -> None:
+        waited_s = (now_s - probe.started_s) / self._health.multiplier
+        if probe.asked is None and waited_s >= DIRECT_TIMEOUT_S:
+            probe.asked = frozenset(
+                self._targets.helpers(probe.target, HELPERS)
+            )
+            for helper in probe.asked:
+                self._send(
+                    wire.DatagramKind.PING_REQUEST,
+                    helper,
+                    probe.sequence,
+                    probe.target,
+                )
+        if waited_s >= PROBE_PERIOD_S:
+            self._probe = None
+            if probe.asked and not probe.asked <= probe.nacks:
+                # Helpers are silent as well: the fault may be here.
+                self._health.weakened()
+            self._unreachable(probe.target)
+
+    def _end_relays(self, now_s: float) -> None:
+        if not self._relays:
+            return
+        late = [
+            sequence
+            for sequence, relay in self._relays.items()
+            if relay.deadline_s <= now_s
+        ]
+        for sequence in late:
+            relay = self._relays.pop(sequence)
+            self._send(
+                wire.DatagramKind.NACK,
+                relay.requester,
+                relay.sequence,
+                relay.target,
+            )
+
+    def _next_sequence(self) -> int:
+        self._sequence = (self._sequence + 1) & 0x7FFFFFFF
+        return self._sequence
--- /dev/null
+++ b/src/cyclamendale/membership/protocol.py
@@ -0,0 +1,344 @@
+"""The membership protocol: SWIM with Lifeguard's local health.
+
+Each node probes one member a period, directly and then through helpers. A
+member that does not answer is suspected, and declared dead unless it
+refutes by raising its incarnation. Changes of entries ride on the probes
+and, while there is news, on datagrams of their own.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+import random
+from typing import Any
+
+from cyclamendale import clocks
+from cyclamendale import ids
+from cyclamendale.membership import directory
+from cyclamendale.membership import dissemination
+from cyclamendale.membership import link
+from cyclamendale.membership import local_health
+from cyclamendale.membership import member_list
+from cyclamendale.membership import probe_targets
+from cyclamendale.membership import prober
+from cyclamendale.membership import suspicion
+from cyclamendale.membership import update_rules
+from cyclamendale.membership import wire
+from cyclamendale.peer.generated.membership import ttypes
+
+TICK_S = 0.2
+"""Time between two calls of `Protocol.tick`."""
+PAUSE_S = 0.4
+"""Delay of a tick from which on it counts as a pause of this process."""
+GOSSIP_FANOUT = 3
+"""Members told in each tick while there is news."""
+CONTACTS_PER_TICK = 4
+DEAD_RETRY_S = 10.0
+"""Mean time between two pings of some dead member."""
+SETTLED_S = 5.0
+"""Time without a change after which digests should agree."""
+SYNC_INTERVAL_S = 5.0
+UNSETTLED_SYNC_INTERVAL_S = 60.0
+RETENTION_S = 24 * 3600.0
+"""Time for which dead and left members are remembered."""
+FORGET_INTERVAL_S = 60.0
+RECENT_UPDATES = 256
+"""Updates in each of the two halves of the memory of applied ones."""
+_HEADER_BYTES = 112
+"""Room for the MAC and the fields of fixed size of a datagram."""
+
+_Kind = wire.DatagramKind
+
+
+class Protocol:
+    """The protocol's state on one node.
+
+    Attributes:
+        members: The members known.
+        health: The node's view of its own health.
+        undecodable: Count of entries received that could not be decoded.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        rng: random.Random,
+        own: directory.Member,
+        sender: link.DatagramSender,
+        diverged: Callable[[ids.PeerAddress], None],
+    ) -> None:
+        """Creates the state of a node that knows only itself.
+
+        Args:
+            clock: Time source.
+            rng: Random source.
+            own: The node's own entry.
+            sender: Sends datagrams.
+            diverged: Called with a member whose state differs from the
+                own one, so that the two should be synchronised.
+        """
+        now_s = clock.now_s()
+        self._clock = clock
+        self._rng = rng
+        self._sender = sender
+        self._diverged = diverged
+        self.members = member_list.Membership(own, now_s)
+        self.health = local_health.LocalHealth()
+        self.undecodable = 0
+        self._queue = dissemination.UpdateQueue()
+        self._suspicions = suspicion.Suspicions(prober.PROBE_PERIOD_S)
+        self._targets = probe_targets.ProbeTargets(self.members, rng)
+        self._rules = update_rules.UpdateRules(
+            self.members, self._suspicions, self._queue, self.health
+        )
+        self._prober = prober.Prober(
+            self._targets,
+            self.health,
+            self._send,
+            self._unreachable,
+            now_s + rng.random() * prober.PROBE_PERIOD_S,
+        )
+        self._recent = _RecentUpdates()
+        self._ticked_s = now_s
+        self._retry_dead_s = now_s + rng.random() * DEAD_RETRY_S
+        self._forget_s = now_s + FORGET_INTERVAL_S
+        self._synced_s = now_s - UNSETTLED_SYNC_INTERVAL_S
+        self._queue.put(own.address, self._record(own.address).encoded, now_s)
+
+    def tick(self) -> None:
+        """Takes the steps that are due; called every `TICK_S`."""
+        now_s = self._clock.now_s()
+        self._notice_pause(now_s)
+        self._gossip(now_s)
+        if self.members.own().state is directory.MemberState.LEFT:
+            return
+        self._prober.tick(now_s)
+        for address in self._suspicions.expired(now_s):
+            self._rules.declare_dead(address, now_s)
+        self._tell_contacts()
+        self._retry_dead(now_s)
+        self._forget_old(now_s)
+
+    def receive(self, datagram: Any) -> None:
+        """Handles an authentic, fresh `MembershipDatagram`."""
+        now_s = self._clock.now_s()
+        sender = ids.NodeId(datagram.sender)
+        address = ids.address_of(sender)
+        record = self.members.record(address)
+        if record is not None and record.member.node != sender:
+            # Another process has the address: one of the two is over.
+            self._send(_Kind.GOSSIP, address, 0, first=[record.encoded])
+        disputes_self = False
+        for encoded in datagram.updates or ():
+            disputes_self |= self._take_update(encoded, now_s)
+        kind = datagram.kind
+        if kind == _Kind.PING:
+            self._send(_Kind.ACK, address, datagram.sequence)
+        elif kind == _Kind.ACK:
+            self._prober.acked(datagram.sequence)
+            self._compare_digests(datagram, address, now_s)
+        elif kind == _Kind.NACK:
+            self._prober.nacked(datagram.sequence, address)
+        elif kind == _Kind.PING_REQUEST and datagram.target:
+            self._prober.help(
+                address,
+                datagram.sequence,
+                ids.PeerAddress(datagram.target),
+                now_s,
+            )
+        if disputes_self and kind != _Kind.GOSSIP:
+            self._tell_own_entry(address)
+
+    def set_upstream(self, upstream: directory.Announcement | None) -> None:
+        """Changes what the own entry says of the upstream."""
+        if self.members.own().upstream != upstream:
+            self._rules.change_own(self._clock.now_s(), upstream=upstream)
+
+    def set_leaving(self) -> None:
+        """Says in the own entry that the node takes no new work."""
+        if not self.members.own().leaving:
+            self._rules.change_own(self._clock.now_s(), leaving=True)
+
+    def leave(self) -> None:
+        """Says that the node is gone; ticks go on spreading that."""
+        left = directory.MemberState.LEFT
+        if self.members.own().state is not left:
+            self._rules.change_own(self._clock.now_s(), state=left)
+
+    def apply_synced(self, updates: Iterable[bytes]) -> None:
+        """Applies entries of another node's whole state."""
+        now_s = self._clock.now_s()
+        for encoded in updates:
+            decoded = wire.decode_update(encoded)
+            if decoded.is_error():
+                self.undecodable += 1
+                continue
+            self._rules.apply(decoded.ok, update_rules.Origin.SYNC, now_s)
+
+    def apply_joined(self, encoded: bytes) -> ids.PeerAddress | None:
+        """Applies the own entry of a node that joins, and spreads it.
+
+        Returns:
+            The address of that node, or None for a malformed entry.
+        """
+        decoded = wire.decode_update(encoded)
+        if decoded.is_error():
+            self.undecodable += 1
+            return None
+        self._rules.apply(
+            decoded.ok, update_rules.Origin.NEWS, self._clock.now_s()
+        )
+        return decoded.ok.member.address
+
+    def _take_update(self, encoded: bytes, now_s: float) -> bool:
+        if encoded in self._recent:
+            return False
+        decoded = wire.decode_update(encoded)
+        if decoded.is_error():
+            self.undecodable += 1
+            return False
+        update = decoded.ok
+        self._rules.apply(update, update_rules.Origin.NEWS, now_s)
+        own = self.members.own()
+        member = update.member
+        if member.address != own.address:
+            self._recent.add(encoded)
+            return False
+        return member.node != own.node or member.state is not own.state
+
+    def _notice_pause(self, now_s: float) -> None:
+        late_s = now_s - self._ticked_s - TICK_S
+        self._ticked_s = now_s
+        if late_s > PAUSE_S:
+            # Answers may wait unread; nobody is blamed for this time.
+            self._prober.extend(late_s)
+            self._suspicions.extend(late_s)
+            self.health.weakened()
+
+    def _gossip(self, now_s: float) -> None:
+        if not self._queue:
+            return
+        for address in self._targets.sample(GOSSIP_FANOUT):
+            if self._queue:
+                self._send(_Kind.GOSSIP, address, 0)
+
+    def _tell_contacts(self) -> None:
+        contacts = self._rules.contacts
+        for _ in range(min(CONTACTS_PER_TICK, len(contacts))):
+            address, _ = contacts.popitem(last=False)
+            self._prober.ping(address)
+
+    def _retry_dead(self, now_s: float) -> None:
+        if now_s < self._retry_dead_s:
+            return
+        self._retry_dead_s = now_s + DEAD_RETRY_S * (0.5 + self._rng.random())
+        dead = [
+            record.member.address
+            for record in self.members.records()
+            if record.member.state is directory.MemberState.DEAD
+        ]
+        if dead:
+            self._prober.ping(self._rng.choice(dead))
+
+    def _forget_old(self, now_s: float) -> None:
+        if now_s < self._forget_s:
+            return
+        self._forget_s = now_s + FORGET_INTERVAL_S
+        old = [
+            record.member.address
+            for record in self.members.records()
+            if not member_list.is_live(record.member)
+            and now_s - record.changed_s > RETENTION_S
+        ]
+        for address in old:
+            self.members.forget(address)
+
+    def _unreachable(self, address: ids.PeerAddress) -> None:
+        self._rules.accuse(address, self._clock.now_s())
+
+    def _compare_digests(
+        self, datagram: Any, address: ids.PeerAddress, now_s: float
+    ) -> None:
+        if datagram.digest == _signed(self.members.digest):
+            return
+        settled = datagram.settled and self._is_settled(now_s)
+        interval_s = SYNC_INTERVAL_S if settled else UNSETTLED_SYNC_INTERVAL_S
+        if now_s - self._synced_s >= interval_s:
+            self._synced_s = now_s
+            self._diverged(address)
+
+    def _is_settled(self, now_s: float) -> bool:
+        return now_s - self.members.digest_changed_s >= SETTLED_S
+
+    def _tell_own_entry(self, receiver: ids.PeerAddress) -> None:
+        own = self._record(self.members.own().address)
+        self._send(_Kind.GOSSIP, receiver, 0, first=[own.encoded])
+
+    def _record(self, address: ids.PeerAddress) -> member_list.Record:
+        record = self.members.record(address)
+        assert record is not None  # The own entry is never forgotten.
+        return record
+
+    def _send(
+        self,
+        kind: wire.DatagramKind,
+        receiver: ids.PeerAddress,
+        sequence: int,
+        target: ids.PeerAddress | None = None,
+        first: list[bytes] | None = None,
+    ) -> None:
+        now_s = self._clock.now_s()
+        own = self.members.own()
+        updates = first if first is not None else self._held_against(receiver)
+        room_bytes = wire.MAX_DATAGRAM_BYTES - _HEADER_BYTES - len(own.node)
+        room_bytes -= len(target or "") + sum(
+            len(update) + dissemination.UPDATE_OVERHEAD_BYTES
+            for update in updates
+        )
+        limit = dissemination.retransmit_limit(
+            len(self.members.live_addresses())
+        )
+        updates += self._queue.take(room_bytes, limit, now_s)
+        datagram = ttypes.MembershipDatagram(
+            kind=kind,
+            sender=own.node,
+            sequence=sequence,
+            target=target,
+            digest=_signed(self.members.digest),
+            settled=self._is_settled(now_s) or None,
+            updates=updates or None,
+        )
+        self._sender.send(receiver, datagram)
+
+    def _held_against(self, receiver: ids.PeerAddress) -> list[bytes]:
+        """Returns the receiver's entry if it would want to refute it."""
+        record = self.members.record(receiver)
+        if record is None:
+            return []
+        if record.member.state is directory.MemberState.ALIVE:
+            return []
+        return [record.encoded]
+
+
+class _RecentUpdates:
+    """Updates applied lately, so that repeats need no decoding."""
+
+    __slots__ = ("_newer", "_older")
+
+    def __init__(self) -> None:
+        self._newer: set[bytes] = set()
+        self._older: set[bytes] = set()
+
+    def __contains__(self, encoded: bytes) -> bool:
+        return encoded in self._newer or encoded in self._older
+
+    def add(self, encoded: bytes) -> None:
+        """Remembers an update; forgets the oldest half when full."""
+        if len(self._newer) >= RECENT_UPDATES:
+            self._older = self._newer
+            self._newer = set()
+        self._newer.add(encoded)
+
+
+def _signed(digest: int) -> int:
+    return digest - (1 << 64) if digest >= 1 << 63 else digest
--- /dev/null
+++ b/src/cyclamendale/membership/state_sync.py
@@ -0,0 +1,222 @@
+"""Exchange of whole member lists between two nodes, page by page."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Generator, Iterable, Iterator
+import struct
+from typing import Any, TypeAlias, TypeVar
+
+from expression import Ok
+from expression import Result
+from twisted.internet import defer
+
+from cyclamendale import ids
+from cyclamendale.membership import member_list
+from cyclamendale.membership import protocol as protocols
+from cyclamendale.peer import kinds
+from cyclamendale.peer import network as networks
+from cyclamendale.peer.generated.membership import ttypes
+
+_T = TypeVar("_T")
+_Steps: TypeAlias = Generator[defer.Deferred[Any], Any, _T]
+
+PAGE_ENTRIES = 50
+REQUEST_TIMEOUT_S = 3.0
+MAX_WAITING = 8
+"""Peers that wait to be synchronised with; more are left out."""
+_START = ""
+_END = "~"
+"""Sorts after every address, so that nothing is asked for."""
+_FINGERPRINT_BYTES = 8
+
+
+class StateSync:
+    """Joins and synchronises with other nodes, and answers theirs.
+
+    The requester sends the fingerprints of what it holds and receives the
+    entries that differ; then it sends the entries that the other lacks.
+
+    Attributes:
+        bytes_sent: Approximate bytes of entries and fingerprints sent.
+        failures: Count of runs that a request's failure ended.
+    """
+
+    def __init__(
+        self, protocol: protocols.Protocol, network: networks.PeerNetwork
+    ) -> None:
+        self._protocol = protocol
+        self._network = network
+        self._waiting: collections.OrderedDict[ids.PeerAddress, None] = (
+            collections.OrderedDict()
+        )
+        self._busy = False
+        self.bytes_sent = 0
+        self.failures = 0
+
+    def serve(self) -> None:
+        """Begins to answer the requests of others."""
+        self._network.serve(
+            kinds.MessageKind.MEMBERSHIP_JOIN,
+            ttypes.MembershipSyncRequest,
+            self.answer,
+        )
+
+    def answer(self, request: Any) -> Any:
+        """Returns the reply to a `MembershipSyncRequest`."""
+        requester = self._protocol.apply_joined(request.own)
+        self._protocol.apply_synced(request.pushed or ())
+        known = set(_unpack(request.known or b""))
+        page: list[bytes] = []
+        last = request.after
+        more = False
+        for record in self._records_after(request.after):
+            if not _is_wanted(record, known, requester):
+                continue
+            if len(page) == PAGE_ENTRIES:
+                more = True
+                break
+            page.append(record.encoded)
+            last = record.member.address
+        missing: Iterable[int] = ()
+        if request.after == _START:
+            held = {record.fingerprint for record in self._all_records()}
+            missing = known - held
+        reply = ttypes.MembershipSyncReply(
+            entries=page, more=more, last=last, missing=_pack(missing)
+        )
+        self._count(page, reply.missing)
+        return reply
+
+    def run(self, peer: ids.PeerAddress) -> None:
+        """Synchronises with the node at `peer`, after runs going on."""
+        if len(self._waiting) < MAX_WAITING:
+            self._waiting[peer] = None
+        self._run_next()
+
+    def _run_next(self) -> None:
+        if self._busy or not self._waiting:
+            return
+        self._busy = True
+        peer, _ = self._waiting.popitem(last=False)
+        self._synchronise(peer).addCallback(self._ran)
+
+    def _ran(self, result: Result[None, networks.PeerError]) -> None:
+        self._busy = False
+        if result.is_error():
+            self.failures += 1
+        self._run_next()
+
+    @defer.inlineCallbacks
+    def _synchronise(
+        self, peer: ids.PeerAddress
+    ) -> _Steps[Result[None, networks.PeerError]]:
+        pulled = yield self._pull(peer)
+        if pulled.is_error():
+            return pulled
+        return (yield self._push(peer, pulled.ok))
+
+    @defer.inlineCallbacks
+    def _pull(
+        self, peer: ids.PeerAddress
+    ) -> _Steps[Result[set[int], networks.PeerError]]:
+        after = _START
+        missing = b""
+        more = True
+        is_newcomer = len(self._records_after(_START)) == 1
+        while more:
+            known = b""
+            if not is_newcomer:
+                known = _pack(
+                    record.fingerprint for record in self._records_after(after)
+                )
+            result = yield self._request(peer, after, known, [])
+            if result.is_error():
+                return result
+            reply = result.ok
+            self._protocol.apply_synced(reply.entries or ())
+            missing = missing or reply.missing or b""
+            more = bool(reply.more) and reply.last > after
+            after = reply.last
+        return Ok(set(_unpack(missing)))
+
+    @defer.inlineCallbacks
+    def _push(
+        self, peer: ids.PeerAddress, missing: set[int]
+    ) -> _Steps[Result[None, networks.PeerError]]:
+        wanted = [
+            record.encoded
+            for record in self._all_records()
+            if record.fingerprint in missing
+        ]
+        for start in range(0, len(wanted), PAGE_ENTRIES):
+            page = wanted[start : start + PAGE_ENTRIES]
+            result = yield self._request(peer, _END, b"", page)
+            if result.is_error():
+                return result
+        return Ok(None)
+
+    def _request(
+        self,
+        peer: ids.PeerAddress,
+        after: str,
+        known: bytes,
+        pushed: list[bytes],
+    ) -> defer.Deferred[Result[Any, networks.PeerError]]:
+        members = self._protocol.members
+        own = members.record(members.own().address)
+        assert own is not None  # The own entry is never forgotten.
+        self._count([own.encoded, *pushed], known)
+        return self._network.request(
+            peer,
+            kinds.MessageKind.MEMBERSHIP_JOIN,
+            ttypes.MembershipSyncRequest(
+                own=own.encoded, after=after, known=known, pushed=pushed
+            ),
+            ttypes.MembershipSyncReply,
+            REQUEST_TIMEOUT_S,
+        )
+
+    def _all_records(self) -> Iterator[member_list.Record]:
+        return self._protocol.members.records()
+
+    def _records_after(self, after: str) -> list[member_list.Record]:
+        return sorted(
+            (
+                record
+                for record in self._all_records()
+                if record.member.address > after
+            ),
+            key=lambda record: record.member.address,
+        )
+
+    def _count(self, entries: list[bytes], fingerprints: bytes) -> None:
+        self.bytes_sent += len(fingerprints) + sum(map(len, entries))
+
+
+def _is_wanted(
+    record: member_list.Record,
+    known: set[int],
+    requester: ids.PeerAddress | None,
+) -> bool:
+    if record.fingerprint in known:
+        return False
+    # Old deaths do not concern a newcomer, but for its own address's.
+    return (
+        bool(known)
+        or member_list.is_live(record.member)
+        or record.member.address == requester
+    )
+
+
+def _pack(fingerprints: Iterable[int]) -> bytes:
+    return b"".join(
+        fingerprint.to_bytes(_FINGERPRINT_BYTES, "big")
+        for fingerprint in fingerprints
+    )
+
+
+def _unpack(packed: bytes) -> Iterator[int]:
+    whole = len(packed) - len(packed) % _FINGERPRINT_BYTES
+    for (fingerprint,) in struct.iter_unpack(">Q", packed[:whole]):
+        yield fingerprint
--- /dev/null
+++ b/src/cyclamendale/membership/update_rules.py
@@ -0,0 +1,205 @@
+"""What a node makes of the entries that it hears of."""
+
+from __future__ import annotations
+
+import collections
+import enum
+
+import msgspec
+
+from cyclamendale import ids
+from cyclamendale.membership import directory
+from cyclamendale.membership import dissemination
+from cyclamendale.membership import local_health
+from cyclamendale.membership import member_list
+from cyclamendale.membership import suspicion
+from cyclamendale.membership import wire
+
+MAX_INCARNATION = 2**31 - 2
+"""Highest incarnation that can still be refuted on the wire."""
+
+_State = directory.MemberState
+
+
+class Origin(enum.Enum):
+    """How an entry came here."""
+
+    NEWS = "news"
+    """Spreading right now; passed on."""
+    SYNC = "sync"
+    """From another node's whole state; may be old."""
+
+
+class UpdateRules:
+    """Applies entries to the member list and queues what is news.
+
+    Attributes:
+        contacts: Members to be told what is held of them, because two
+            nodes disagree on whether they are dead.
+    """
+
+    def __init__(
+        self,
+        members: member_list.Membership,
+        suspicions: suspicion.Suspicions,
+        queue: dissemination.UpdateQueue,
+        health: local_health.LocalHealth,
+    ) -> None:
+        self._members = members
+        self._suspicions = suspicions
+        self._queue = queue
+        self._health = health
+        self._own_node = members.own().node
+        self.contacts: collections.OrderedDict[ids.PeerAddress, None] = (
+            collections.OrderedDict()
+        )
+
+    def apply(
+        self, update: wire.Update, origin: Origin, now_s: float
+    ) -> member_list.Comparison:
+        """Applies one entry.
+
+        Args:
+            update: The entry.
+            origin: How it came here.
+            now_s: Clock time.
+
+        Returns:
+            How it related to what was held before.
+        """
+        member = update.member
+        if member.incarnation > MAX_INCARNATION:
+            return member_list.Comparison.OLDER
+        record = self._members.record(member.address)
+        held = record.member if record else None
+        comparison = member_list.compare(member, held)
+        if member.address == self._members.own().address:
+            self._about_self(member, now_s)
+        elif comparison is member_list.Comparison.NEWER:
+            self._newer(update, held, origin, now_s)
+        elif member.state is _State.SUSPECT and held == member:
+            self._accuse(member, update.accuser, origin, now_s)
+        elif origin is Origin.SYNC and held is not None:
+            self._note_dispute(member, held)
+        return comparison
+
+    def change_own(self, now_s: float, **changes: object) -> None:
+        """Changes the own entry and raises its incarnation."""
+        own = self._members.own()
+        changes.setdefault("incarnation", own.incarnation + 1)
+        self._take(msgspec.structs.replace(own, **changes), None, True, now_s)
+
+    def accuse(self, address: ids.PeerAddress, now_s: float) -> None:
+        """Suspects a member that this node itself could not reach."""
+        record = self._members.record(address)
+        if record is not None and member_list.is_live(record.member):
+            suspect = member_list.with_state(record.member, _State.SUSPECT)
+            self._accuse(suspect, self._own_node, Origin.NEWS, now_s)
+
+    def declare_dead(self, address: ids.PeerAddress, now_s: float) -> None:
+        """Declares a member dead whose suspicion was not refuted."""
+        record = self._members.record(address)
+        if record is not None and record.member.state is _State.SUSPECT:
+            dead = member_list.with_state(record.member, _State.DEAD)
+            self._take(dead, None, True, now_s)
+
+    def _newer(
+        self,
+        update: wire.Update,
+        held: directory.Member | None,
+        origin: Origin,
+        now_s: float,
+    ) -> None:
+        member = update.member
+        if member.state is _State.SUSPECT:
+            self._accuse(member, update.accuser, origin, now_s)
+            return
+        if member.state is _State.DEAD and self._may_refute(
+            member, held, now_s
+        ):
+            # Nobody is taken as dead without time to refute it.
+            suspect = member_list.with_state(member, _State.SUSPECT)
+            self._accuse(suspect, update.accuser, origin, now_s)
+            if origin is Origin.SYNC:
+                self.contacts[member.address] = None
+            return
+        self._suspicions.end(member.address)
+        self._take(member, None, origin is Origin.NEWS, now_s)
+
+    def _may_refute(
+        self,
+        dead: directory.Member,
+        held: directory.Member | None,
+        now_s: float,
+    ) -> bool:
+        if held is None or not member_list.is_live(held):
+            return False
+        was_suspect = (held.node, held.incarnation, held.state) == (
+            dead.node,
+            dead.incarnation,
+            _State.SUSPECT,
+        )
+        return not was_suspect or not self._suspicions.has_run(
+            dead.address, len(self._members.live_addresses()), now_s
+        )
+
+    def _accuse(
+        self,
+        suspect: directory.Member,
+        accuser: ids.NodeId | None,
+        origin: Origin,
+        now_s: float,
+    ) -> None:
+        record = self._members.record(suspect.address)
+        if record is None or record.member != suspect:
+            self._suspicions.end(suspect.address)
+        is_news = self._suspicions.accuse(
+            suspect.address,
+            accuser,
+            len(self._members.live_addresses()),
+            now_s,
+        )
+        if is_news:
+            self._take(suspect, accuser, origin is Origin.NEWS, now_s)
+
+    def _about_self(self, member: directory.Member, now_s: float) -> None:
+        own = self._members.own()
+        if member.incarnation < own.incarnation or member == own:
+            return
+        agrees = member.node == own.node and member.state is own.state
+        if agrees and member.incarnation == own.incarnation:
+            return
+        if member.node == own.node and member.state is not _State.ALIVE:
+            self._health.weakened()
+        self.change_own(now_s, incarnation=member.incarnation + 1)
+
+    def _note_dispute(
+        self, member: directory.Member, held: directory.Member
+    ) -> None:
+        is_same = (member.node, member.incarnation) == (
+            held.node,
+            held.incarnation,
+        )
+        if (
+            is_same
+            and held.state is _State.DEAD
+            and member_list.is_live(member)
+        ):
+            self.contacts[member.address] = None
+
+    def _take(
+        self,
+        member: directory.Member,
+        accuser: ids.NodeId | None,
+        spread: bool,
+        now_s: float,
+    ) -> None:
+        record = self._members.record(member.address)
+        if record is None or record.member != member:
+            record = self._members.put(member, now_s)
+        if not spread:
+            return
+        encoded = record.encoded
+        if accuser is not None:
+            encoded = wire.encode_update(wire.Update(member, accuser))
+        self._queue.put(member.address, encoded, now_s)
--- /dev/null
+++ b/tests/support/fake_members.py
@@ -0,0 +1,230 @@
+"""Members on a virtual clock, with datagrams in memory and faults."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+
+from cyclamendale import clocks
+from cyclamendale import ids
+from cyclamendale.membership import datagram_auth
+from cyclamendale.membership import directory
+from cyclamendale.membership import link
+from cyclamendale.membership import protocol as protocols
+from cyclamendale.membership import state_sync
+from tests.support import fake_network
+
+SECRET = b"fleet secret of the tests"
+
+
+class VirtualReactor:
+    """`IReactorTime` for many calls; `task.Clock` sorts on each."""
+
+    def __init__(self):
+        self._now_s = 0.0
+        self._count = itertools.count()
+        self._heap = []
+
+    def seconds(self):
+        return self._now_s
+
+    def callLater(self, delay, callable, *args):
+        call = _Call(callable, args)
+        entry = (self._now_s + delay, next(self._count), call)
+        heapq.heappush(self._heap, entry)
+        return call
+
+    def advance(self, duration_s):
+        end_s = self._now_s + duration_s
+        while self._heap and self._heap[0][0] <= end_s:
+            self._now_s, _, call = heapq.heappop(self._heap)
+            call.run()
+        self._now_s = end_s
+
+
+class _Call:
+    __slots__ = ("args", "function")
+
+    def __init__(self, function, args):
+        self.function = function
+        self.args = args
+
+    def cancel(self):
+        self.function = None
+
+    def active(self):
+        return self.function is not None
+
+    def run(self):
+        function, self.function = self.function, None
+        if function is not None:
+            function(*self.args)
+
+
+class FakeMember:
+    """One node process: protocol, link and synchronisation."""
+
+    def __init__(self, cluster, own):
+        self.cluster = cluster
+        self.address = own.address
+        self.domain = own.failure_domain
+        self.paused = False
+        self.running = True
+        self._unread = []
+        rng = random.Random(cluster.rng.random())
+        self.link = link.AuthenticatedLink(
+            own.node,
+            datagram_auth.Authenticator(
+                SECRET, own.address, lambda: rng.getrandbits(62) + 1
+            ),
+            lambda receiver, data: cluster.carry(self, receiver, data),
+        )
+        peer = cluster.network.peer(own.address)
+        self.protocol = protocols.Protocol(
+            cluster.clock, rng, own, self.link, lambda p: self.sync.run(p)
+        )
+        self.sync = state_sync.StateSync(self.protocol, peer)
+        self.sync.serve()
+        cluster.clock.call_later(rng.random() * protocols.TICK_S, self._tick)
+
+    @property
+    def members(self):
+        return self.protocol.members
+
+    def view(self):
+        """What this member holds of the live ones."""
+        return {
+            member.address: (member.node, member.incarnation, member.upstream)
+            for member in self.members.members()
+        }
+
+    def receive(self, data):
+        if self.paused:
+            self._unread.append(data)
+            return
+        datagram = self.link.open(data)
+        if datagram is not None:
+            self.protocol.receive(datagram)
+
+    def resume(self):
+        self.paused = False
+        self.protocol.tick()
+        unread, self._unread = self._unread, []
+        for data in unread:
+            self.receive(data)
+
+    def _tick(self):
+        if not self.running:
+            return
+        self.cluster.clock.call_later(protocols.TICK_S, self._tick)
+        if not self.paused:
+            self.protocol.tick()
+
+
+class FakeCluster:
+    """Members and the network between them.
+
+    Attributes:
+        loss: Probability that a datagram is lost.
+        duplication: Probability that a datagram arrives twice.
+        max_delay_s: Longest delay of a datagram.
+        cuts: Pairs of failure domains between which nothing passes.
+    """
+
+    member_type = FakeMember
+
+    def __init__(self, seed=1):
+        self.rng = random.Random(seed)
+        self.reactor = VirtualReactor()
+        self.clock = clocks.ReactorClock(self.reactor)
+        self.network = fake_network.FakeNetwork(self.clock)
+        self.network.lose = self._is_request_lost
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.max_delay_s = 0.003
+        self.cuts = set()
+        self.running = {}
+        self._domains = {}
+        self._processes = itertools.count()
+
+    def run(self, duration_s):
+        self.reactor.advance(duration_s)
+
+    def add(self, address, domain, upstream=None):
+        """Starts a process; it knows nobody yet."""
+        node = ids.NodeId(f"{address}#{next(self._processes):06x}")
+        own = directory.Member(
+            node=node,
+            address=ids.PeerAddress(address),
+            failure_domain=ids.FailureDomainName(domain),
+            incarnation=1,
+            upstream=upstream,
+        )
+        self._domains[address] = domain
+        member = self.running[address] = self.member_type(self, own)
+        return member
+
+    def crash(self, member):
+        member.running = False
+        del self.running[member.address]
+        del self.network.peers[member.address]
+
+    def carry(self, sender, receiver, data):
+        """Carries one datagram, unless it is lost."""
+        if not sender.running or self.rng.random() < self.loss:
+            return
+        if self._is_cut(sender.address, receiver):
+            return
+        copies = 2 if self.rng.random() < self.duplication else 1
+        for _ in range(copies):
+            delay_s = 0.0005 + self.rng.random() * self.max_delay_s
+            self.clock.call_later(delay_s, self._deliver, receiver, data)
+
+    def agrees(self, members=None):
+        """Whether all, or these, know exactly each other."""
+        chosen = list(members or self.running.values())
+        truth = {
+            member.address: member.view()[member.address] for member in chosen
+        }
+        return all(member.view() == truth for member in chosen)
+
+    def _deliver(self, receiver, data):
+        member = self.running.get(receiver)
+        if member is not None:
+            member.receive(data)
+
+    def _is_cut(self, one, other):
+        if not self.cuts:
+            return False
+        pair = (self._domains.get(one), self._domains.get(other))
+        return pair in self.cuts or pair[::-1] in self.cuts
+
+    def _is_request_lost(self, source, target, kind, is_reply):
+        ends = [self.running.get(source), self.running.get(target)]
+        stopped = any(end is None or end.paused for end in ends)
+        return stopped or self._is_cut(source, target)
+
+
+def announcement(service="orders", state=directory.UpstreamState.READY):
+    """What a stand-in upstream announces."""
+    return directory.Announcement(
+        service=ids.ServiceName(service),
+        address="127.0.0.1:8080",
+        slots=8,
+        connections=100,
+        state=state,
+    )
+
+
+def make_cluster(domains, per_domain, seed=1, upstream=None):
+    """Starts members that all joined through the first one."""
+    cluster = FakeCluster(seed)
+    for number in range(per_domain * len(domains)):
+        address = f"10.0.{number // 250}.{number % 250}:700"
+        member = cluster.add(address, domains[number % len(domains)], upstream)
+        if number:
+            first = next(iter(cluster.running))
+            member.sync.run(ids.PeerAddress(first))
+            cluster.run(0.01)
+    return cluster
