--- /dev/null
+++ b/src/cyclamendale/cli/application.py
@@ -0,0 +1,90 @@
+"""The program `cyclamendale`."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import importlib.metadata
+import os
+import sys
+
+from cleo import application
+from cleo import exceptions
+from cleo.io.inputs.input import Input
+from cleo.io.outputs.output import Output
+
+from cyclamendale.cli import base
+from cyclamendale.cli import change_commands
+from cyclamendale.cli import exit_codes
+from cyclamendale.cli import local_commands
+from cyclamendale.cli import node_commands
+from cyclamendale.cli import reactor_services
+
+PROGRAM = "cyclamendale"
+
+COMMANDS: tuple[type[base.OperatorCommand], ...] = (
+    local_commands.CheckCommand,
+    local_commands.DigestCommand,
+    change_commands.PutCommand,
+    change_commands.RemoveCommand,
+    change_commands.WithdrawCommand,
+    change_commands.HistoryCommand,
+    node_commands.ExplainCommand,
+    node_commands.StatusCommand,
+    node_commands.TimelineCommand,
+)
+
+
+class OperatorApplication(application.Application):
+    """Cleo application with an exit code of its own for usage."""
+
+    def run(
+        self,
+        input: Input | None = None,
+        output: Output | None = None,
+        error_output: Output | None = None,
+    ) -> int:
+        """Runs one command; returns its exit code."""
+        io = self.create_io(input, output, error_output)
+        try:
+            return super().run(io.input, io.output, io.error_output)
+        except exceptions.CleoError as error:
+            self.render_error(error, io)
+            return exit_codes.ExitCode.USAGE
+        except Exception as error:
+            self.render_error(error, io)
+            return exit_codes.ExitCode.DEFECT
+
+
+def make_application(
+    make_services: base.MakeServices, environment: Mapping[str, str]
+) -> application.Application:
+    """Returns the application with all its commands.
+
+    Args:
+        make_services: Called by commands that need a node, the platform
+            or a clock.
+        environment: Environment variables.
+    """
+    made = OperatorApplication(PROGRAM, _version())
+    made.auto_exits(False)
+    made.catch_exceptions(False)
+    for command in COMMANDS:
+        made.add(command(make_services, environment))
+    return made
+
+
+def _version() -> str:
+    try:
+        return importlib.metadata.version(PROGRAM)
+    except importlib.metadata.PackageNotFoundError:
+        return "unknown"
+
+
+def main() -> None:
+    """Runs the command line and exits with its code."""
+    made = make_application(reactor_services.make_services, os.environ)
+    sys.exit(made.run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/cyclamendale/cli/arguments.py
@@ -0,0 +1,103 @@
+"""Conversion of command-line arguments to their types."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import datetime
+import re
+from typing import Any
+import urllib.parse
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from cyclamendale.cli import faults
+
+NODE_VARIABLE = "CYCLAMENDALE_NODE_URL"
+PLATFORM_VARIABLE = "CYCLAMENDALE_PLATFORM_URL"
+WRITER_VARIABLE = "CYCLAMENDALE_WRITER"
+DEFAULT_NODE_URL = "http://127.0.0.1:8082"
+
+MAX_DIGITS = 18
+
+_AGO = re.compile(r"([0-9]{1,9})([smhd])")
+_UNIT_S = {"s": 1, "m": 60, "h": 3600, "d": 86_400}
+_WORD = re.compile(r"[!-~][ -~]{0,63}")
+
+Converted = Result[Any, faults.Fault]
+
+
+def malformed(name: str, value: str, allowed: str) -> Converted:
+    """Returns the fault of an argument that cannot be understood."""
+    problem = faults.ArgumentProblem.MALFORMED
+    return Error(faults.WrongArgument(name, problem, value, allowed))
+
+
+def missing(name: str, allowed: str) -> Converted:
+    """Returns the fault of an argument that is not given."""
+    problem = faults.ArgumentProblem.MISSING
+    return Error(faults.WrongArgument(name, problem, allowed=allowed))
+
+
+def to_url(name: str, text: str) -> Converted:
+    """Checks the URL of a node or of the platform."""
+    allowed = "a URL like http://IP:PORT"
+    try:
+        parts = urllib.parse.urlsplit(text)
+        good = parts.scheme == "http" and parts.hostname and parts.port != 0
+    except ValueError:
+        return malformed(name, text, allowed)
+    if not good or parts.username or parts.query or parts.fragment:
+        return malformed(name, text, allowed)
+    return Ok(text.rstrip("/"))
+
+
+def to_number(minimum: int, maximum: int) -> Callable[[str, str], Converted]:
+    """Returns a converter of whole numbers within bounds."""
+
+    def convert(name: str, text: str) -> Converted:
+        good = text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+        if not good or not minimum <= int(text) <= maximum:
+            return malformed(name, text, f"a number, {minimum} to {maximum}")
+        return Ok(int(text))
+
+    return convert
+
+
+def to_word(name: str, text: str) -> Converted:
+    """Checks a short printable text, such as an operator's name."""
+    if not _WORD.fullmatch(text):
+        return malformed(name, text, "up to 64 printable characters")
+    return Ok(text)
+
+
+def to_since_ms(name: str, text: str, now_s: float) -> Converted:
+    """Converts a time ago, such as 90s, or an ISO 8601 time.
+
+    Args:
+        name: The argument.
+        text: What was given.
+        now_s: Seconds since the epoch.
+    """
+    ago = _AGO.fullmatch(text)
+    if ago:
+        seconds = int(ago.group(1)) * _UNIT_S[ago.group(2)]
+        return Ok(max(0, int((now_s - seconds) * 1000)))
+    try:
+        moment = datetime.datetime.fromisoformat(text)
+        if moment.tzinfo is None:
+            moment = moment.replace(tzinfo=datetime.UTC)
+        return Ok(max(0, int(moment.timestamp() * 1000)))
+    except (ValueError, OverflowError):
+        return malformed(
+            name, text, "a time ago (90s, 5m, 2h, 1d) or an ISO 8601 time"
+        )
+
+
+def to_entry(name: str, text: str) -> Converted:
+    """Splits `kind/name`."""
+    kind, slash, entry = text.partition("/")
+    if not (kind and slash and entry):
+        return malformed(name, text, "kind/name, such as customer/masons")
+    return Ok((kind, entry))
--- /dev/null
+++ b/src/cyclamendale/cli/base.py
@@ -0,0 +1,160 @@
+"""Base class of the commands."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Callable, Mapping
+from typing import Any, ClassVar, TypeAlias
+
+from cleo.commands import command
+from cleo.helpers import option
+from cleo.io.inputs.option import Option
+from cleo.io.io import IO
+from cleo.io.outputs.output import Type
+from cleo.io.outputs.output import Verbosity
+from expression import Result
+import msgspec
+from twisted.internet import defer
+
+from cyclamendale.cli import arguments
+from cyclamendale.cli import exit_codes
+from cyclamendale.cli import faults
+from cyclamendale.cli import reports
+from cyclamendale.cli import services
+
+Outcome: TypeAlias = Result[reports.Report, faults.Fault]
+MakeServices: TypeAlias = Callable[[], services.Services]
+
+JSON_OPTION = option("json", description="Print one JSON document.")
+NODE_OPTION = option(
+    "node",
+    description="URL of a node's control listener "
+    f"(variable {arguments.NODE_VARIABLE}).",
+    flag=False,
+)
+PLATFORM_OPTION = option(
+    "platform",
+    description="URL of the platform "
+    f"(variable {arguments.PLATFORM_VARIABLE}).",
+    flag=False,
+)
+
+
+class OperatorCommand(command.Command, abc.ABC):
+    """A command that ends with a report or a typed fault."""
+
+    own_options: ClassVar[list[Option]] = []
+
+    def __init__(
+        self, make_services: MakeServices, environment: Mapping[str, str]
+    ) -> None:
+        self.make_services = make_services
+        self._environment = environment
+        super().__init__()
+
+    def configure(self) -> None:
+        """Declares the command's options."""
+        super().configure()
+        for own in (*self.own_options, JSON_OPTION):
+            self._definition.add_option(own)
+
+    @abc.abstractmethod
+    def outcome(self) -> Outcome:
+        """Does the work."""
+
+    def execute(self, io: IO) -> int:
+        """Runs the command; called by cleo."""
+        self._io = io
+        try:
+            return self.handle()
+        except KeyboardInterrupt:
+            return exit_codes.ExitCode.INTERRUPTED
+
+    def handle(self) -> int:
+        """Does the work and prints its outcome."""
+        outcome = self.outcome()
+        if outcome.is_ok():
+            self._print(outcome.ok, is_fault=False)
+            return outcome.ok.exit_code
+        self._print(outcome.error, is_fault=True)
+        return outcome.error.exit_code
+
+    def _print(
+        self, result: reports.Report | faults.Fault, is_fault: bool
+    ) -> None:
+        if self.option("json"):
+            document = msgspec.json.encode(result).decode()
+            self._io.write_line(document, type=Type.RAW)
+            return
+        for line in result.lines():
+            if is_fault:
+                self._io.write_error_line(
+                    _printable(line), Verbosity.QUIET, Type.RAW
+                )
+            else:
+                self._io.write_line(_printable(line), type=Type.RAW)
+
+    def given(
+        self,
+        name: str,
+        convert: Callable[[str, str], arguments.Converted],
+        variable: str | None = None,
+        default: Any = None,
+    ) -> arguments.Converted:
+        """Returns an option's value, converted.
+
+        Args:
+            name: The option.
+            convert: Called with the option as written and its text.
+            variable: Environment variable to look at when not given.
+            default: Result when neither is given.
+        """
+        text = self.option(name)
+        shown = f"--{name}"
+        if text is None and variable is not None:
+            text, shown = self._environment.get(variable) or None, variable
+        if text is None:
+            return arguments.Ok(default)
+        return convert(shown, text)
+
+    def node_url(self, default: str | None) -> arguments.Converted:
+        """Returns the URL of the node to ask."""
+        return self.given(
+            "node", arguments.to_url, arguments.NODE_VARIABLE, default
+        )
+
+    def platform_url(self) -> arguments.Converted:
+        """Returns the URL of the platform, which must be given."""
+        url = self.given(
+            "platform", arguments.to_url, arguments.PLATFORM_VARIABLE
+        )
+        if url.is_ok() and url.ok is None:
+            return arguments.missing(
+                "--platform", f"a URL, also in {arguments.PLATFORM_VARIABLE}"
+            )
+        return url
+
+
+def _printable(line: str) -> str:
+    # Events and files may carry control characters meant for a terminal.
+    return "".join(c if c.isprintable() else repr(c)[1:-1] for c in line)
+
+
+def ask_node(
+    asking: OperatorCommand,
+    question: Callable[[services.NodeClient], defer.Deferred[Any]],
+    world: services.Services | None = None,
+) -> Result[Any, faults.Fault]:
+    """Asks the node that the command line names.
+
+    Args:
+        asking: The command.
+        question: Asks the node.
+        world: Services to use, if the command made them already.
+    """
+    url = asking.node_url(arguments.DEFAULT_NODE_URL)
+    if url.is_error():
+        return url
+    world = world or asking.make_services()
+    client = world.node(url.ok)
+    return world.run(lambda: question(client))
--- /dev/null
+++ b/src/cyclamendale/cli/change_commands.py
@@ -0,0 +1,298 @@
+"""Commands that change the configuration or list its changes."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Coroutine, Generator
+import getpass
+import os
+import pathlib
+from typing import Any, ClassVar
+
+from cleo.helpers import argument
+from cleo.helpers import option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+from expression import effect
+from expression import Error
+from expression import Ok
+from expression import Result
+from twisted.internet import defer
+
+from cyclamendale import ids
+from cyclamendale.cli import arguments
+from cyclamendale.cli import base
+from cyclamendale.cli import changing
+from cyclamendale.cli import faults
+from cyclamendale.cli import local_commands
+from cyclamendale.cli import reports
+from cyclamendale.cli import services
+from cyclamendale.cli import withdrawal
+from cyclamendale.configuration import publisher as publishers
+from cyclamendale.intents import folder
+from cyclamendale.intents import keys
+from cyclamendale.intents import parse
+
+DEFAULT_WAIT_S = 15
+MAX_WAIT_S = 3600
+DEFAULT_HISTORY = 20
+MAX_HISTORY = 1000
+MAX_VERSION = 10**17
+
+_EXIT_CODES = (
+    "Exit codes: 0 accepted, 1 refused by the checks, 2 usage, 3 conflict, "
+    "4 platform unavailable (nothing changed), 5 outcome unknown, 7 not "
+    "known, 8 accepted but not known to be in force everywhere (only with "
+    "--node), 9 platform not readable."
+)
+
+
+_ONE_KEY = faults.WrongArgument(
+    "--key",
+    faults.ArgumentProblem.EXCLUSIVE,
+    allowed="--key-input, --key and --digest",
+)
+
+
+class ChangeCommand(base.OperatorCommand):
+    """A command that publishes a change."""
+
+    own_options: ClassVar[list[Option]] = [
+        base.PLATFORM_OPTION,
+        base.NODE_OPTION,
+        option(
+            "wait-s",
+            description="With --node: longest wait, in seconds, for the "
+            f"change to be in force everywhere (default {DEFAULT_WAIT_S}).",
+            flag=False,
+        ),
+        option(
+            "writer",
+            description="Name for the history (variable "
+            f"{arguments.WRITER_VARIABLE}; default is the login name).",
+            flag=False,
+        ),
+        option(
+            "base-version",
+            description="Version that the change was made from; a file "
+            "changed since is a conflict (default is the latest).",
+            flag=False,
+        ),
+        option(
+            "change-id",
+            description="Id of an earlier change, to repeat it safely.",
+            flag=False,
+        ),
+    ]
+
+    @abc.abstractmethod
+    def prepare(self) -> Result[Any, faults.Fault]:
+        """Reads what the change needs before anything is sent."""
+
+    @abc.abstractmethod
+    def change(
+        self, changer: changing.Changer, prepared: Any
+    ) -> Coroutine[Any, Any, base.Outcome]:
+        """Publishes the change."""
+
+    @effect.result[reports.Report, faults.Fault]()
+    def outcome(self) -> Generator[Any, Any, reports.Report]:
+        """See base class."""
+        prepared = yield from self.prepare()
+        options = yield from self._change_options()
+        world = self.make_services()
+
+        def flow() -> defer.Deferred[base.Outcome]:
+            changer = changing.Changer(world, options)
+            return defer.Deferred.fromCoroutine(self.change(changer, prepared))
+
+        report = yield from world.run(flow)
+        return report
+
+    @effect.result[changing.ChangeOptions, faults.Fault]()
+    def _change_options(
+        self,
+    ) -> Generator[Any, Any, changing.ChangeOptions]:
+        platform_url = yield from self.platform_url()
+        node_url = yield from self.node_url(default=None)
+        wait_s = yield from self.given(
+            "wait-s", arguments.to_number(0, MAX_WAIT_S), default=DEFAULT_WAIT_S
+        )
+        writer = yield from self.given(
+            "writer", arguments.to_word, arguments.WRITER_VARIABLE
+        )
+        change_id = yield from self.given("change-id", arguments.to_word)
+        base_version = yield from self.given(
+            "base-version", arguments.to_number(0, MAX_VERSION)
+        )
+        return changing.ChangeOptions(
+            platform_url,
+            node_url,
+            wait_s,
+            writer or _login_name(),
+            change_id,
+            base_version,
+        )
+
+
+class PutCommand(ChangeCommand):
+    """`put`: puts files in force."""
+
+    name = "put"
+    description = "Puts intent files in force."
+    help = (
+        "Sends the files that differ from those in force; other operators' "
+        "files stay. The whole is checked, and one fault changes nothing.\n"
+        + _EXIT_CODES
+    )
+    arguments: ClassVar[list[Argument]] = [
+        argument("paths", "Folders or .toml files.", multiple=True)
+    ]
+    own_options: ClassVar[list[Option]] = [
+        *ChangeCommand.own_options,
+        option(
+            "prune",
+            description="Also remove files in force that are not among these.",
+        ),
+    ]
+
+    @effect.result[folder.Files, faults.Fault]()
+    def prepare(self) -> Generator[Any, Any, folder.Files]:
+        """See base class."""
+        files = yield from local_commands.read_paths(self.argument("paths"))
+        # What is wrong with a file by itself needs no platform to be told.
+        found = tuple(
+            error
+            for name, data in sorted(files.items())
+            for error in parse.parse_file(name, data).errors
+        )
+        if found:
+            yield from Error(faults.InvalidIntents(found))
+        return files
+
+    def change(
+        self, changer: changing.Changer, prepared: folder.Files
+    ) -> Coroutine[Any, Any, base.Outcome]:
+        """See base class."""
+        return changer.put(prepared, self.option("prune"))
+
+
+class RemoveCommand(ChangeCommand):
+    """`remove`: takes files out of force."""
+
+    name = "remove"
+    description = "Removes intent files; what they overrode holds again."
+    help = (
+        "Names the files as in force; a path before the name is ignored.\n"
+        + _EXIT_CODES
+    )
+    arguments: ClassVar[list[Argument]] = [
+        argument("files", "Names of files in force.", multiple=True)
+    ]
+
+    def prepare(self) -> Result[Any, faults.Fault]:
+        """See base class."""
+        return Ok(
+            frozenset(
+                ids.IntentFileName(pathlib.PurePath(path).name)
+                for path in self.argument("files")
+            )
+        )
+
+    def change(
+        self,
+        changer: changing.Changer,
+        prepared: frozenset[ids.IntentFileName],
+    ) -> Coroutine[Any, Any, base.Outcome]:
+        """See base class."""
+        return changer.remove(prepared)
+
+
+class WithdrawCommand(ChangeCommand):
+    """`withdraw`: withdraws a key."""
+
+    name = "withdraw"
+    description = "Withdraws a key by a file after all others."
+    help = (
+        "Give the key, in the input, or its digest. "
+        "To grant the key again, remove the file.\n" + _EXIT_CODES
+    )
+    own_options: ClassVar[list[Option]] = [
+        *ChangeCommand.own_options,
+        local_commands.KEY_INPUT_OPTION,
+        option(
+            "key",
+            description="The key itself; others on this host may see it.",
+            flag=False,
+        ),
+        option("digest", description="Digest of the key.", flag=False),
+    ]
+
+    @effect.result[ids.KeyDigest, faults.Fault]()
+    def prepare(self) -> Generator[Any, Any, ids.KeyDigest]:
+        """See base class."""
+        key = yield from self.given("key", local_commands.to_key)
+        digest = yield from self.given("digest", local_commands.to_digest)
+        from_input = self.option("key-input")
+        if [key is not None, digest is not None, from_input].count(True) != 1:
+            yield from Error(_ONE_KEY)
+        if from_input:
+            key = yield from local_commands.read_key(self.io)
+        return digest or keys.digest_of(key)
+
+    def change(
+        self, changer: changing.Changer, prepared: ids.KeyDigest
+    ) -> Coroutine[Any, Any, base.Outcome]:
+        """See base class."""
+        return withdrawal.withdraw(changer, prepared)
+
+
+class HistoryCommand(base.OperatorCommand):
+    """`history`: lists the latest changes."""
+
+    name = "history"
+    description = "Lists the latest versions, their files and writers."
+    help = (
+        "Exit codes: 0 done, 2 usage, 4 platform unavailable, 9 platform "
+        "not readable."
+    )
+    own_options: ClassVar[list[Option]] = [
+        base.PLATFORM_OPTION,
+        option(
+            "limit",
+            description=f"Versions to list (default {DEFAULT_HISTORY}).",
+            flag=False,
+        ),
+    ]
+
+    @effect.result[reports.Report, faults.Fault]()
+    def outcome(self) -> Generator[Any, Any, reports.Report]:
+        """See base class."""
+        platform_url = yield from self.platform_url()
+        limit = yield from self.given(
+            "limit",
+            arguments.to_number(1, MAX_HISTORY),
+            default=DEFAULT_HISTORY,
+        )
+        world = self.make_services()
+        versions = yield from world.run(
+            lambda: _history(world, platform_url, limit)
+        )
+        return reports.HistoryReport(tuple(versions))
+
+
+def _history(
+    world: services.Services, platform_url: str, limit: int
+) -> defer.Deferred[Any]:
+    publisher: publishers.Publisher = world.publisher(platform_url)
+    listed = publisher.history(limit)
+    return listed.addCallback(
+        lambda result: result.map_error(changing.not_published)
+    )
+
+
+def _login_name() -> str:
+    try:
+        return getpass.getuser()
+    except (OSError, KeyError):
+        return f"uid-{os.getuid()}"
--- /dev/null
+++ b/src/cyclamendale/cli/node_client.py
@@ -0,0 +1,129 @@
+"""HTTP client of a node's control listener."""
+
+from __future__ import annotations
+
+from collections.abc import Generator, Mapping
+from typing import Any, TypeVar
+import urllib.parse
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.web import client
+from twisted.web import http
+from twisted.web import http_headers
+
+from cyclamendale import ids
+from cyclamendale import timeline
+from cyclamendale.cli import faults
+from cyclamendale.cli import services
+
+CONNECT_TIMEOUT_S = 2.0
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
+T = TypeVar("T")
+_Answered = Result[T, faults.NodeFailed]
+
+
+class HttpNodeClient(services.NodeClient):
+    """Asks a node over HTTP."""
+
+    def __init__(self, reactor: Any, url: str, timeout_s: float) -> None:
+        self._reactor = reactor
+        self._url = url.rstrip("/")
+        self._timeout_s = timeout_s
+        self._agent = client.Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S)
+
+    def status(
+        self, version: ids.ConfigVersion | None = None
+    ) -> defer.Deferred[_Answered[timeline.FleetStatus]]:
+        """See base class."""
+        return self._get("/status", {"version": version}, timeline.FleetStatus)
+
+    def merged_timeline(
+        self, query: timeline.TimelineQuery
+    ) -> defer.Deferred[_Answered[timeline.MergedTimeline]]:
+        """See base class."""
+        parameters = {
+            "request": query.request,
+            "customer": query.customer,
+            "file": query.file,
+            "since_ms": query.since_ms,
+            "limit": query.limit_events,
+        }
+        return self._get("/timeline", parameters, timeline.MergedTimeline)
+
+    def configuration(
+        self, kind: str | None, name: str | None
+    ) -> defer.Deferred[_Answered[timeline.ConfigurationInForce]]:
+        """See base class."""
+        parameters = {"kind": kind, "name": name}
+        return self._get(
+            "/configuration", parameters, timeline.ConfigurationInForce
+        )
+
+    def _get(
+        self, path: str, parameters: Mapping[str, Any], answer_type: type[T]
+    ) -> defer.Deferred[_Answered[T]]:
+        given = {
+            name: value
+            for name, value in parameters.items()
+            if value is not None
+        }
+        url = f"{self._url}{path}?{urllib.parse.urlencode(given)}"
+        asked = self._fetch(url.encode(), answer_type)
+        asked.addTimeout(
+            self._timeout_s,
+            self._reactor,
+            # The library reports a cancelled request in several ways.
+            lambda _, __: self._failed(faults.NodeProblem.TIMEOUT),
+        )
+        return asked.addErrback(self._lost)
+
+    @defer.inlineCallbacks
+    def _fetch(
+        self, url: bytes, answer_type: type[T]
+    ) -> Generator[defer.Deferred[Any], Any, _Answered[T]]:
+        headers = http_headers.Headers({b"accept": [b"application/json"]})
+        response = yield self._agent.request(b"GET", url, headers)
+        if response.code != http.OK:
+            return self._failed(faults.NodeProblem.REJECTED, response.code)
+        # The node always sends a length; what does not is no node.
+        if not 0 < _length(response) <= MAX_ANSWER_BYTES:
+            return self._failed(faults.NodeProblem.UNREADABLE)
+        body = yield client.readBody(response)
+        try:
+            return Ok(msgspec.json.decode(body, type=answer_type))
+        except msgspec.DecodeError:
+            return self._failed(faults.NodeProblem.UNREADABLE)
+
+    def _failed(
+        self, problem: faults.NodeProblem, status: int | None = None
+    ) -> Result[Any, faults.NodeFailed]:
+        return Error(faults.NodeFailed(problem, self._url, status))
+
+    def _lost(self, reason: Any) -> Result[Any, faults.NodeFailed]:
+        if reason.check(error.ConnectError, error.ConnectionLost):
+            return self._failed(faults.NodeProblem.UNREACHABLE)
+        reason.trap(
+            client.ResponseFailed,
+            client.RequestTransmissionFailed,
+            http.PotentialDataLoss,
+            error.ConnectionDone,
+        )
+        return self._failed(faults.NodeProblem.UNREADABLE)
+
+
+def _length(response: Any) -> int:
+    # A symbol stands for an unknown length.
+    return response.length if isinstance(response.length, int) else 0
+
+
+def make_node_client(
+    reactor: Any, url: str, timeout_s: float
+) -> services.NodeClient:
+    """Returns a client of the node whose control listener is at `url`."""
+    return HttpNodeClient(reactor, url, timeout_s)
--- /dev/null
+++ b/src/cyclamendale/cli/node_commands.py
@@ -0,0 +1,183 @@
+"""Commands that ask a node."""
+
+from __future__ import annotations
+
+from collections.abc import Generator
+from typing import Any, ClassVar
+
+from cleo.helpers import option
+from cleo.io.inputs.option import Option
+from expression import effect
+from expression import Error
+
+from cyclamendale import ids
+from cyclamendale import timeline
+from cyclamendale.cli import arguments
+from cyclamendale.cli import base
+from cyclamendale.cli import faults
+from cyclamendale.cli import local_commands
+from cyclamendale.cli import reports
+from cyclamendale.intents import explain
+
+_EXIT_CODES = "Exit codes: 0 done, 2 usage, 6 node not reached"
+
+
+class ExplainCommand(base.OperatorCommand):
+    """`explain`: what is in force, and why a request was refused."""
+
+    name = "explain"
+    description = "Shows which file decided an entry or a refusal."
+    help = (
+        "Without options: all entries in force on the node. A field without "
+        "a file has its default. With --request: the answer or refusal of "
+        "that request, as far as nodes remember it.\n"
+        + _EXIT_CODES
+        + ", 7 not known."
+    )
+    own_options: ClassVar[list[Option]] = [
+        base.NODE_OPTION,
+        option("entry", description="kind/name of one entry.", flag=False),
+        option(
+            "folder",
+            description="Explain a local folder; no node is asked.",
+            flag=False,
+        ),
+        option("request", description="Id of a request.", flag=False),
+    ]
+
+    @effect.result[reports.Report, faults.Fault]()
+    def outcome(self) -> Generator[Any, Any, reports.Report]:
+        """See base class."""
+        kind, name = yield from self.given(
+            "entry", arguments.to_entry, default=(None, None)
+        )
+        request = yield from self.given("request", arguments.to_word)
+        if request is not None:
+            report = yield from self._request(request)
+            return report
+        if self.option("folder") is not None:
+            entries = yield from self._folder_entries(kind, name)
+            version, node = None, None
+        else:
+            answer = yield from base.ask_node(
+                self, lambda client: client.configuration(kind, name)
+            )
+            entries, version, node = answer.entries, answer.version, answer.node
+        if name is not None and not entries:
+            yield from Error(
+                faults.NotFound(faults.Sought.ENTRY, f"{kind}/{name}")
+            )
+        return reports.EntriesReport(version, node, tuple(entries))
+
+    @effect.result[list[explain.ExplainedEntry], faults.Fault]()
+    def _folder_entries(
+        self, kind: str | None, name: str | None
+    ) -> Generator[Any, Any, list[explain.ExplainedEntry]]:
+        files = yield from local_commands.read_paths([self.option("folder")])
+        configuration = yield from local_commands.check(files)
+        return [
+            entry
+            for entry in explain.explain_entries(configuration)
+            if kind in (None, entry.kind) and name in (None, entry.name)
+        ]
+
+    @effect.result[reports.Report, faults.Fault]()
+    def _request(
+        self, request: ids.RequestId
+    ) -> Generator[Any, Any, reports.Report]:
+        query = timeline.TimelineQuery(request=request)
+        merged = yield from base.ask_node(
+            self, lambda client: client.merged_timeline(query)
+        )
+        explanation = timeline.explain_request(merged, request)
+        if not explanation.outcomes:
+            yield from Error(
+                faults.NotFound(
+                    faults.Sought.REQUEST, request, tuple(merged.unreachable)
+                )
+            )
+        return reports.RequestReport(explanation)
+
+
+class StatusCommand(base.OperatorCommand):
+    """`status`: the nodes and the configuration's spread."""
+
+    name = "status"
+    description = "Shows all nodes and where the configuration is in force."
+    help = (
+        "The node asks all others it knows and names those it cannot "
+        "reach. A failure domain is in-force, not-yet-reached or unknown.\n"
+        + _EXIT_CODES
+        + "."
+    )
+    own_options: ClassVar[list[Option]] = [base.NODE_OPTION]
+
+    @effect.result[reports.Report, faults.Fault]()
+    def outcome(self) -> Generator[Any, Any, reports.Report]:
+        """See base class."""
+        fleet = yield from base.ask_node(self, lambda client: client.status())
+        return reports.StatusReport(fleet)
+
+
+class TimelineCommand(base.OperatorCommand):
+    """`timeline`: events of all processes in causal order."""
+
+    name = "timeline"
+    description = "Shows the events of all nodes in causal order."
+    help = (
+        "All filters given must match. Nodes that could not be reached are "
+        "named at the end.\n" + _EXIT_CODES + "."
+    )
+    own_options: ClassVar[list[Option]] = [
+        base.NODE_OPTION,
+        option("request", description="Events of one request.", flag=False),
+        option("customer", description="Events of one customer.", flag=False),
+        option(
+            "file",
+            description="Events that one intent file decided.",
+            flag=False,
+        ),
+        option(
+            "since",
+            description="Events since a time ago (90s, 5m, 2h, 1d) or an "
+            "ISO 8601 time, UTC unless it says otherwise.",
+            flag=False,
+        ),
+        option(
+            "limit",
+            description="The newest events to show (default "
+            f"{timeline.DEFAULT_LIMIT_EVENTS}).",
+            flag=False,
+        ),
+    ]
+
+    @effect.result[reports.Report, faults.Fault]()
+    def outcome(self) -> Generator[Any, Any, reports.Report]:
+        """See base class."""
+        world = self.make_services()
+        request = yield from self.given("request", arguments.to_word)
+        customer = yield from self.given("customer", arguments.to_word)
+        file = yield from self.given("file", arguments.to_word)
+        since_ms = yield from self.given(
+            "since",
+            lambda name, text: arguments.to_since_ms(
+                name, text, world.clock.wall_s()
+            ),
+            default=0,
+        )
+        limit = yield from self.given(
+            "limit",
+            arguments.to_number(1, timeline.MAX_LIMIT_EVENTS),
+            default=timeline.DEFAULT_LIMIT_EVENTS,
+        )
+        query = timeline.TimelineQuery(
+            request=request,
+            customer=customer,
+            file=file,
+            since_ms=since_ms,
+            limit_events=limit,
+        )
+        merged = yield from base.ask_node(
+            self, lambda client: client.merged_timeline(query), world
+        )
+        return reports.TimelineReport(merged)
--- /dev/null
+++ b/src/cyclamendale/cli/reports.py
@@ -0,0 +1,245 @@
+"""What successful commands tell the operator."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Iterator
+import datetime
+
+import msgspec
+
+from cyclamendale import events
+from cyclamendale import ids
+from cyclamendale import timeline
+from cyclamendale.cli import exit_codes
+from cyclamendale.cli import faults
+from cyclamendale.configuration import documents
+from cyclamendale.intents import explain
+
+
+class Report(msgspec.Struct, frozen=True):
+    """Result of a command; its fields are the JSON output."""
+
+    @property
+    def exit_code(self) -> exit_codes.ExitCode:
+        """Returns the exit code of the command."""
+        return exit_codes.ExitCode.OK
+
+    @abc.abstractmethod
+    def lines(self) -> Iterator[str]:
+        """Yields the lines of the output for humans."""
+
+
+class CheckReport(Report, frozen=True):
+    """A folder passed the checks; entries are counted by kind."""
+
+    files: int
+    entries: dict[str, int]
+
+    def lines(self) -> Iterator[str]:
+        """See base class."""
+        counts = ", ".join(
+            f"{count} {kind}" for kind, count in self.entries.items()
+        )
+        yield f"{self.files} files are right: {counts}"
+
+
+class DigestReport(Report, frozen=True):
+    """The digest by which a key is known."""
+
+    digest: ids.KeyDigest
+
+    def lines(self) -> Iterator[str]:
+        """See base class."""
+        yield self.digest
+
+
+class ChangeReport(Report, frozen=True):
+    """A change was accepted, or was not needed.
+
+    Attributes:
+        version: Version in force in the platform with the change.
+        changed: Whether the change made that version; False when all
+            was so before.
+        puts: Files written.
+        removes: Files removed.
+        kept: Files that were to be pruned but withdraw a key.
+        change_id: The change.
+        spread: How far it came, when a node was asked.
+        spread_error: Why that is not known, when a node was asked.
+    """
+
+    version: ids.ConfigVersion
+    changed: bool
+    puts: tuple[ids.IntentFileName, ...] = ()
+    removes: tuple[ids.IntentFileName, ...] = ()
+    kept: tuple[ids.IntentFileName, ...] = ()
+    change_id: ids.ChangeId | None = None
+    spread: tuple[timeline.FailureDomainStatus, ...] | None = None
+    spread_error: faults.NodeFailed | None = None
+
+    @property
+    def exit_code(self) -> exit_codes.ExitCode:
+        """See base class."""
+        everywhere = all(
+            domain.reach is timeline.Reach.IN_FORCE
+            for domain in self.spread or ()
+        )
+        if everywhere and self.spread_error is None:
+            return exit_codes.ExitCode.OK
+        return exit_codes.ExitCode.NOT_YET_IN_FORCE
+
+    def lines(self) -> Iterator[str]:
+        """See base class."""
+        if self.changed:
+            yield f"version {self.version} accepted, change {self.change_id}"
+        else:
+            yield f"nothing to change, version {self.version}"
+        yield from (f"put {file}" for file in self.puts)
+        yield from (f"removed {file}" for file in self.removes)
+        yield from (f"kept {file}: it withdraws a key" for file in self.kept)
+        yield from _spread_lines(self.spread or ())
+        if self.spread_error is not None:
+            yield "it is not known where this is in force:"
+            yield from self.spread_error.lines()
+
+
+def _spread_lines(
+    domains: tuple[timeline.FailureDomainStatus, ...],
+) -> Iterator[str]:
+    for domain in domains:
+        lowest = domain.lowest_version
+        seen = "" if lowest is None else f" (lowest version {lowest})"
+        yield f"{domain.failure_domain}: {domain.reach.value}{seen}"
+
+
+class HistoryReport(Report, frozen=True):
+    """The latest versions, newest first."""
+
+    versions: tuple[documents.HistoryEntry, ...]
+
+    def lines(self) -> Iterator[str]:
+        """See base class."""
+        for entry in self.versions:
+            yield (
+                f"version {entry.version} {_time(entry.written_ms)} "
+                f"by {entry.writer}, change {entry.change_id}"
+            )
+            yield from (f"  put {file}" for file in entry.puts)
+            yield from (f"  removed {file}" for file in entry.removes)
+
+
+class EntriesReport(Report, frozen=True):
+    """Entries in force, with the file that decided each field.
+
+    Attributes:
+        version: Their version; None when a local folder was read.
+        node: The node that was asked, if one was.
+        entries: The entries.
+    """
+
+    version: ids.ConfigVersion | None
+    node: ids.NodeId | None
+    entries: tuple[explain.ExplainedEntry, ...]
+
+    def lines(self) -> Iterator[str]:
+        """See base class."""
+        if self.version is not None:
+            yield f"version {self.version} on {self.node}"
+        for entry in self.entries:
+            yield f"{entry.kind}/{entry.name}"
+            for field in entry.fields:
+                value = msgspec.json.encode(field.value).decode()
+                yield f"  {field.name} = {value}  # {field.file or 'default'}"
+
+
+class RequestReport(Report, frozen=True):
+    """What became of a request."""
+
+    explanation: timeline.RequestExplanation
+
+    def lines(self) -> Iterator[str]:
+        """See base class."""
+        for outcome in self.explanation.outcomes:
+            place = f"{_time(outcome.stamp.wall_ms)} {outcome.node}"
+            route = f" on route {outcome.route}" if outcome.route else ""
+            if outcome.reason is None:
+                yield f"{place} served{route}, status {outcome.status}"
+                continue
+            yield (
+                f"{place} refused{route}: {outcome.reason}, {outcome.execution}"
+            )
+            if outcome.file is not None:
+                yield f"  decided by {outcome.file}@{outcome.version}"
+        yield from _unreachable_lines(self.explanation.unreachable)
+
+
+class StatusReport(Report, frozen=True):
+    """Status of the fleet, as one node gathered it."""
+
+    fleet: timeline.FleetStatus
+
+    def lines(self) -> Iterator[str]:
+        """See base class."""
+        yield f"version {self.fleet.version}"
+        yield from _spread_lines(tuple(self.fleet.failure_domains))
+        for status in self.fleet.nodes:
+            yield _node_line(status)
+        yield from _unreachable_lines(self.fleet.unreachable)
+
+
+def _node_line(status: timeline.NodeStatus) -> str:
+    words = [
+        status.node,
+        status.failure_domain,
+        f"version {status.version}",
+        f"{status.members} members",
+    ]
+    if status.service is not None:
+        words.append(
+            f"{status.service} {status.upstream_state}, "
+            f"{status.in_flight} running, {status.queued} waiting"
+        )
+    if status.held_shards:
+        words.append(f"{status.held_shards} shards held")
+    if status.table_reachable is False:
+        words.append("table unreachable")
+    if status.leaving:
+        words.append("leaving")
+    return "  ".join(words)
+
+
+class TimelineReport(Report, frozen=True):
+    """Events of all reached nodes in causal order."""
+
+    timeline: timeline.MergedTimeline
+
+    def lines(self) -> Iterator[str]:
+        """See base class."""
+        if self.timeline.truncated:
+            yield "earlier events are left out"
+        yield from map(_event_line, self.timeline.events)
+        yield from _unreachable_lines(self.timeline.unreachable)
+
+
+def _event_line(event: events.RecordedEvent) -> str:
+    fields = " ".join(
+        f"{name}={value}"
+        for name, value in event.fields.items()
+        if value is not None
+    )
+    time = f"{_time(event.stamp.wall_ms)}+{event.stamp.counter}"
+    return f"{time} {event.node} {event.kind} {fields}".rstrip()
+
+
+def _unreachable_lines(nodes: list[ids.NodeId]) -> Iterator[str]:
+    return (f"not reached: {node}" for node in nodes)
+
+
+def _time(wall_ms: int) -> str:
+    try:
+        moment = datetime.datetime.fromtimestamp(wall_ms / 1000, datetime.UTC)
+    except (OverflowError, ValueError, OSError):
+        # A node's clock may be far off; its events are shown all the same.
+        return f"{wall_ms}ms"
+    return moment.strftime("%Y-%m-%dT%H:%M:%S.") + f"{wall_ms % 1000:03d}Z"
--- /dev/null
+++ b/tests/test_cli_changes.py
@@ -0,0 +1,308 @@
+"""Contract of the commands that change the configuration."""
+
+from __future__ import annotations
+
+from expression import Error
+import testscenarios
+import testtools
+
+from cyclamendale.cli import faults as cli_faults
+from cyclamendale.intents import keys
+from cyclamendale.platform import faults
+from tests.support import fake_operator
+
+_BUSY = 'kind = "customer"\nname = "masons"\nburst = {}\n'
+_MASONS = keys.digest_of("masons-key")
+
+
+class OperatorCase(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.operator = fake_operator.Operator()
+        self.addCleanup(self.operator.close)
+        self.assertEqual(0, self.operator.run("put", fake_operator.QUICKSTART))
+
+    def version(self):
+        return self.operator.in_force()[0]
+
+    def burst(self):
+        return self.operator.in_force()[1].customers["masons"].burst
+
+    def busy(self, burst, name="90-busy.toml"):
+        return self.operator.file(name, _BUSY.format(burst))
+
+    def state(self, digest):
+        return self.operator.in_force()[1].keys[digest].state.value
+
+
+def refused(code, *words, **details):
+    return {"code": code, "words": words, **details}
+
+
+_REFUSED = {
+    "fault in a file": refused(
+        1, "put", files={"x.toml": "kind ="}, error="x.toml:1: is not TOML"
+    ),
+    "fault of a field": refused(
+        1,
+        "put",
+        files={"x.toml": _BUSY.format(0)},
+        error="x.toml:3: burst is 0.0, allowed is",
+    ),
+    "fault with what is in force": refused(
+        1,
+        "put",
+        files={"x.toml": 'kind = "route"\nname = "shop"\nservice = "zip"'},
+        error="x.toml:3: service names 'zip'",
+    ),
+    "one of two files at fault": refused(
+        1,
+        "put",
+        files={"a.toml": _BUSY.format(3), "x.toml": "kind = 1"},
+        error="x.toml:1: unknown kind 1",
+    ),
+    "same file twice": refused(
+        2,
+        "put",
+        fake_operator.QUICKSTART,
+        fake_operator.QUICKSTART,
+        error="10-domain-north.toml: has the name",
+    ),
+    "no such folder": refused(
+        2, "put", "/nowhere", error="/nowhere: does not exist"
+    ),
+    "no file": refused(2, "put", error="Not enough arguments"),
+    "unknown option": refused(
+        2, "put", "x", "--colour", error='The option "--colour" does not exist'
+    ),
+    "platform no URL": refused(
+        2,
+        "put",
+        fake_operator.QUICKSTART,
+        "--platform=x",
+        error="--platform is 'x', expected a URL",
+    ),
+    "base version no number": refused(
+        2,
+        "remove",
+        "x.toml",
+        "--base-version=-1",
+        error="--base-version is '-1', expected a number",
+    ),
+    "base version of the future": refused(
+        2,
+        "remove",
+        "50-key-masons.toml",
+        "--base-version=99",
+        error="the base version is newer",
+    ),
+    "remove an unknown file": refused(
+        7, "remove", "x.toml", error="x.toml is not in force"
+    ),
+    "remove what others need": refused(
+        1,
+        "remove",
+        "20-service-shop.toml",
+        error="30-route-booking.toml:4: service names 'shop'",
+    ),
+    "withdraw an unknown key": refused(
+        7, "withdraw", "--key=who", error="is not known"
+    ),
+    "withdraw by two names": refused(
+        2,
+        "withdraw",
+        "--key=a",
+        f"--digest={_MASONS}",
+        error="give exactly one of",
+    ),
+    "withdraw nothing": refused(2, "withdraw", error="give exactly one of"),
+    "withdraw a malformed digest": refused(
+        2, "withdraw", "--digest=hush", error="--digest is '...'"
+    ),
+}
+
+
+class RefusedTest(testscenarios.WithScenarios, OperatorCase):
+    scenarios = list(_REFUSED.items())
+    files: dict = {}
+
+    def test_a_refused_command_changes_nothing_and_says_why(self):
+        before = self.operator.in_force()
+        paths = [self.operator.file(*item) for item in self.files.items()]
+        self.assertEqual(self.code, self.operator.run(*self.words, *paths))
+        self.assertIn(self.error, self.operator.errors)
+        self.assertNotIn("hush", self.operator.errors)
+        self.assertEqual(before, self.operator.in_force())
+
+
+class PutTest(OperatorCase):
+    def test_only_files_that_differ_are_sent(self):
+        code, report = self.operator.json(
+            "put", fake_operator.QUICKSTART, self.busy(7)
+        )
+        self.assertEqual((0, ["90-busy.toml"]), (code, report["puts"]))
+        self.assertEqual((2, 7), (self.version(), self.burst()))
+
+    def test_the_same_folder_again_makes_no_version(self):
+        code, report = self.operator.json("put", fake_operator.QUICKSTART)
+        self.assertEqual(
+            (0, False, 1), (code, report["changed"], report["version"])
+        )
+
+    def test_a_removed_override_brings_the_old_value_back(self):
+        self.operator.run("put", self.busy(7))
+        self.assertEqual(0, self.operator.run("remove", "90-busy.toml"))
+        self.assertEqual(100, self.burst())
+
+    def test_the_same_file_changed_since_is_a_conflict_with_its_writer(self):
+        self.operator.run("put", self.busy(7), "--writer=arthit")
+        code, fault = self.operator.json(
+            "put", self.busy(8), "--base-version=1"
+        )
+        self.assertEqual(3, code)
+        self.assertEqual(
+            ("arthit", 2), (fault["other"]["writer"], fault["other"]["version"])
+        )
+        self.assertEqual(7, self.burst())
+
+    def test_other_files_changed_since_merge(self):
+        self.operator.run("put", self.busy(7))
+        other = self.busy(9, "91-other.toml")
+        self.assertEqual(0, self.operator.run("put", other, "--base-version=1"))
+        self.assertEqual(9, self.burst())
+
+    def test_pruning_keeps_withdrawals(self):
+        self.operator.run("put", self.busy(7))
+        self.operator.run("withdraw", f"--digest={_MASONS}")
+        code, report = self.operator.json(
+            "put", fake_operator.QUICKSTART, "--prune"
+        )
+        self.assertEqual((0, ["90-busy.toml"]), (code, report["removes"]))
+        self.assertEqual(1, len(report["kept"]))
+        self.assertEqual("withdrawn", self.state(_MASONS))
+
+    def fault(self, fault, count=None, skip=0):
+        rule = faults.FaultRule(
+            fault, (faults.Operation.TRANSACT,), skip=skip, count=count
+        )
+        self.operator.world.platform.switch.switch([rule])
+
+    def test_a_platform_that_is_down_changes_nothing(self):
+        self.fault(faults.Fault.DOWN)
+        self.assertEqual(4, self.operator.run("put", self.busy(7)))
+        self.assertEqual(100, self.burst())
+
+    def test_one_lost_answer_is_settled_and_applied_once(self):
+        self.fault(faults.Fault.ANSWER_LOST, count=1)
+        self.assertEqual(0, self.operator.run("put", self.busy(7)))
+        self.assertEqual((2, 7), (self.version(), self.burst()))
+
+    def test_an_unknown_outcome_names_the_change_id_for_a_repeat(self):
+        self.fault(faults.Fault.REQUEST_LOST)
+        code, fault = self.operator.json("put", self.busy(7))
+        self.assertEqual((5, "outcome-unknown"), (code, fault["kind"]))
+        self.fault(faults.Fault.DOWN, count=0)
+        again = f"--change-id={fault['change_id']}"
+        self.assertEqual(0, self.operator.run("put", self.busy(7), again))
+        code, report = self.operator.json("history", "--limit=1")
+        self.assertEqual(fault["change_id"], report["versions"][0]["change_id"])
+
+    def spread(self, *answers, wait_s=1):
+        self.operator.world.fake_node.answers["status"] = list(answers)
+        return self.operator.json(
+            "put",
+            self.busy(7),
+            f"--node={fake_operator.NODE_URL}",
+            f"--wait-s={wait_s}",
+        )
+
+    def test_it_waits_until_every_failure_domain_has_the_version(self):
+        code, report = self.spread(
+            fake_operator.fleet(2, "in-force", "not-yet-reached"),
+            fake_operator.fleet(2, "in-force", "in-force"),
+        )
+        reaches = [domain["reach"] for domain in report["spread"]]
+        self.assertEqual((0, ["in-force"] * 2), (code, reaches))
+        self.assertIn(("status", 2), self.operator.world.fake_node.asked)
+
+    def test_what_is_not_reached_in_time_is_said(self):
+        for reach in ("not-yet-reached", "unknown"):
+            code, report = self.spread(
+                fake_operator.fleet(2, "in-force", reach), wait_s=0
+            )
+            self.assertEqual((8, reach), (code, report["spread"][1]["reach"]))
+
+    def test_a_silent_node_leaves_an_accepted_change_accepted(self):
+        failed = cli_faults.NodeFailed(
+            cli_faults.NodeProblem.TIMEOUT, fake_operator.NODE_URL
+        )
+        code, report = self.spread(Error(failed), wait_s=0)
+        self.assertEqual(
+            (8, 2, "timeout"),
+            (code, report["version"], report["spread_error"]["problem"]),
+        )
+
+    def test_the_history_lists_the_newest_first_with_writer_and_files(self):
+        self.operator.run("put", self.busy(7), "--writer=arthit")
+        code, report = self.operator.json("history")
+        newest, oldest = report["versions"]
+        self.assertEqual(
+            (0, "arthit", ["90-busy.toml"], "malee"),
+            (code, newest["writer"], newest["puts"], oldest["writer"]),
+        )
+        self.operator.run("history")
+        self.assertIn("version 2 1970-01-01T", self.operator.output)
+
+
+class WithdrawTest(OperatorCase):
+    def test_a_key_is_withdrawn_however_it_is_named(self):
+        for words, inputs in (
+            (("--key=masons-key",), None),
+            ((f"--digest={_MASONS}",), None),
+            (("--key-input",), "masons-key\n"),
+        ):
+            code, report = self.operator.json("withdraw", *words, inputs=inputs)
+            self.assertEqual((0, True), (code, report["changed"]))
+            self.assertEqual("withdrawn", self.state(_MASONS))
+            self.assertNotIn("masons-key", self.operator.output)
+            self.assertEqual(0, self.operator.run("remove", *report["puts"]))
+            self.assertEqual("granted", self.state(_MASONS))
+
+    def test_its_file_comes_after_every_file_about_the_key(self):
+        late = self.operator.file(
+            "zz-late.toml",
+            f'kind = "key"\ndigest = "{_MASONS}"\nstate = "granted"\n',
+        )
+        self.operator.run("put", late)
+        self.assertEqual(0, self.operator.run("withdraw", "--key=masons-key"))
+        self.assertEqual("withdrawn", self.state(_MASONS))
+
+    def test_a_second_withdrawal_changes_nothing(self):
+        self.operator.run("withdraw", "--key=masons-key")
+        code, report = self.operator.json("withdraw", "--key=masons-key")
+        self.assertEqual((0, False), (code, report["changed"]))
+
+    def test_a_grant_that_came_at_the_same_time_is_reported(self):
+        late = self.operator.file(
+            "zz-late.toml",
+            f'kind = "key"\ndigest = "{_MASONS}"\nstate = "granted"\n',
+        )
+        rival = fake_operator.Operator()
+        self.addCleanup(rival.close)
+        rival.world.platform = self.operator.world.platform
+        publisher = self.operator.world.publisher
+
+        def racing_publisher(url):
+            made = publisher(url)
+            publish = made.publish
+
+            def publish_after_the_rival(change):
+                rival.run("put", late)
+                return publish(change)
+
+            made.publish = publish_after_the_rival
+            return made
+
+        self.operator.world.publisher = racing_publisher
+        code, fault = self.operator.json("withdraw", "--key=masons-key")
+        self.assertEqual((3, "zz-late.toml"), (code, fault["file"]))
--- /dev/null
+++ b/tests/test_cli_questions.py
@@ -0,0 +1,296 @@
+"""Contract of the commands that change nothing."""
+
+from __future__ import annotations
+
+from expression import Ok
+import testscenarios
+import testtools
+from testtools import twistedsupport
+from twisted.internet import defer
+from twisted.internet import protocol
+from twisted.internet import reactor
+from twisted.web import resource
+from twisted.web import server
+from twisted.web import static
+
+from cyclamendale import events
+from cyclamendale import timeline
+from cyclamendale.cli import application
+from cyclamendale.cli import exit_codes
+from cyclamendale.cli import faults
+from cyclamendale.cli import node_client
+from cyclamendale.configuration import changes
+from cyclamendale.intents import explain
+from cyclamendale.intents import keys
+from cyclamendale.intents import merge
+from tests.support import fake_operator
+
+_NODE = "10.0.0.1:81#ab"
+_REFUSED = events.RecordedEvent(
+    events.HlcStamp(1_796_375_986_963, 2),
+    _NODE,
+    "RequestRefused",
+    {
+        "request": "r1",
+        "customer": "masons",
+        "file": "40-masons.toml",
+        "reason": "quota",
+        "execution": "not-run",
+        "version": 7,
+        "route": "shop\x1b[2J",
+    },
+)
+_TIMELINE = timeline.MergedTimeline([_REFUSED], ["10.0.0.2:81#cd"], True)
+
+
+class QuestionCase(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.operator = fake_operator.Operator()
+        self.addCleanup(self.operator.close)
+        self.node = self.operator.world.fake_node
+
+
+class QuestionTest(QuestionCase):
+    def test_a_checked_folder_is_counted(self):
+        code, report = self.operator.json("check", fake_operator.QUICKSTART)
+        self.assertEqual((0, 14), (code, report["files"]))
+        self.assertEqual(5, report["entries"]["route"])
+
+    def test_the_faults_of_a_checked_folder_are_typed(self):
+        path = self.operator.file("x.toml", 'kind = "service"\nname = ""\n')
+        code, fault = self.operator.json("check", path)
+        self.assertEqual((1, "invalid-intents"), (code, fault["fault"]))
+        [error] = fault["errors"]
+        self.assertEqual(
+            ("x.toml", 2, "name", "name-empty"),
+            tuple(error[k] for k in ("file", "line", "field", "problem")),
+        )
+
+    def test_a_digest_is_that_of_the_first_line_of_the_input(self):
+        self.assertEqual(0, self.operator.run("digest", inputs="k\nmore\n"))
+        self.assertEqual(keys.digest_of("k"), self.operator.output.strip())
+        self.assertEqual(2, self.operator.run("digest", inputs="\n"))
+
+    def test_a_time_line_ends_with_what_is_missing(self):
+        self.node.answers["timeline"] = Ok(_TIMELINE)
+        self.assertEqual(0, self.operator.run("timeline"))
+        lines = self.operator.output.splitlines()
+        self.assertEqual("earlier events are left out", lines[0])
+        self.assertTrue(
+            lines[1].startswith(
+                f"2026-12-04T09:19:46.963Z+2 {_NODE} RequestRefused "
+            )
+        )
+        self.assertEqual("not reached: 10.0.0.2:81#cd", lines[-1])
+        self.assertNotIn("\x1b", self.operator.output)
+
+    def test_the_filters_reach_the_node(self):
+        self.node.answers["timeline"] = Ok(_TIMELINE)
+        self.operator.world.platform.task_clock.advance(1000)
+        code, report = self.operator.json(
+            "timeline",
+            "--request=r1",
+            "--customer=masons",
+            "--file=40-masons.toml",
+            "--since=5m",
+            "--limit=9",
+        )
+        expected = timeline.TimelineQuery(
+            request="r1",
+            customer="masons",
+            file="40-masons.toml",
+            since_ms=700_000,
+            limit_events=9,
+        )
+        self.assertEqual([("timeline", expected)], self.node.asked)
+        self.assertEqual(1, len(report["timeline"]["events"]))
+
+    def test_a_refused_request_is_explained_with_file_and_version(self):
+        self.node.answers["timeline"] = Ok(_TIMELINE)
+        self.assertEqual(0, self.operator.run("explain", "--request=r1"))
+        self.assertIn("quota, not-run", self.operator.output)
+        self.assertIn("decided by 40-masons.toml@7", self.operator.output)
+        self.assertIn("not reached: 10.0.0.2", self.operator.output)
+
+    def test_an_unknown_request_names_the_nodes_not_asked(self):
+        self.node.answers["timeline"] = Ok(_TIMELINE)
+        self.assertEqual(7, self.operator.run("explain", "--request=r2"))
+        self.assertIn("request r2 is not known", self.operator.errors)
+        self.assertIn("not reached: 10.0.0.2", self.operator.errors)
+
+    def test_an_entry_shows_the_file_of_each_field(self):
+        files = {"a.toml": b'kind = "service"\nname = "s"\n'}
+        configuration = merge.merge(files, 7).ok
+        entries = [
+            entry
+            for entry in explain.explain_entries(configuration)
+            if entry.kind == "service"
+        ]
+        self.node.answers["configuration"] = Ok(
+            timeline.ConfigurationInForce(_NODE, 7, None, entries)
+        )
+        self.assertEqual(0, self.operator.run("explain", "--entry=service/s"))
+        self.assertEqual([("configuration", "service", "s")], self.node.asked)
+        self.assertIn('name = "s"  # a.toml', self.operator.output)
+        self.assertIn("max_queue_s = 0.1  # default", self.operator.output)
+
+    def test_a_folder_is_explained_without_a_node(self):
+        folder = f"--folder={fake_operator.QUICKSTART}"
+        code, report = self.operator.json(
+            "explain", folder, "--entry=customer/masons"
+        )
+        self.assertEqual((0, 1), (code, len(report["entries"])))
+        self.assertEqual(
+            7, self.operator.run("explain", folder, "--entry=customer/who")
+        )
+
+    def test_status_shows_nodes_and_failure_domains(self):
+        self.node.answers["status"] = fake_operator.fleet(
+            4, "in-force", "unknown"
+        )
+        self.assertEqual(0, self.operator.run("status"))
+        self.assertIn("north: in-force", self.operator.output)
+        self.assertIn("south: unknown", self.operator.output)
+        self.assertIn("not reached: 10.0.0.9:1#a", self.operator.output)
+
+    def test_the_node_is_that_of_option_variable_or_default(self):
+        self.node.answers["status"] = fake_operator.fleet(4)
+        self.operator.run("status")
+        self.operator.environment["CYCLAMENDALE_NODE_URL"] = "http://10.0.0.1"
+        self.operator.run("status")
+        self.operator.run("status", "--node=http://10.0.0.2")
+        self.assertEqual(
+            ["http://127.0.0.1:8082", "http://10.0.0.1", "http://10.0.0.2"],
+            self.operator.world.urls,
+        )
+
+    def test_every_command_has_help_with_its_exit_codes(self):
+        for command in application.COMMANDS:
+            self.assertEqual(0, self.operator.run(command.name, "--help"))
+            self.assertIn("Exit codes: 0", self.operator.output)
+
+    def test_a_defect_has_an_exit_code_of_its_own(self):
+        self.operator.world.node = None
+        self.assertEqual(70, self.operator.run("status"))
+
+    def test_an_interrupt_has_an_exit_code_of_its_own(self):
+        def interrupted(_):
+            raise KeyboardInterrupt
+
+        self.operator.world.run = interrupted
+        self.assertEqual(130, self.operator.run("status"))
+
+    def test_every_publisher_error_has_an_exit_code_and_a_text(self):
+        for kind in changes.PublishErrorKind:
+            fault = faults.NotPublished(kind)
+            self.assertNotEqual(0, fault.exit_code)
+            self.assertEqual(1, len(list(fault.lines())))
+
+    def test_the_operators_page_describes_commands_options_and_codes(self):
+        page = (fake_operator.ROOT / "docs/operators/commands.md").read_text()
+        for command in application.COMMANDS:
+            section = page.partition(f"\n## `{command.name}`\n")[2]
+            section = section.partition("\n## ")[0]
+            made = command(lambda: None, {})
+            with self.subTest(command=command.name):
+                self.assertNotEqual("", section)
+                for option in made.definition.options:
+                    if option.name not in ("json", "node", "platform"):
+                        self.assertIn(f"`--{option.name}", section)
+        for code in exit_codes.ExitCode:
+            self.assertIn(f"\n| {code.value} | ", page)
+
+
+_WRONG = {
+    "since": ("timeline", "--since=yesterday"),
+    "endless since": ("timeline", "--since=9999999999d"),
+    "limit": ("timeline", "--limit=0"),
+    "request": ("explain", "--request="),
+    "entry": ("explain", "--entry=masons"),
+    "node": ("status", "--node=ftp://x"),
+    "command": ("statsu",),
+}
+
+
+class WrongArgumentTest(testscenarios.WithScenarios, QuestionCase):
+    scenarios = [(name, {"words": words}) for name, words in _WRONG.items()]
+
+    def test_a_wrong_argument_is_a_usage_fault(self):
+        self.assertEqual(2, self.operator.run(*self.words))
+        self.assertNotEqual("", self.operator.errors)
+        self.assertEqual([], self.node.asked)
+
+
+class Closing(protocol.Protocol):
+    """Hangs up in the middle of an answer."""
+
+    def dataReceived(self, data):
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n{"
+        self.transport.write(head)
+        self.transport.loseConnection()
+
+
+def _site(body):
+    root = resource.Resource()
+    if body is not None:
+        root.putChild(b"status", static.Data(body, "application/json"))
+    return server.Site(root)
+
+
+class NodeClientTest(testscenarios.WithScenarios, testtools.TestCase):
+    run_tests_with = (
+        twistedsupport.AsynchronousDeferredRunTestForBrokenTwisted.make_factory(
+            timeout=20
+        )
+    )
+    scenarios = [
+        ("no json", {"factory": _site(b"<html>"), "problem": "unreadable"}),
+        ("other", {"factory": _site(b'{"x":1}'), "problem": "unreadable"}),
+        ("empty", {"factory": _site(b""), "problem": "unreadable"}),
+        ("unknown path", {"factory": _site(None), "problem": "rejected"}),
+        (
+            "cut short",
+            {
+                "factory": protocol.Factory.forProtocol(Closing),
+                "problem": "unreadable",
+            },
+        ),
+        (
+            "silent",
+            {
+                "factory": protocol.Factory.forProtocol(protocol.Protocol),
+                "problem": "timeout",
+                "timeout_s": 0.05,
+            },
+        ),
+        ("nobody", {"factory": None, "problem": "unreachable"}),
+        (
+            "right",
+            {
+                "factory": _site(
+                    b'{"version":4,"nodes":[],"unreachable":[],'
+                    b'"failure_domains":[]}'
+                ),
+                "problem": None,
+            },
+        ),
+    ]
+    timeout_s = 10.0
+
+    @defer.inlineCallbacks
+    def test_what_a_node_answers_or_not_has_a_type(self):
+        factory = self.factory or protocol.Factory()
+        port = reactor.listenTCP(0, factory, interface="127.0.0.1")
+        url = f"http://127.0.0.1:{port.getHost().port}"
+        if self.factory is None:
+            yield port.stopListening()
+        else:
+            self.addCleanup(port.stopListening)
+        client = node_client.make_node_client(reactor, url, self.timeout_s)
+        result = yield client.status(4)
+        if self.problem is None:
+            self.assertEqual(4, result.ok.version)
+        else:
+            self.assertEqual(self.problem, result.error.problem.value)
+            self.assertEqual(6, result.error.exit_code)
