Follow the upstream's announcements; test datagrams and announcements

An upstream says each second what it is; the node must notice its end without taking a slow announcement for one. Silence of 3 s takes it out only along with failed connections, 15 s alone do, and a pause of the node itself counts as neither. One upstream a host: another service or address is refused while the first is not stopped or gone.

Contract tables: 18 bad announcements, 15 bad datagrams; each gets its typed error or its counted drop reason and changes nothing.

--- /dev/null
+++ b/src/cyclamendale/controllers/announcements.py
@@ -0,0 +1,267 @@
+"""Controller of the announcements of the upstream on this host."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+import enum
+import ipaddress
+from typing import Any
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+from twisted.internet import defer
+from twisted.web import resource
+
+from cyclamendale import clocks
+from cyclamendale import events
+from cyclamendale.controllers import base
+from cyclamendale.membership import directory
+from cyclamendale.membership import wire
+
+SILENCE_S = 3.0
+"""Silence after which failed connections take the upstream out."""
+LONG_SILENCE_S = 15.0
+"""Silence that takes the upstream out by itself."""
+CHECK_INTERVAL_S = 0.5
+MAX_BODY_BYTES = 4_096
+MAX_COUNT = 1_000_000
+"""Largest number of slots or connections that is believed."""
+GONE = "gone"
+"""State in events of an upstream that was taken out."""
+
+_State = directory.UpstreamState
+
+
+class AnnouncementErrorKind(enum.Enum):
+    """Why an announcement was refused; the value is stable and public."""
+
+    TOO_LARGE = "too-large"
+    MALFORMED = "malformed"
+    OUT_OF_RANGE = "out-of-range"
+    HOST_TAKEN = "host-taken"
+
+
+HTTP_STATUS_BY_KIND = {
+    AnnouncementErrorKind.TOO_LARGE: 413,
+    AnnouncementErrorKind.MALFORMED: 400,
+    AnnouncementErrorKind.OUT_OF_RANGE: 400,
+    AnnouncementErrorKind.HOST_TAKEN: 409,
+}
+
+
+class AnnouncementError(msgspec.Struct, frozen=True):
+    """A refused announcement.
+
+    Attributes:
+        kind: Why it was refused.
+        detail: What is wrong, for the upstream's operator.
+    """
+
+    kind: AnnouncementErrorKind
+    detail: str
+
+
+def parse_announcement(
+    body: bytes,
+) -> Result[directory.Announcement, AnnouncementError]:
+    """Decodes and checks the JSON of an announcement."""
+    if len(body) > MAX_BODY_BYTES:
+        return _refuse(
+            AnnouncementErrorKind.TOO_LARGE, f"more than {MAX_BODY_BYTES} bytes"
+        )
+    try:
+        announced = msgspec.json.decode(body, type=directory.Announcement)
+    except msgspec.MsgspecError as error:
+        return _refuse(AnnouncementErrorKind.MALFORMED, str(error))
+    except UnicodeDecodeError as error:
+        return _refuse(AnnouncementErrorKind.MALFORMED, error.reason)
+    for field, problem in _problems(announced):
+        return _refuse(
+            AnnouncementErrorKind.OUT_OF_RANGE, f"{field}: {problem}"
+        )
+    return Ok(announced)
+
+
+class AnnouncementsController(base.Controller):
+    """Follows the state of the one upstream on this host.
+
+    Attributes:
+        current: What the upstream last announced; None without one.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        event_log: events.EventLog,
+        on_change: Callable[[directory.Announcement | None], None],
+        failed_connections: Callable[[], bool],
+    ) -> None:
+        """Creates the controller of a host without an upstream.
+
+        Args:
+            clock: Time source and scheduler.
+            event_log: Where state changes are recorded.
+            on_change: Called with each changed announcement, and with
+                None when the upstream is gone.
+            failed_connections: Returns whether connections to the
+                upstream fail at present.
+        """
+        self._clock = clock
+        self._event_log = event_log
+        self._on_change = on_change
+        self._failed_connections = failed_connections
+        self._heard_s = 0.0
+        self._check_call: clocks.DelayedCall | None = None
+        self._checked_s = 0.0
+        self.current: directory.Announcement | None = None
+
+    def start(self) -> None:
+        """See base class."""
+        self._checked_s = self._clock.now_s()
+        self._check()
+
+    def stop(self) -> defer.Deferred[None]:
+        """See base class."""
+        if self._check_call is not None and self._check_call.active():
+            self._check_call.cancel()
+        return defer.succeed(None)
+
+    def announce(
+        self, announced: directory.Announcement
+    ) -> Result[None, AnnouncementError]:
+        """Takes an announcement, unless another upstream is here."""
+        if self._is_taken_by_other(announced):
+            assert self.current is not None  # Follows from the condition.
+            return _refuse(
+                AnnouncementErrorKind.HOST_TAKEN,
+                f"{self.current.service} at {self.current.address}"
+                " is on this host",
+            )
+        self._heard_s = self._clock.now_s()
+        if announced != self.current:
+            self._change(announced)
+        return Ok(None)
+
+    def resource(self) -> resource.Resource:
+        """Returns the resource to mount as `announce`."""
+        return AnnounceResource(self)
+
+    def _is_taken_by_other(self, announced: directory.Announcement) -> bool:
+        current = self.current
+        if current is None or current.state is _State.STOPPED:
+            return False
+        return (current.service, current.address) != (
+            announced.service,
+            announced.address,
+        )
+
+    def _check(self) -> None:
+        self._check_call = self._clock.call_later(CHECK_INTERVAL_S, self._check)
+        now_s = self._clock.now_s()
+        late_s = now_s - self._checked_s - CHECK_INTERVAL_S
+        self._checked_s = now_s
+        if late_s > CHECK_INTERVAL_S:
+            # This process was paused; announcements may wait unread.
+            self._heard_s += late_s
+        if self.current is None:
+            return
+        silence_s = now_s - self._heard_s
+        if silence_s >= LONG_SILENCE_S or (
+            silence_s >= SILENCE_S and self._failed_connections()
+        ):
+            self._change(None)
+
+    def _change(self, announced: directory.Announcement | None) -> None:
+        before, self.current = self.current, announced
+        self._record(before, announced)
+        self._on_change(announced)
+
+    def _record(
+        self,
+        before: directory.Announcement | None,
+        after: directory.Announcement | None,
+    ) -> None:
+        if _shown(before) == _shown(after):
+            return
+        shown = after or before
+        if shown is None:
+            return
+        state = GONE if after is None else after.state.value
+        self._event_log.record(
+            events.UpstreamChanged(service=shown.service, state=state)
+        )
+
+
+class AnnounceResource(resource.Resource):
+    """HTTP resource that takes announcements by POST."""
+
+    def __init__(self, controller: AnnouncementsController) -> None:
+        super().__init__()
+        self.isLeaf = True
+        self._controller = controller
+
+    def render_POST(self, request: Any) -> bytes:
+        """Takes one announcement; answers 204 or a typed JSON error."""
+        body = request.content.read(MAX_BODY_BYTES + 1)
+        result = parse_announcement(body).bind(self._controller.announce)
+        if result.is_ok():
+            request.setResponseCode(204)
+            return b""
+        error = result.error
+        request.setResponseCode(HTTP_STATUS_BY_KIND[error.kind])
+        request.setHeader(b"content-type", b"application/json")
+        return msgspec.json.encode(error)
+
+
+def make_announcements_controller(
+    clock: clocks.Clock,
+    event_log: events.EventLog,
+    on_change: Callable[[directory.Announcement | None], None],
+    failed_connections: Callable[[], bool],
+) -> AnnouncementsController:
+    """Creates the controller; see `AnnouncementsController`."""
+    return AnnouncementsController(
+        clock, event_log, on_change, failed_connections
+    )
+
+
+def _shown(announced: directory.Announcement | None) -> Any:
+    """Returns the part of an announcement that events tell of."""
+    return announced and (announced.service, announced.state)
+
+
+def _problems(
+    announced: directory.Announcement,
+) -> Iterator[tuple[str, str]]:
+    names = (("service", announced.service), ("address", announced.address))
+    for field, value in names:
+        if not 0 < len(value.encode()) <= wire.MAX_NAME_CHARACTERS:
+            limit = wire.MAX_NAME_CHARACTERS
+            yield field, f"must have 1 to {limit} bytes"
+    if not _is_ip_and_port(announced.address):
+        yield "address", "must be ip:port"
+    counts = (
+        ("slots", announced.slots),
+        ("connections", announced.connections),
+    )
+    for field, count in counts:
+        if not 0 < count <= MAX_COUNT:
+            yield field, f"must be 1 to {MAX_COUNT}"
+
+
+def _is_ip_and_port(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    is_number = port.isascii() and port.isdigit()
+    return is_number and 0 < int(port) < 65_536
+
+
+def _refuse(
+    kind: AnnouncementErrorKind, detail: str
+) -> Result[Any, AnnouncementError]:
+    return Error(AnnouncementError(kind, detail))
--- /dev/null
+++ b/tests/test_announcements.py
@@ -0,0 +1,252 @@
+"""Contract of the announcements of the upstream on the own host."""
+
+from __future__ import annotations
+
+import io
+
+import msgspec
+import testscenarios
+import testtools
+from twisted.internet import task
+
+from cyclamendale import clocks
+from cyclamendale import events
+from cyclamendale import ids
+from cyclamendale.controllers import announcements
+
+GOOD = {
+    "service": "orders",
+    "address": "127.0.0.1:8080",
+    "slots": 8,
+    "connections": 100,
+    "state": "ready",
+}
+
+
+class FakeRequest:
+    """The part of a twisted.web request that the resource uses."""
+
+    def __init__(self, body):
+        self.content = io.BytesIO(body)
+        self.status = 200
+        self.headers = {}
+
+    def setResponseCode(self, status):
+        self.status = status
+
+    def setHeader(self, name, value):
+        self.headers[name] = value
+
+
+class AnnouncementsCase(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.reactor = task.Clock()
+        clock = clocks.ReactorClock(self.reactor)
+        self.log = events.EventLog(
+            ids.NodeId("n"), events.HybridLogicalClock(clock)
+        )
+        self.changes = []
+        self.failing = False
+        self.controller = announcements.make_announcements_controller(
+            clock, self.log, self.changes.append, lambda: self.failing
+        )
+        self.controller.start()
+        self.addCleanup(self.controller.stop)
+
+    def post(self, body):
+        if isinstance(body, dict):
+            body = msgspec.json.encode(body)
+        request = FakeRequest(body)
+        answer = self.controller.resource().render_POST(request)
+        return request.status, msgspec.json.decode(answer or b"{}")
+
+    def wait(self, seconds):
+        self.reactor.pump([0.25] * int(seconds * 4))
+
+    def states(self):
+        return [
+            announced and announced.state.value for announced in self.changes
+        ]
+
+
+class RefusedAnnouncementTest(testscenarios.WithScenarios, AnnouncementsCase):
+    scenarios = [
+        ("empty", {"body": b"", "status": 400, "kind": "malformed"}),
+        ("garbage", {"body": b"\xff\x00{", "status": 400, "kind": "malformed"}),
+        (
+            "not utf-8",
+            {
+                "body": b'{"service": "\xff"}',
+                "status": 400,
+                "kind": "malformed",
+            },
+        ),
+        ("list", {"body": b"[1]", "status": 400, "kind": "malformed"}),
+        (
+            "oversized",
+            {"body": b" " * 4097, "status": 413, "kind": "too-large"},
+        ),
+        ("deep", {"body": b"[" * 4000, "status": 400, "kind": "malformed"}),
+        (
+            "field missing",
+            {"body": {"service": "orders"}, "status": 400, "kind": "malformed"},
+        ),
+        (
+            "unknown state",
+            {
+                "body": GOOD | {"state": "busy"},
+                "status": 400,
+                "kind": "malformed",
+            },
+        ),
+        (
+            "text as number",
+            {"body": GOOD | {"slots": "8"}, "status": 400, "kind": "malformed"},
+        ),
+        (
+            "no slots",
+            {
+                "body": GOOD | {"slots": 0},
+                "status": 400,
+                "kind": "out-of-range",
+            },
+        ),
+        (
+            "too many slots",
+            {
+                "body": GOOD | {"slots": 10**9},
+                "status": 400,
+                "kind": "out-of-range",
+            },
+        ),
+        (
+            "negative connections",
+            {
+                "body": GOOD | {"connections": -1},
+                "status": 400,
+                "kind": "out-of-range",
+            },
+        ),
+        (
+            "no service",
+            {
+                "body": GOOD | {"service": ""},
+                "status": 400,
+                "kind": "out-of-range",
+            },
+        ),
+        (
+            "long service",
+            {
+                "body": GOOD | {"service": "x" * 65},
+                "status": 400,
+                "kind": "out-of-range",
+            },
+        ),
+        (
+            "host name",
+            {
+                "body": GOOD | {"address": "example:80"},
+                "status": 400,
+                "kind": "out-of-range",
+            },
+        ),
+        (
+            "no port",
+            {
+                "body": GOOD | {"address": "127.0.0.1"},
+                "status": 400,
+                "kind": "out-of-range",
+            },
+        ),
+        (
+            "port too high",
+            {
+                "body": GOOD | {"address": "127.0.0.1:70000"},
+                "status": 400,
+                "kind": "out-of-range",
+            },
+        ),
+        (
+            "other digits",
+            {
+                "body": GOOD | {"address": "127.0.0.1:٨"},
+                "status": 400,
+                "kind": "out-of-range",
+            },
+        ),
+    ]
+
+    def test_bad_input_gets_a_typed_error_and_changes_nothing(self):
+        self.post(GOOD)
+        status, error = self.post(self.body)
+        self.assertEqual((self.status, self.kind), (status, error["kind"]))
+        self.assertEqual(["ready"], self.states())
+
+
+class AnnouncementsTest(AnnouncementsCase):
+    def test_a_repeated_announcement_is_no_change(self):
+        self.assertEqual(204, self.post(GOOD)[0])
+        self.post(GOOD)
+        self.assertEqual(["ready"], self.states())
+
+    def test_changes_of_state_are_recorded_and_of_slots_only_told(self):
+        for change in ({"state": "starting"}, {}, {"slots": 9}):
+            self.post(GOOD | change)
+        states = [event.fields["state"] for event in self.log.recorded()]
+        self.assertEqual(["starting", "ready"], states)
+        self.assertEqual(9, self.changes[-1].slots)
+
+    def test_another_upstream_on_the_host_is_refused(self):
+        self.post(GOOD)
+        for change in ({"service": "stock"}, {"address": "127.0.0.1:81"}):
+            status, error = self.post(GOOD | change)
+            self.assertEqual((409, "host-taken"), (status, error["kind"]))
+        self.assertEqual(["ready"], self.states())
+
+    def test_another_upstream_may_follow_one_that_stopped(self):
+        self.post(GOOD | {"state": "stopped"})
+        self.assertEqual(204, self.post(GOOD | {"service": "stock"})[0])
+
+    def test_another_upstream_may_follow_one_that_is_gone(self):
+        self.post(GOOD)
+        self.wait(announcements.LONG_SILENCE_S + 1)
+        self.assertEqual(204, self.post(GOOD | {"service": "stock"})[0])
+
+    def test_a_short_silence_alone_takes_nothing_out(self):
+        self.post(GOOD)
+        self.wait(announcements.SILENCE_S + 2)
+        self.assertEqual(["ready"], self.states())
+
+    def test_failed_connections_alone_take_nothing_out(self):
+        self.failing = True
+        for _ in range(10):
+            self.post(GOOD)
+            self.wait(1)
+        self.assertEqual(["ready"], self.states())
+
+    def test_silence_with_failed_connections_takes_it_out(self):
+        self.post(GOOD)
+        self.failing = True
+        self.wait(announcements.SILENCE_S + 0.5)
+        self.assertEqual(["ready", None], self.states())
+        states = [event.fields["state"] for event in self.log.recorded()]
+        self.assertEqual(["ready", "gone"], states)
+
+    def test_a_long_silence_alone_takes_it_out(self):
+        self.post(GOOD)
+        self.wait(announcements.LONG_SILENCE_S + 0.5)
+        self.assertEqual(["ready", None], self.states())
+
+    def test_a_pause_of_the_node_is_not_the_upstreams_silence(self):
+        self.post(GOOD)
+        self.failing = True
+        self.reactor.advance(60)
+        self.assertEqual(["ready"], self.states())
+
+    def test_it_comes_back_with_its_next_announcement(self):
+        self.post(GOOD)
+        self.wait(announcements.LONG_SILENCE_S + 0.5)
+        self.post(GOOD)
+        self.assertEqual(["ready", None, "ready"], self.states())
--- /dev/null
+++ b/tests/test_membership_datagrams.py
@@ -0,0 +1,224 @@
+"""Contract of the datagrams between members."""
+
+from __future__ import annotations
+
+import itertools
+
+import testscenarios
+import testtools
+
+from cyclamendale import ids
+from cyclamendale.membership import datagram_auth
+from cyclamendale.membership import link
+from cyclamendale.membership import wire
+from cyclamendale.peer.generated.membership import ttypes
+
+ONE = ids.NodeId("10.0.0.1:700#aa")
+OTHER = ids.NodeId("10.0.0.2:700#bb")
+THIRD = ids.NodeId("10.0.0.3:700#cc")
+Reason = datagram_auth.DropReason
+
+
+def ping(sequence=1):
+    return ttypes.MembershipDatagram(
+        kind=wire.DatagramKind.PING, sender=ONE, sequence=sequence, digest=0
+    )
+
+
+class End:
+    """One end of a link; what it sends is kept until carried."""
+
+    _nonces = itertools.count(1)
+
+    def __init__(self, node, secret=b"secret"):
+        self.sent = []
+        self.authenticator = datagram_auth.Authenticator(
+            secret, ids.address_of(node), lambda: next(End._nonces)
+        )
+        self.link = link.AuthenticatedLink(
+            node, self.authenticator, lambda to, data: self.sent.append(data)
+        )
+        self.address = ids.address_of(node)
+
+    def take(self):
+        """The datagrams sent since the last call."""
+        sent, self.sent = self.sent, []
+        return sent
+
+    def open_all(self, datagrams):
+        opened = (self.link.open(data) for data in datagrams)
+        return [datagram.sequence for datagram in opened if datagram]
+
+
+class LinkCase(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.one, self.other = End(ONE), End(OTHER)
+
+    def meet(self):
+        """Lets the ends learn each other's nonce."""
+        self.one.link.send(self.other.address, ping(0))
+        self.other.open_all(self.one.take())
+        self.one.open_all(self.other.take())
+        return self.other.open_all(self.one.take())
+
+    def sealed(self, datagram=None):
+        self.one.link.send(self.other.address, datagram or ping())
+        return self.one.take()[-1]
+
+
+def _flip_last_bit(case):
+    data = case.sealed()
+    return data[:-1] + bytes([data[-1] ^ 1])
+
+
+def _wrong_secret(case):
+    case.one = End(ONE, b"another secret")
+    return case.sealed()
+
+
+def _for_a_third(case):
+    case.one.link.send(ids.address_of(THIRD), ping())
+    return case.one.take()[-1]
+
+
+def _replayed(case):
+    data = case.sealed()
+    case.other.link.open(data)
+    return data
+
+
+def _recorded_before_a_restart(case):
+    data = case.sealed()
+    case.other = End(OTHER)
+    return data
+
+
+def _after_the_window(case):
+    data = case.sealed()
+    for _ in range(datagram_auth.WINDOW_DATAGRAMS):
+        case.other.link.open(case.sealed())
+    return data
+
+
+def _with_payload(case, payload):
+    mac = case.other.authenticator._mac(case.other.address, payload)
+    return mac + payload
+
+
+def _another_version(case):
+    data = bytearray(case.sealed()[datagram_auth.MAC_BYTES :])
+    data[3] = 99  # After the type and the number of the first field.
+    return _with_payload(case, bytes(data))
+
+
+def _fields_missing(case):
+    datagram = ttypes.MembershipDatagram(version=wire.FORMAT_VERSION)
+    return _with_payload(case, wire.encode_struct(datagram))
+
+
+def _unknown_kind(case):
+    datagram = ping()
+    datagram.kind = 77
+    return case.sealed(datagram)
+
+
+class BadDatagramTest(testscenarios.WithScenarios, LinkCase):
+    scenarios = [
+        (name, {"make": make, "reason": reason})
+        for name, make, reason in (
+            ("empty", lambda case: b"", Reason.TRUNCATED),
+            ("mac only", lambda case: b"x" * 16, Reason.TRUNCATED),
+            ("garbage", lambda case: b"\xff\x80" * 99, Reason.WRONG_MAC),
+            ("oversized", lambda case: b"x" * 1_401, Reason.OVERSIZED),
+            ("cut off", lambda case: case.sealed()[:-9], Reason.WRONG_MAC),
+            ("flipped bit", _flip_last_bit, Reason.WRONG_MAC),
+            ("wrong secret", _wrong_secret, Reason.WRONG_MAC),
+            ("meant for a third", _for_a_third, Reason.WRONG_MAC),
+            ("replay", _replayed, Reason.REPLAYED),
+            (
+                "replay to a new process",
+                _recorded_before_a_restart,
+                Reason.UNPROVEN,
+            ),
+            ("older than the window", _after_the_window, Reason.REPLAYED),
+            (
+                "authentic garbage",
+                lambda case: _with_payload(case, b"\x0b" * 9),
+                Reason.MALFORMED,
+            ),
+            ("fields missing", _fields_missing, Reason.MALFORMED),
+            ("unknown kind", _unknown_kind, Reason.MALFORMED),
+            ("unknown version", _another_version, Reason.UNKNOWN_VERSION),
+        )
+    ]
+
+    def test_it_is_dropped_and_counted(self):
+        self.meet()
+        data = self.make(self)
+        before = self.other.link.counters.dropped[self.reason]
+        self.assertIsNone(self.other.link.open(data))
+        dropped = self.other.link.counters.dropped
+        self.assertEqual(before + 1, dropped[self.reason])
+
+
+class LinkTest(LinkCase):
+    def test_first_contact_takes_one_challenge(self):
+        self.assertEqual([0], self.meet())
+
+    def test_after_first_contact_there_is_no_challenge(self):
+        self.meet()
+        self.assertEqual([1], self.other.open_all([self.sealed()]))
+        self.assertEqual([], self.other.take())
+
+    def test_overtaken_datagrams_are_accepted_once(self):
+        self.meet()
+        sealed = [self.sealed(ping(number)) for number in (1, 2, 3)]
+        opened = self.other.open_all(sealed[::-1] + sealed)
+        self.assertEqual([3, 2, 1], opened)
+
+    def test_a_restarted_receiver_gets_the_datagram_after_a_challenge(self):
+        self.meet()
+        data = self.sealed(ping(5))
+        self.other = End(OTHER)
+        self.assertEqual([], self.other.open_all([data]))
+        self.one.open_all(self.other.take())
+        self.assertEqual([5], self.other.open_all(self.one.take()))
+
+    def test_a_replay_to_a_new_process_moves_no_nonce(self):
+        self.meet()
+        old = self.sealed()
+        self.one, self.other = End(ONE), End(OTHER)
+        self.meet()
+        self.other.open_all([old])
+        self.other.take()
+        answer = ping(7)
+        answer.sender = OTHER
+        self.other.link.send(self.one.address, answer)
+        self.assertEqual([7], self.one.open_all(self.other.take()))
+
+    def test_a_challenge_is_never_answered_by_a_challenge(self):
+        self.meet()
+        data = _recorded_before_a_restart(self)
+        self.other.link.open(data)
+        challenge = self.other.take()[0]
+        self.one = End(ONE)
+        self.one.link.open(challenge)
+        self.assertEqual([], self.one.take())
+
+    def test_forgetting_senders_renews_the_nonce(self):
+        self.meet()
+        old = self.sealed()
+        self.other.link.open(old)
+        for nonce in range(datagram_auth.MAX_WINDOWS):
+            self.other.authenticator._add_window(-nonce - 1)
+        self.assertEqual([], self.other.open_all([old]))
+        dropped = self.other.link.counters.dropped
+        self.assertEqual(1, dropped[Reason.UNPROVEN] - 1)
+
+    def test_an_entry_with_an_unknown_state_is_an_error(self):
+        entry = ttypes.MemberEntry(
+            node=ONE, failure_domain="a", incarnation=1, state=9
+        )
+        decoded = wire.decode_update(wire.encode_struct(entry))
+        self.assertTrue(decoded.is_error())
