--- a/src/cyclamendale/controllers/announcements.py
+++ b/src/cyclamendale/controllers/announcements.py
@@ -97,6 +97,7 @@
         event_log: events.EventLog,
         on_change: Callable[[directory.Announcement | None], None],
         failed_connections: Callable[[], bool],
+        silence_s: float = SILENCE_S,
     ) -> None:
         """Creates the controller of a host without an upstream.
 
@@ -107,7 +108,10 @@
                 None when the upstream is gone.
             failed_connections: Returns whether connections to the
                 upstream fail at present.
+            silence_s: Silence after which failing connections take the
+                upstream out.
         """
+        self._silence_s = silence_s
         self._clock = clock
         self._event_log = event_log
         self._on_change = on_change
@@ -169,7 +173,7 @@
             return
         silence_s = now_s - self._heard_s
         if silence_s >= LONG_SILENCE_S or (
-            silence_s >= SILENCE_S and self._failed_connections()
+            silence_s >= self._silence_s and self._failed_connections()
         ):
             self._change(None)
 
@@ -220,10 +224,11 @@
     event_log: events.EventLog,
     on_change: Callable[[directory.Announcement | None], None],
     failed_connections: Callable[[], bool],
+    silence_s: float = SILENCE_S,
 ) -> AnnouncementsController:
     """Creates the controller; see `AnnouncementsController`."""
     return AnnouncementsController(
-        clock, event_log, on_change, failed_connections
+        clock, event_log, on_change, failed_connections, silence_s
     )
 
 
--- a/src/cyclamendale/entry/http_entry.py
+++ b/src/cyclamendale/entry/http_entry.py
@@ -22,7 +22,7 @@
 from cyclamendale.forwarding import exchange
 from cyclamendale.forwarding import forwarder
 
-IDLE_TIMEOUT_S = 60
+IDLE_TIMEOUT_S = 60.0
 HEAD_TIMEOUT_S = 10.0
 """Longest time for a caller to send a request's head."""
 
@@ -60,11 +60,15 @@
         configuration: source.ConfigurationSource,
         forward: forwarder.Forwarder,
         observer: CallObserver,
+        idle_timeout_s: float = IDLE_TIMEOUT_S,
+        head_timeout_s: float = HEAD_TIMEOUT_S,
     ) -> None:
         self.clock = clock
         self.configuration = configuration
         self.forwarder = forward
         self.observer = observer
+        self.idle_timeout_s = idle_timeout_s
+        self.head_timeout_s = head_timeout_s
         self.chain: base.FilterChain | None = None
         self.closing = False
         self.active: set[EntryRequest] = set()
@@ -126,7 +130,7 @@
     def __init__(self, entry: Entry) -> None:
         super().__init__()
         self.entry = entry
-        self.timeOut = IDLE_TIMEOUT_S
+        self.timeOut = entry.idle_timeout_s  # type: ignore[assignment]
         self.requestFactory = EntryRequest  # type: ignore[assignment]
         self.is_http_1_1 = True
         self._head_timer: clocks.DelayedCall | None = None
@@ -140,7 +144,7 @@
         """Bounds the time that a request's head may take."""
         if self._head_timer is None and not self._handlingRequest:
             self._head_timer = self.entry.clock.call_later(
-                HEAD_TIMEOUT_S, self._head_too_slow
+                self.entry.head_timeout_s, self._head_too_slow
             )
         super().lineReceived(line)
 
--- a/src/cyclamendale/node.py
+++ b/src/cyclamendale/node.py
@@ -166,6 +166,8 @@
                 self._transport_for,
             ),
             self._observer.call_ended,
+            self._settings.http_idle_timeout_s,
+            self._settings.http_head_timeout_s,
         )
 
     def _build_quotas(self) -> None:
@@ -180,11 +182,11 @@
         )
 
     def _build_control(self) -> None:
-        self._announcements = announcements.make_announcement_controller(
+        self._announcements = announcements.make_announcements_controller(
             self._clock,
+            self.event_log,
             self._announced,
             self._gate.failed_connections,
-            self.event_log,
             self._settings.announcement_timeout_s,
         )
         self._timeline = timelines.make_timeline_controller(
@@ -273,7 +275,7 @@
 
     def _listen_control(self) -> None:
         root: Any = resource.Resource()
-        root.putChild(b"announce", self._announcements.resource)
+        root.putChild(b"announce", self._announcements.resource())
         timeline_site.add_resources(root, self._timeline)
         site = server.Site(root)
         site.noisy = False
