Send short messages at once instead of in the next loop iteration

Cause: each write waited for one more poll and two changes of the poll set; a call through one node made four loop iterations. Ruled out: syscall cost itself (send and recv 2.8 us together here); logging and statsd (no call per request).

--- a/src/cyclamendale/entry/http_entry.py
+++ b/src/cyclamendale/entry/http_entry.py
@@ -14,6 +14,7 @@
 from twisted.python import failure
 from twisted.web import http
 
+from cyclamendale import _immediate_write
 from cyclamendale import clocks
 from cyclamendale import refusals
 from cyclamendale.configuration import source
@@ -432,7 +433,7 @@
         head.append(b"\r\n")
         head.append(body)
         self.startedWriting = 1
-        self.channel.write(b"".join(head))
+        _immediate_write.write_now(self.channel.transport, b"".join(head))
 
     def _end(self, outcome: refusals.Refusal | int | None) -> None:
         self._over = True
--- a/src/cyclamendale/peer/connection.py
+++ b/src/cyclamendale/peer/connection.py
@@ -20,6 +20,7 @@
 from twisted.protocols import basic
 from twisted.python import failure
 
+from cyclamendale import _immediate_write
 from cyclamendale.peer import network
 
 if TYPE_CHECKING:
@@ -180,10 +181,11 @@
         self, kind: int, flag: Flag, call_id: int, payload: bytes
     ) -> None:
         length = _HEADER_BYTES + len(payload)
-        self.transport.write(
+        _immediate_write.write_now(
+            self.transport,
             length.to_bytes(4, "big")
             + _HEADER.pack(kind, flag, call_id)
-            + payload
+            + payload,
         )
 
     def _frame_received(self, frame: bytes) -> None:
--- a/src/cyclamendale/upstream/http_connection.py
+++ b/src/cyclamendale/upstream/http_connection.py
@@ -17,6 +17,7 @@
 from twisted.python import failure
 from twisted.web import http
 
+from cyclamendale import _immediate_write
 from cyclamendale.forwarding import exchange
 
 MAX_HEAD_BYTES = 32 * 1024
@@ -136,7 +137,7 @@
         self._head_bytes = 0
         self._chunked = False
         self._decoder = None
-        self.transport.write(data)
+        _immediate_write.write_now(self.transport, data)
 
     def send(self, data: bytes, last: bool) -> None:
         """Sends a further part of the request body."""
