Test what mutations of publishing and readiness left alive

Eight hand mutations passed the tests: change ids not looked up in the head row, three that report a write of unknown outcome as something certain, a compare-and-set on the version of the moment, a newer format with known fields, and readiness below the version of a peer or of the platform. Each now fails a named test.

--- a/tests/test_configuration_controller.py
+++ b/tests/test_configuration_controller.py
@@ -125,6 +125,33 @@
         self.assertLess(took_s, CONVERGENCE_TARGET_S)
         self.assertEqual(version, self.node.version)
 
+    def test_a_node_waits_for_the_version_that_it_has_heard_of(self):
+        version = self.publish(0, {"a": b"1"})
+        self.settle(version)
+        self.cluster.cut_from_platform("domain-0", "domain-1")
+        fetch = kinds.MessageKind.CONFIGURATION_FETCH
+        self.cluster.wires.lose = lambda _, __, kind, ___: kind is fetch
+        self.check_waits_for(version)
+
+    def test_a_node_waits_for_the_files_of_the_head(self):
+        version = self.publish(0, {"a": b"1"})
+        self.settle(version)
+        down = faults.FaultRule(
+            faults.Fault.DOWN, (faults.Operation.GET_OBJECT,)
+        )
+        self.node.switch.switch([down])
+        self.cluster.wires.lose = lambda *_: True
+        self.check_waits_for(version)
+
+    def check_waits_for(self, version):
+        self.node.start()
+        self.cluster.advance(30)
+        self.assertFalse(self.node.controller.is_ready)
+        self.cluster.wires.lose = lambda *_: False
+        self.cluster.advance(CONVERGENCE_TARGET_S)
+        self.assertTrue(self.node.controller.is_ready)
+        self.assertEqual(version, self.node.version)
+
     def test_a_new_node_with_its_peers_gone_reads_from_the_platform(self):
         version = self.publish(0, {"a": b"1"})
         self.settle(version)
--- a/tests/test_configuration_machine.py
+++ b/tests/test_configuration_machine.py
@@ -23,6 +23,7 @@
 FILES = ("a", "b", "c", "d")
 KINDS = changes.PublishErrorKind
 OPERATION = faults.Operation
+NEVER = {KINDS.FORMAT_UNKNOWN, KINDS.DAMAGED, KINDS.BASE_UNKNOWN}
 DOMAINS = tuple(f"domain-{d}" for d in range(len(SIZES)))
 
 files = st.sampled_from(FILES)
@@ -73,16 +74,20 @@
         self.send(operator, change)
 
     @stateful.rule(
-        rule=fault_rules, file=files, duration_s=st.sampled_from([0.0, 0.5])
+        rule=fault_rules,
+        file=files,
+        apart_s=st.sampled_from([0.0, 0.02, 0.04]),
+        duration_s=st.sampled_from([0.0, 0.5]),
     )
-    def race(self, rule, file, duration_s):
-        """All operators start at once, one of them with a fault."""
+    def race(self, rule, file, apart_s, duration_s):
+        """All operators start together, one of them with a fault."""
         for operator in range(OPERATORS):
             self.mend_operator(operator)
-        self.fault_of_operator(0, rule)
+        self.faults_of_operator(0, [rule])
         for operator in range(OPERATORS):
             puts = {file} if operator < 2 else {FILES[0]}
             self.publish(operator, puts, set(), True)
+            self.cluster.advance(apart_s)
         self.cluster.advance(duration_s)
 
     def read(self, operator):
@@ -104,9 +109,9 @@
         results = self.results.setdefault(change.change_id, [])
         answer.addCallback(results.append)
 
-    @stateful.rule(operator=operators, rule=fault_rules)
-    def fault_of_operator(self, operator, rule):
-        self.switches[operator].switch([rule])
+    @stateful.rule(operator=operators, rules=st.lists(fault_rules, max_size=2))
+    def faults_of_operator(self, operator, rules):
+        self.switches[operator].switch(rules)
 
     @stateful.rule(operator=operators)
     def mend_operator(self, operator):
@@ -200,6 +205,14 @@
                 kind = results[0].error.kind
                 assert kind is KINDS.OUTCOME_UNKNOWN, "refused and applied"
 
+        errors = (
+            result.error.kind
+            for results in self.results.values()
+            for result in results
+            if result.is_error()
+        )
+        assert not NEVER & set(errors)
+
     def check_no_change_is_lost(self, history):
         """Replays the history: no change overwrote one it had not seen."""
         folder = {}
--- a/tests/test_configuration_publisher.py
+++ b/tests/test_configuration_publisher.py
@@ -13,6 +13,7 @@
 from tests.support import fake_platform_configuration as fake
 
 KINDS = changes.PublishErrorKind
+FAULT = faults.Fault
 OPERATION = faults.Operation
 
 
@@ -46,6 +47,18 @@
         self.assertEqual([1, 2, 3, 4], made)
         self.assertEqual(4, len(self.platform.folder()[1]))
 
+    def test_a_change_committed_between_read_and_commit_is_merged(self):
+        self.platform.publish(puts={"a": b"1"})
+        for steps in range(6):
+            change = self.platform.change(1, {f"f{steps}": b"x"})
+            first = self.platform.operator().publish(change)
+            self.platform.task_clock.advance(steps * fake.LATENCY_S)
+            second = self.platform.publish(1, {f"g{steps}": b"x"})
+            results = [self.platform.result(first), second]
+            self.assertEqual([True, True], [r.is_ok() for r in results])
+        self.assertEqual(13, self.platform.folder()[0])
+        self.assertEqual(13, len(self.platform.folder()[1]))
+
     def test_a_union_that_is_invalid_changes_nothing(self):
         self.platform.publish(puts={"a": fake.EXCLUSIVE})
         before = self.platform.rows.list_rows("", 99)
@@ -145,6 +158,11 @@
         self.assertEqual(changes.Published(1, True), self.repeat().ok)
         self.assertEqual((1, {"a": b"1"}), self.platform.folder())
 
+    def test_it_is_recognised_also_when_another_replaced_its_file(self):
+        self.platform.publish(1, {"a": b"2"})
+        self.assertEqual(changes.Published(1, True), self.repeat().ok)
+        self.assertEqual((2, {"a": b"2"}), self.platform.folder())
+
     def test_it_is_recognised_below_more_changes_than_the_head_lists(self):
         for version in range(1, documents.RECENT_CHANGES + 5):
             self.platform.publish(version, {"b": b"%d" % version})
@@ -198,10 +216,12 @@
         switch.switch([rule])
         operator = self.platform.operator(switch)
         change = self.platform.change(1, {"a": b"2"})
-        answer = operator.publish(change)
         if self.racing:
-            self.platform.task_clock.advance(0.045)
-            self.platform.publish(1, {"other": b"x"}, writer="bob")
+            racing = self.platform.change(1, {"other": b"x"}, writer="bob")
+            self.platform.operator().publish(racing)
+            # Its commit falls between the other's read and commit.
+            self.platform.task_clock.advance(2.5 * fake.LATENCY_S)
+        answer = operator.publish(change)
         result = self.platform.result(answer)
         self.check_honest(result, change)
         switch.switch()
@@ -228,6 +248,54 @@
         ]
 
 
+class UnsettledTest(testscenarios.WithScenarios, PublisherTest):
+    """A lost write followed by another fault, before it is settled."""
+
+    scenarios = [
+        (
+            "taken effect, then one failed read back",
+            {
+                "lost": FAULT.ANSWER_LOST,
+                "next": faults.FaultRule(
+                    FAULT.DOWN, (OPERATION.READ,), skip=1, count=1
+                ),
+                "kind": None,
+            },
+        ),
+        (
+            "taken effect, then no read back",
+            {
+                "lost": FAULT.ANSWER_LOST,
+                "next": faults.FaultRule(FAULT.DOWN, (OPERATION.READ,), skip=1),
+                "kind": KINDS.OUTCOME_UNKNOWN,
+            },
+        ),
+        (
+            "still under way, then refused",
+            {
+                "lost": FAULT.SLOW,
+                "next": faults.FaultRule(FAULT.DOWN, (OPERATION.TRANSACT,)),
+                "kind": KINDS.OUTCOME_UNKNOWN,
+            },
+        ),
+    ]
+
+    def test_it_is_called_unknown_until_it_is_settled(self):
+        self.platform.publish(puts={"a": b"1"})
+        switch = faults.FaultSwitch()
+        lost = faults.FaultRule(
+            self.lost, (OPERATION.TRANSACT,), count=1, delay_s=100.0
+        )
+        switch.switch([lost, self.next])
+        operator = self.platform.operator(switch)
+        change = self.platform.change(1, {"a": b"2"})
+        result = self.platform.result(operator.publish(change))
+        kind = None if result.is_ok() else result.error.kind
+        self.assertEqual(self.kind, kind)
+        self.platform.task_clock.advance(100.0)
+        self.assertEqual((2, {"a": b"2"}), self.platform.folder())
+
+
 class OtherFormatTest(testscenarios.WithScenarios, PublisherTest):
     """Rows that another version of the program wrote."""
 
@@ -238,6 +306,7 @@
         ],
         [
             ("newer format", {"value": b'{"format": 2, "version": "x"}'}),
+            ("newer, same fields", {"value": None}),
             ("not JSON", {"value": b"\xff\x00"}),
             ("fields missing", {"value": b'{"format": 1}'}),
         ],
@@ -247,9 +316,10 @@
         self.platform.publish(puts={"a": b"1"})
         row = self.platform.rows.read(self.key)
         version = row.version if row else table.ABSENT_VERSION
-        self.platform.rows.transact(
-            [table.Write(self.key, version, self.value)]
-        )
+        known = self.platform.rows.read(documents.HEAD_KEY).value
+        newer = known.replace(b'"format":1', b'"format":2')
+        write = table.Write(self.key, version, self.value or newer)
+        self.platform.rows.transact([write])
         before = self.platform.rows.list_rows("", 99)
         error = self.platform.publish(1, {"b": b"2"}).error
         self.assertEqual(KINDS.FORMAT_UNKNOWN, error.kind)
