--- a/src/cyclamendale/membership/udp.py
+++ b/src/cyclamendale/membership/udp.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from twisted.internet import defer
+from twisted.internet import error
 from twisted.internet import protocol
 
 from cyclamendale import ids
@@ -14,6 +15,15 @@
 _RECEIVE_BUFFER_BYTES = 2_048
 """More than the largest datagram, so that oversized ones are noticed."""
 
+_SEND_ERRORS = (
+    OSError,
+    OverflowError,
+    ValueError,
+    error.InvalidAddressError,
+    error.MessageLengthError,
+)
+"""What the reactor raises for a bad address, size or a full buffer."""
+
 
 class DatagramPort(abc.ABC):
     """Where a node sends and receives datagrams."""
@@ -69,7 +79,7 @@
             return
         try:
             transport.write(data, (host.strip("[]"), int(port)))
-        except (OSError, ValueError):
+        except _SEND_ERRORS:
             self.failures += 1
 
     def close(self) -> defer.Deferred[None]:
--- a/tests/support/fake_members.py
+++ b/tests/support/fake_members.py
@@ -13,6 +13,7 @@
 from cyclamendale.membership import link
 from cyclamendale.membership import protocol as protocols
 from cyclamendale.membership import state_sync
+from cyclamendale.membership import wire
 from tests.support import fake_network
 
 SECRET = b"fleet secret of the tests"
@@ -86,8 +87,23 @@
         )
         self.sync = state_sync.StateSync(self.protocol, peer)
         self.sync.serve()
+        self._rng = rng
+        self._look_s = 1.0
         cluster.clock.call_later(rng.random() * protocols.TICK_S, self._tick)
 
+    def look(self):
+        """Contacts unknown members, as found in the platform's table."""
+        if not self.running:
+            return
+        self.cluster.clock.call_later(self._look_s, self.look)
+        self._look_s = min(300.0, self._look_s * 2)
+        if self.cluster.table_up and not self.paused:
+            known = self.view()
+            unknown = [a for a in self.cluster.running if a not in known]
+            self._rng.shuffle(unknown)
+            for address in unknown[:3]:
+                self.sync.run(address)
+
     @property
     def members(self):
         return self.protocol.members
@@ -130,6 +146,7 @@
         duplication: Probability that a datagram arrives twice.
         max_delay_s: Longest delay of a datagram.
         cuts: Pairs of failure domains between which nothing passes.
+        table_up: Whether new processes can find others.
     """
 
     member_type = FakeMember
@@ -144,6 +161,7 @@
         self.duplication = 0.0
         self.max_delay_s = 0.003
         self.cuts = set()
+        self.table_up = True
         self.running = {}
         self._domains = {}
         self._processes = itertools.count()
@@ -165,6 +183,26 @@
         member = self.running[address] = self.member_type(self, own)
         return member
 
+    def restart(self, address, upstream=None):
+        """Starts a new process at an address used before."""
+        member = self.add(address, self._domains[address], upstream)
+        member.look()
+        return member
+
+    def cut_off(self, domain):
+        """Cuts a failure domain off from all others."""
+        self.cuts = {(domain, other) for other in self._domains.values()}
+        self.cuts.discard((domain, domain))
+
+    def run_until(self, reached, limit_s, step_s=0.25):
+        """Runs until `reached()`; returns the time or None at the limit."""
+        start_s = self.clock.now_s()
+        while not reached():
+            if self.clock.now_s() - start_s >= limit_s:
+                return None
+            self.run(step_s)
+        return self.clock.now_s() - start_s
+
     def crash(self, member):
         member.running = False
         del self.running[member.address]
@@ -172,6 +210,7 @@
 
     def carry(self, sender, receiver, data):
         """Carries one datagram, unless it is lost."""
+        assert len(data) <= wire.MAX_DATAGRAM_BYTES
         if not sender.running or self.rng.random() < self.loss:
             return
         if self._is_cut(sender.address, receiver):
@@ -227,4 +266,5 @@
             first = next(iter(cluster.running))
             member.sync.run(ids.PeerAddress(first))
             cluster.run(0.01)
+    cluster.run_until(cluster.agrees, 60)
     return cluster
--- /dev/null
+++ b/tests/test_membership_protocol.py
@@ -0,0 +1,224 @@
+"""Behaviour of the membership protocol under single faults."""
+
+from __future__ import annotations
+
+import collections
+
+import testscenarios
+import testtools
+
+from cyclamendale.membership import directory
+from cyclamendale.membership import member_list
+from cyclamendale.membership import wire
+from tests.support import fake_members
+
+LEAVING_BOUND_S = 3.0
+CRASH_BOUND_S = 30.0
+AGREEMENT_BOUND_S = 60.0
+State = directory.MemberState
+
+
+class ClusterCase(testtools.TestCase):
+    def start(self, domains="abc", per_domain=4, loss=0.01):
+        self.cluster = fake_members.make_cluster(
+            list(domains), per_domain, upstream=fake_members.announcement()
+        )
+        self.assertTrue(self.cluster.agrees())
+        self.cluster.loss = loss
+        self.all = list(self.cluster.running.values())
+        self.seen = collections.defaultdict(set)
+        for member in self.all:
+            member.members.subscribe(self.note)
+
+    def note(self, member):
+        self.seen[member.state].add(member.address)
+
+    def count_targets(self, member):
+        return len(member.members.targets("orders"))
+
+    def all_targets(self, count, excluded=()):
+        return lambda: all(
+            self.count_targets(member) == count
+            for member in self.all
+            if member not in excluded
+        )
+
+
+class LeavingTest(testscenarios.WithScenarios, ClusterCase):
+    scenarios = [
+        ("leaving", {"act": lambda protocol: protocol.set_leaving()}),
+        ("left", {"act": lambda protocol: protocol.leave()}),
+        (
+            "draining",
+            {
+                "act": lambda protocol: protocol.set_upstream(
+                    fake_members.announcement(
+                        state=directory.UpstreamState.DRAINING
+                    )
+                )
+            },
+        ),
+        ("gone", {"act": lambda protocol: protocol.set_upstream(None)}),
+    ]
+
+    def test_it_is_no_target_anywhere_within_the_bound(self):
+        self.start(per_domain=20)
+        self.act(self.all[5].protocol)
+        reached = self.all_targets(59)
+        took_s = self.cluster.run_until(reached, LEAVING_BOUND_S)
+        self.assertIsNotNone(took_s)
+        self.cluster.run(30)
+        self.assertTrue(reached())
+
+
+class PauseTest(testscenarios.WithScenarios, ClusterCase):
+    scenarios = [
+        (f"{pause_s} s", {"pause_s": pause_s})
+        for pause_s in (0.5, 1.0, 2.5, 10, 45)
+    ]
+
+    def test_a_paused_member_blames_nobody_and_is_not_lost(self):
+        self.start(loss=0)
+        paused = self.all[4]
+        for _ in range(5):
+            paused.paused = True
+            self.cluster.run(self.pause_s)
+            paused.resume()
+            self.cluster.run(1.3)
+        self.assertLessEqual(self.seen[State.SUSPECT], {paused.address})
+        reached = self.cluster.run_until(self.cluster.agrees, AGREEMENT_BOUND_S)
+        self.assertIsNotNone(reached)
+
+
+class FaultsTest(ClusterCase):
+    def test_loss_alone_costs_nobody_its_place(self):
+        self.start(loss=0.05)
+        self.cluster.run(180)
+        self.assertEqual(set(), self.seen[State.DEAD])
+        self.assertTrue(self.all_targets(12)())
+
+    def test_a_crash_is_known_to_all(self):
+        self.start()
+        crashed = self.all[3]
+        self.cluster.crash(crashed)
+        others = [m for m in self.all if m is not crashed]
+        reached = self.cluster.run_until(
+            lambda: self.cluster.agrees(others), CRASH_BOUND_S
+        )
+        self.assertIsNotNone(reached)
+
+    def test_a_crashed_failure_domain_is_known_to_all_others(self):
+        self.start()
+        for member in self.all:
+            if member.domain == "b":
+                self.cluster.crash(member)
+        reached = self.cluster.run_until(self.cluster.agrees, AGREEMENT_BOUND_S)
+        self.assertIsNotNone(reached)
+
+    def test_a_new_process_at_an_address_replaces_the_old_one(self):
+        for before_s in (0.0, 3.0, 30.0):
+            self.start(loss=0)
+            self.cluster.crash(self.all[3])
+            self.cluster.run(before_s)
+            new = self.cluster.restart(self.all[3].address)
+            reached = self.cluster.run_until(self.cluster.agrees, 20)
+            self.assertIsNotNone(reached)
+            self.assertTrue(
+                all(
+                    other.view()[new.address][0] == new.members.own().node
+                    for other in self.cluster.running.values()
+                )
+            )
+
+    def test_a_new_process_follows_one_that_left(self):
+        self.start(loss=0)
+        self.all[3].protocol.leave()
+        self.cluster.run(1)
+        self.cluster.crash(self.all[3])
+        self.cluster.run(5)
+        self.cluster.restart(self.all[3].address)
+        reached = self.cluster.run_until(self.cluster.agrees, 20)
+        self.assertIsNotNone(reached)
+
+    def test_a_cut_that_a_third_domain_bridges_kills_nobody(self):
+        self.start()
+        self.cluster.cuts = {("a", "b")}
+        self.cluster.run(120)
+        self.assertEqual(set(), self.seen[State.DEAD])
+
+    def test_a_healed_partition_rejoins_without_the_table(self):
+        self.start()
+        self.cluster.table_up = False
+        self.cluster.cut_off("a")
+        sides = [
+            [m for m in self.all if (m.domain == "a") == is_a]
+            for is_a in (True, False)
+        ]
+        parted = self.cluster.run_until(
+            lambda: all(map(self.cluster.agrees, sides)), AGREEMENT_BOUND_S
+        )
+        self.assertIsNotNone(parted)
+        self.cluster.run(300)
+        self.cluster.cuts.clear()
+        reached = self.cluster.run_until(self.cluster.agrees, AGREEMENT_BOUND_S)
+        self.assertIsNotNone(reached)
+
+    def test_a_change_made_while_cut_off_is_known_after_healing(self):
+        self.start()
+        self.cluster.cut_off("a")
+        self.cluster.run(2)
+        self.all[0].protocol.set_leaving()
+        self.cluster.run(120)
+        self.cluster.cuts.clear()
+        reached = self.cluster.run_until(
+            self.all_targets(11), AGREEMENT_BOUND_S
+        )
+        self.assertIsNotNone(reached)
+
+    def test_a_member_that_was_cut_off_alone_floods_no_accusations(self):
+        self.start(loss=0)
+        alone = self.cluster.add("10.9.9.9:700", "z")
+        alone.look()
+        self.cluster.run(20)
+        self.cluster.cut_off("z")
+        self.cluster.run(180)
+        self.seen.clear()
+        self.cluster.cuts.clear()
+        self.cluster.run(AGREEMENT_BOUND_S)
+        self.assertTrue(self.cluster.agrees())
+        held_dead = self.seen[State.DEAD] - {alone.address}
+        self.assertEqual(set(), held_dead)
+
+    def test_a_false_report_of_death_takes_nobody_out(self):
+        self.start(loss=0)
+        victim = self.all[2].members.own()
+        dead = member_list.with_state(victim, State.DEAD)
+        self.all[7].protocol._take_update(
+            wire.encode_update(wire.Update(dead)), self.cluster.clock.now_s()
+        )
+        lowest = 12
+        for _ in range(200):
+            self.cluster.run(0.1)
+            counts = map(self.count_targets, self.all)
+            lowest = min(lowest, *counts)
+        self.assertEqual(12, lowest)
+        self.assertTrue(self.cluster.agrees())
+
+    def test_an_older_incarnation_changes_nothing(self):
+        self.start(loss=0)
+        old = wire.encode_update(wire.Update(self.all[2].members.own()))
+        self.all[2].protocol.set_leaving()
+        self.cluster.run(3)
+        for member in self.all:
+            member.protocol.apply_synced([old])
+        self.assertTrue(self.all_targets(11)())
+
+    def test_a_missed_update_is_made_up_for(self):
+        self.start(loss=0)
+        self.cluster.loss = 1.0
+        self.all[2].protocol.set_leaving()
+        self.cluster.run(1)
+        self.all[2].protocol._queue.remove(self.all[2].address)
+        self.cluster.loss = 0.0
+        reached = self.cluster.run_until(self.all_targets(11), 30)
+        self.assertIsNotNone(reached)
