Control the threshold by rate, and model a call graph

A small model on a virtual clock drives the real decisions through a chain of services.

Now the gate controls the rate to admit by the fill of its queue and looks the key up in a remembered histogram of the demand; means are taken over more samples and the baseline is smoothed.

--- /dev/null
+++ b/measure/_call_graph_model_policies.py
@@ -0,0 +1,149 @@
+"""The project's policy and the baselines that it is compared with."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+import random as random_module
+
+import msgspec
+
+from cyclamendale import clocks
+from cyclamendale import refusals
+from cyclamendale.intents import model
+from cyclamendale.overload import admission
+from cyclamendale.overload import feedback as feedbacks
+from cyclamendale.overload import gate_admission
+from cyclamendale.overload import limit as limits
+
+
+class OpenAdmission(admission.Admission):
+    """No control: everything is handed over at once."""
+
+    def submit(self, ticket: admission.Ticket) -> None:
+        """See base class."""
+        ticket.start()
+
+    def finish(
+        self,
+        ticket: admission.Ticket,
+        own_time_s: float,
+        completion: admission.Completion,
+    ) -> None:
+        """See base class."""
+
+    def withdraw(self, ticket: admission.Ticket) -> bool:
+        """See base class."""
+        return False
+
+    def set_capacity(self, slots: int, connections: int) -> None:
+        """See base class."""
+
+    def close(self) -> None:
+        """See base class."""
+
+    def reopen(self, cold: bool) -> None:
+        """See base class."""
+
+    def feedback(self) -> feedbacks.Feedback:
+        """See base class."""
+        return feedbacks.Feedback()
+
+
+class FifoAdmission(OpenAdmission):
+    """Announced slots as the limit, and a queue in order of arrival."""
+
+    def __init__(self) -> None:
+        self._slots = 1
+        self._in_service = 0
+        self._queue: collections.deque[admission.Ticket] = collections.deque()
+
+    def submit(self, ticket: admission.Ticket) -> None:
+        """See base class."""
+        if self._in_service < self._slots:
+            self._in_service += 1
+            ticket.start()
+        elif len(self._queue) < self._slots:
+            self._queue.append(ticket)
+        else:
+            ticket.refuse(refusals.Refusal(refusals.RefusalReason.QUEUE_FULL))
+
+    def finish(
+        self,
+        ticket: admission.Ticket,
+        own_time_s: float,
+        completion: admission.Completion,
+    ) -> None:
+        """See base class."""
+        self._in_service -= 1
+        if self._queue:
+            self._in_service += 1
+            self._queue.popleft().start()
+
+    def withdraw(self, ticket: admission.Ticket) -> bool:
+        """See base class."""
+        if ticket not in self._queue:
+            return False
+        self._queue.remove(ticket)
+        return True
+
+    def set_capacity(self, slots: int, connections: int) -> None:
+        """See base class."""
+        self._slots = slots
+
+    def feedback(self) -> feedbacks.Feedback:
+        """See base class."""
+        load = (self._in_service + len(self._queue)) / self._slots
+        return feedbacks.Feedback(load=load)
+
+
+class Policy(msgspec.Struct, frozen=True):
+    """How the nodes of one run decide.
+
+    Attributes:
+        name: Name in the tables.
+        make_admission: Called with clock, random source and service.
+        early_shed: Whether entries shed by learned thresholds.
+        cancels: Whether work ends with the deadline of its root.
+        retries: Whether nodes repeat refused calls, within the budget.
+    """
+
+    name: str
+    make_admission: Callable
+    early_shed: bool = True
+    cancels: bool = True
+    retries: bool = True
+
+
+def _gate(limit_type: type[limits.ConcurrencyLimit]) -> Callable:
+    def make(
+        clock: clocks.Clock,
+        random: random_module.Random,
+        service: model.Service,
+    ) -> admission.Admission:
+        return gate_admission.make_admission(
+            clock,
+            random,
+            service,
+            limit=limit_type(clock, service.slow_start_s),
+        )
+
+    return make
+
+
+NO_CONTROL = Policy(
+    "no control",
+    lambda *_: OpenAdmission(),
+    early_shed=False,
+    cancels=False,
+    retries=False,
+)
+STATIC_FIFO = Policy(
+    "static limit, FIFO", lambda *_: FifoAdmission(), early_shed=False
+)
+AIMD = Policy("AIMD", _gate(limits.AimdLimit))
+GRADIENT = Policy("gradient", _gate(limits.GradientLimit))
+AIMD_GATE_ONLY = Policy(
+    "AIMD, no early shed", _gate(limits.AimdLimit), early_shed=False
+)
+ALL = (NO_CONTROL, STATIC_FIFO, AIMD, GRADIENT, AIMD_GATE_ONLY)
--- a/src/cyclamendale/overload/_threshold_control.py
+++ b/src/cyclamendale/overload/_threshold_control.py
@@ -2,94 +2,153 @@
 
 from __future__ import annotations
 
+import collections
+
 from cyclamendale import clocks
+from cyclamendale.overload import _demand
 from cyclamendale.overload import shed_key as shed_keys
 
 WINDOW_S = 0.05
 """Time between two changes of the threshold."""
 
-FIRST_STEP_KEYS = 1 << (shed_keys.COHORT_BITS - 3)
-"""First rise of the threshold; doubled with every further rise."""
+LAG_WINDOWS = 6
+"""Windows until all entries follow a changed threshold."""
+
+RECENT_KEYS = 128
+"""Latest arrivals that show up to which key the entries let through."""
+
+VISIBLE_SHARE = 0.97
+"""Share of the latest arrivals that are surely no probes."""
+
+RATE_SMOOTHING = 0.2
+"""Weight of the last window in the rate of service."""
+
+TARGET_FILL = 0.4
+"""Mean fill of the queue that the control aims at."""
+
+GAIN = 0.03
+"""Relative change of the admitted rate per window and fill."""
 
-ADMITTED_SHARE = 0.98
-"""Share of what was served that a lowered threshold lets through."""
+GROSS_REFUSED_SHARE = 0.1
+"""Refused share from which the admitted rate is set, not moved."""
 
-TOP_KEY = 4 << (shed_keys.OVER_SHARE_BITS + shed_keys.COHORT_BITS)
-"""Threshold from which nothing is excluded."""
+EMPTY_FILL = 0.05
+"""Mean fill of the queue below which the upstream has room."""
+
+ACCELERATION = 1.5
+"""Factor of the rise from window to window while there is room."""
+
+LARGEST_RISE = 0.25
+"""Largest relative rise of the admitted rate per window."""
 
 
 class ThresholdControl:
     """Follows the shed key up to which requests find room.
 
-    While requests are refused, the threshold is the key that as many
-    requests of the last window had, or undercut, as were served. While
-    there is room, it rises, faster with every window, so that it is
-    gone within a second after the overload.
+    It controls the rate to admit, by how far the queue is from its
+    target fill, and looks up the shed key to which the demand reaches
+    that rate. When many requests are refused, the rate is set to the
+    rate of service. While the queue is empty the rate rises faster with
+    every window, so that the threshold is gone within a second or so
+    after an overload.
     """
 
     __slots__ = (
+        "_admit_per_s",
         "_clock",
+        "_demand",
+        "_fill_sum",
+        "_finished",
         "_offered",
+        "_recent",
         "_refused",
-        "_served",
-        "_step_keys",
-        "_window_ends_s",
+        "_rise",
+        "_served_per_s",
+        "_thresholds",
+        "_window_began_s",
         "threshold",
     )
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
-        self._offered: list[int] = []
-        self._served = 0
+        self._demand = _demand.DemandByKey()
+        self._recent: collections.deque[int] = collections.deque(
+            maxlen=RECENT_KEYS
+        )
+        self._thresholds: collections.deque[int] = collections.deque(
+            [shed_keys.MAX_SHED_KEY], maxlen=LAG_WINDOWS
+        )
+        self._served_per_s = 0.0
+        self._admit_per_s = 0.0
+        self._rise = GAIN
+        self._window_began_s = clock.now_s()
+        self._offered = 0
+        self._finished = 0
         self._refused = 0
-        self._step_keys = FIRST_STEP_KEYS
-        self._window_ends_s = clock.now_s() + WINDOW_S
+        self._fill_sum = 0.0
         self.threshold = shed_keys.MAX_SHED_KEY
 
-    def offered(self, shed_key: int) -> None:
-        """Counts a request that arrived."""
-        self._offered.append(shed_key)
+    def offered(self, shed_key: int, fill: float) -> None:
+        """Counts a request that arrived when the queue was so full."""
+        self._demand.arrived(shed_key)
+        self._recent.append(shed_key)
+        self._offered += 1
+        self._fill_sum += fill
 
-    def served(self) -> None:
-        """Counts a request that was handed over."""
-        self._served += 1
+    def finished(self) -> None:
+        """Counts a request that the upstream ended."""
+        self._finished += 1
 
     def refused(self) -> None:
         """Counts a request for which there was no room."""
         self._refused += 1
 
-    def update(self, has_room: bool) -> None:
-        """Changes the threshold when a window is over.
-
-        Args:
-            has_room: Whether a request would start at once now.
-        """
+    def update(self) -> None:
+        """Changes the threshold when a window is over."""
         now_s = self._clock.now_s()
-        if now_s < self._window_ends_s:
+        elapsed_s = now_s - self._window_began_s
+        if elapsed_s < WINDOW_S:
             return
-        if self._refused:
-            self._lower()
-        elif has_room:
-            self._raise(1 + (now_s - self._window_ends_s) / WINDOW_S)
-        self._offered.clear()
-        self._served = 0
+        self._window_began_s = now_s
+        self._learn(elapsed_s)
+        self._control(elapsed_s / WINDOW_S)
+        self._thresholds.append(self.threshold)
+        self._offered = 0
+        self._finished = 0
         self._refused = 0
-        self._window_ends_s = now_s + WINDOW_S
-
-    def _lower(self) -> None:
-        self._step_keys = FIRST_STEP_KEYS
-        fitting = int(self._served * ADMITTED_SHARE)
-        if fitting >= len(self._offered):
+        self._fill_sum = 0.0
+
+    def _learn(self, elapsed_s: float) -> None:
+        weight = min(1.0, RATE_SMOOTHING * elapsed_s / WINDOW_S)
+        finished_per_s = self._finished / elapsed_s
+        self._served_per_s += weight * (finished_per_s - self._served_per_s)
+        visible = min(self._thresholds)
+        if visible != shed_keys.MAX_SHED_KEY:
+            recent = sorted(self._recent)
+            if recent:
+                last = recent[int(VISIBLE_SHARE * (len(recent) - 1))]
+                visible = min(visible, last)
+        self._demand.end_window(elapsed_s, visible)
+
+    def _control(self, windows: float) -> None:
+        fill = self._fill_sum / self._offered if self._offered else 0.0
+        limited = self.threshold != shed_keys.MAX_SHED_KEY
+        if self._refused > GROSS_REFUSED_SHARE * self._offered:
+            self._rise = GAIN
+            if not limited or self._served_per_s < self._admit_per_s:
+                self._admit_per_s = self._served_per_s
+        elif limited:
+            self._move(fill, windows)
+        else:
             return
-        self._offered.sort()
-        limit = self._offered[fitting]
-        self.threshold = shed_keys.ShedKey(min(self.threshold, limit))
-
-    def _raise(self, windows: float) -> None:
-        if self.threshold == shed_keys.MAX_SHED_KEY:
+        self.threshold = shed_keys.ShedKey(
+            self._demand.key_at(self._admit_per_s)
+        )
+
+    def _move(self, fill: float, windows: float) -> None:
+        if fill < EMPTY_FILL and not self._refused:
+            self._admit_per_s *= 1 + min(LARGEST_RISE, self._rise * windows)
+            self._rise = min(LARGEST_RISE, self._rise * ACCELERATION)
             return
-        raised = self.threshold + int(self._step_keys * windows)
-        self._step_keys *= 2
-        if raised >= TOP_KEY:
-            raised = shed_keys.MAX_SHED_KEY
-        self.threshold = shed_keys.ShedKey(raised)
+        self._rise = GAIN
+        self._admit_per_s += GAIN * (TARGET_FILL - fill) * self._served_per_s
--- a/src/cyclamendale/overload/gate_admission.py
+++ b/src/cyclamendale/overload/gate_admission.py
@@ -75,13 +75,12 @@
         if latest_start_s <= now_s:
             self._refuse(ticket, refusals.RefusalReason.DEADLINE)
             return
-        self._control.offered(ticket.shed_key)
+        self._control.offered(ticket.shed_key, self._fill(now_s))
+        self._control.update()
         if not len(self._queue) and self._in_service < self._limit.current:
             self._start(ticket, now_s)
-            self._control.update(True)
             return
         self._enqueue(ticket, latest_start_s, now_s)
-        self._control.update(False)
 
     def finish(
         self,
@@ -93,6 +92,8 @@
         self._limit.observe(own_time_s, self._in_service, completion)
         self._in_service -= 1
         self._finished += 1
+        if completion is not admission.Completion.CANCELLED:
+            self._control.finished()
         self._run_waiting()
 
     def withdraw(self, ticket: admission.Ticket) -> bool:
@@ -122,7 +123,7 @@
         """See base class."""
         limit = self._limit.current
         waiting = len(self._queue)
-        self._control.update(not waiting and self._in_service < limit)
+        self._control.update()
         return feedback.Feedback(
             self._control.threshold, (self._in_service + waiting) / limit
         )
@@ -164,6 +165,10 @@
         if expiry_s < self._expiry_s:
             self._schedule_expiry(expiry_s, now_s)
 
+    def _fill(self, now_s: float) -> float:
+        waiting = len(self._queue)
+        return waiting / self._most_waiting(now_s) if waiting else 0.0
+
     def _most_waiting(self, now_s: float) -> int:
         elapsed_s = now_s - self._rate_since_s
         if elapsed_s >= RATE_WINDOW_S:
@@ -184,7 +189,6 @@
 
     def _start(self, ticket: admission.Ticket, now_s: float) -> None:
         self._in_service += 1
-        self._control.served()
         self._shares_of(ticket.shed_key).count(ticket.customer)
         ticket.started_s = now_s
         ticket.start()
--- a/src/cyclamendale/overload/limit.py
+++ b/src/cyclamendale/overload/limit.py
@@ -13,12 +13,15 @@
 from cyclamendale import clocks
 from cyclamendale.overload import admission
 
-WINDOW_S = 0.05
+WINDOW_S = 0.1
 """Shortest window over which own times are averaged."""
 
-WINDOW_SAMPLES = 12
+WINDOW_SAMPLES = 40
 """Fewest samples that end a window."""
 
+BASELINE_FALL = 0.2
+"""Share of the way that the baseline falls to a lower mean."""
+
 BASELINE_RISE_PER_S = 0.05
 """Relative rise of the baseline per second, to follow slower work."""
 
@@ -166,9 +169,13 @@
         self._most_in_service = 0
 
     def _follow_baseline(self, mean_s: float, elapsed_s: float) -> None:
-        if mean_s <= self._baseline_s:
+        if self._baseline_s == math.inf:
             self._baseline_s = mean_s
             return
+        if mean_s <= self._baseline_s:
+            # Smoothed: the lowest of many noisy means would be too low.
+            self._baseline_s += BASELINE_FALL * (mean_s - self._baseline_s)
+            return
         rise_per_s = BASELINE_RISE_PER_S
         if self._estimate <= self._floor():
             # With hardly a request beside it, slow is what it now is.
--- a/src/cyclamendale/overload/threshold_shed.py
+++ b/src/cyclamendale/overload/threshold_shed.py
@@ -15,7 +15,7 @@
 MEMORY_S = 1.0
 """Age at which a threshold is forgotten."""
 
-MOST_REMEMBERED = 64
+MOST_REMEMBERED = 24
 """Thresholds remembered for each route."""
 
 REFRESH_S = 0.02
