Keep a reserve of retries for the important

At 10 times the capacity, critical requests, 0.8 of it, were lost at the deepest gate after waiting out its queue, while refused unimportant ones had used up the node's retries.

--- a/measure/_call_graph_model.py
+++ b/measure/_call_graph_model.py
@@ -432,7 +432,7 @@
         return (
             self.graph.policy.retries
             and self.budget.remaining > 0
-            and self.caller.throttle.may_retry()
+            and self.caller.throttle.may_retry(self.root.route.importance)
             and self.budget.spend()
         )
 
--- a/src/cyclamendale/overload/retry_throttle.py
+++ b/src/cyclamendale/overload/retry_throttle.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from cyclamendale.intents import model
+
 RETRY_SHARE = 0.1
 """Retries per call that a node may send in the long run."""
 
@@ -9,6 +11,10 @@
 """Retries that may be saved up for a burst of failures."""
 
 
+RESERVE_SHARE = 0.25
+"""Share of the bucket kept from each next lower importance."""
+
+
 class RetryThrottle:
     """Token bucket that calls fill and retries drain.
 
@@ -29,9 +35,17 @@
         """Counts a first attempt."""
         self._tokens = min(self._most_saved, self._tokens + self._share)
 
-    def may_retry(self) -> bool:
-        """Takes leave for one retry; False when there is none."""
-        if self._tokens < 1.0:
+    def may_retry(
+        self, importance: model.Importance = model.Importance.CRITICAL
+    ) -> bool:
+        """Takes leave for one retry; False when there is none.
+
+        Args:
+            importance: Importance of the root request. The less important
+                leave a reserve to the more important.
+        """
+        reserve = importance * RESERVE_SHARE * self._most_saved
+        if self._tokens < 1.0 + reserve:
             return False
         self._tokens -= 1.0
         return True
