Let the limit's baseline rise only when it must

Under a long overload the baseline rose by 5% a second, so that within half a minute any own time would have counted as normal. It now rises by 0.5% a second, and faster only when the lowest limit still seems congested.

--- a/src/cyclamendale/overload/limit.py
+++ b/src/cyclamendale/overload/limit.py
@@ -22,11 +22,11 @@
 BASELINE_FALL = 0.2
 """Share of the way that the baseline falls to a lower mean."""
 
-BASELINE_RISE_PER_S = 0.05
+BASELINE_RISE_PER_S = 0.005
 """Relative rise of the baseline per second, to follow slower work."""
 
 BASELINE_CATCH_UP_PER_S = 0.5
-"""Relative rise per second while the limit is at its floor."""
+"""Relative rise per second while even the lowest limit seems congested."""
 
 TOLERANCE = 2.0
 """Own time over its baseline that counts as congestion."""
@@ -177,7 +177,10 @@
             self._baseline_s += BASELINE_FALL * (mean_s - self._baseline_s)
             return
         rise_per_s = BASELINE_RISE_PER_S
-        if self._estimate <= self._floor():
+        if (
+            self._estimate <= self._floor()
+            and mean_s > TOLERANCE * self._baseline_s
+        ):
             # With hardly a request beside it, slow is what it now is.
             rise_per_s = BASELINE_CATCH_UP_PER_S
         risen_s = self._baseline_s * (1 + rise_per_s * elapsed_s)
