Raise an entry's threshold no faster than the gates notice

The threshold of a route jumped when a gate had room again, so that the demand of a whole class arrived within the feedback's lag (84 requests in a quarter second where 8 had come). The admitted share of the demand now grows tenfold a second at most.

--- a/src/cyclamendale/overload/threshold_shed.py
+++ b/src/cyclamendale/overload/threshold_shed.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
 from collections.abc import Iterable
+import math
 import random as random_module
 
 from cyclamendale import clocks
@@ -18,9 +20,17 @@
 MOST_REMEMBERED = 24
 """Thresholds remembered for each route."""
 
-REFRESH_S = 0.02
+REFRESH_S = 0.05
 """Time between two evaluations of what is remembered."""
 
+RECENT_KEYS = 256
+"""Latest arrivals kept as a sample of the demand."""
+
+RISE_PER_S = 2.3
+"""Growth of the admitted demand per second, as an exponent."""
+
+LARGEST_GROWTH = 10.0
+
 PROBE_SHARE = 0.01
 """Share of the requests to be shed that go through as probes."""
 
@@ -60,17 +70,38 @@
         self.refreshed_s = now_s
         self.probed_s = now_s
 
-    def refresh(self, now_s: float) -> None:
-        """Takes the threshold on which enough answers agree."""
+    def refresh(self, now_s: float, demand: list[int]) -> None:
+        """Follows the threshold on which enough answers agree.
+
+        Args:
+            now_s: The time.
+            demand: Sample of the shed keys that arrive, sorted.
+        """
+        agreed = self._agreed(now_s)
+        if agreed > self.threshold:
+            elapsed_s = now_s - self.refreshed_s
+            agreed = min(agreed, self._reachable(elapsed_s, demand))
+        self.threshold = agreed
+        self.refreshed_s = now_s
+
+    def _agreed(self, now_s: float) -> int:
         remembered = self.remembered
         while remembered and now_s - remembered[0][0] > MEMORY_S:
             remembered.popleft()
-        self.refreshed_s = now_s
         if not remembered:
-            self.threshold = shed_keys.MAX_SHED_KEY
-            return
+            return shed_keys.MAX_SHED_KEY
         thresholds = sorted(threshold for _, threshold in remembered)
-        self.threshold = thresholds[int(AGREEMENT * (len(thresholds) - 1))]
+        return thresholds[int(AGREEMENT * (len(thresholds) - 1))]
+
+    def _reachable(self, elapsed_s: float, demand: list[int]) -> int:
+        # The gates notice more load only after a while; a threshold that
+        # jumps would flood them in the meantime.
+        admitted = bisect.bisect_right(demand, self.threshold)
+        growth = math.exp(min(LARGEST_GROWTH, RISE_PER_S * elapsed_s))
+        admitted = max(admitted + 1, int(admitted * growth))
+        if admitted >= len(demand):
+            return shed_keys.MAX_SHED_KEY
+        return demand[admitted]
 
 
 class ThresholdShed(early_shed.EarlyShed):
@@ -86,17 +117,21 @@
         self._clock = clock
         self._random = random
         self._routes: dict[ids.RouteName, _RouteThreshold] = {}
+        self._recent: collections.deque[int] = collections.deque(
+            maxlen=RECENT_KEYS
+        )
 
     def should_shed(
         self, route: ids.RouteName, shed_key: shed_keys.ShedKey
     ) -> bool:
         """See base class."""
+        self._recent.append(shed_key)
         state = self._routes.get(route)
         if state is None:
             return False
         now_s = self._clock.now_s()
         if now_s - state.refreshed_s >= REFRESH_S:
-            state.refresh(now_s)
+            state.refresh(now_s, sorted(self._recent))
         if shed_key <= state.threshold:
             return False
         if (
