Never lower the threshold below what the gate refuses

The admitted rate is a noisy figure; while a gate served all critical requests it told entries to shed some of them (threshold in the critical class with a queue of less important requests only). In strict order the lowest refused keys bound the threshold from below.

--- a/src/cyclamendale/overload/_threshold_control.py
+++ b/src/cyclamendale/overload/_threshold_control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 
 from cyclamendale import clocks
 from cyclamendale.overload import _demand
@@ -32,6 +33,9 @@
 GROSS_REFUSED_SHARE = 0.1
 """Refused share from which the admitted rate is set, not moved."""
 
+STRAY_SHARE = 0.1
+"""Share of the lowest refused keys that the threshold disregards."""
+
 EMPTY_FILL = 0.05
 """Mean fill of the queue below which the upstream has room."""
 
@@ -61,7 +65,7 @@
         "_finished",
         "_offered",
         "_recent",
-        "_refused",
+        "_refused_keys",
         "_rise",
         "_served_per_s",
         "_thresholds",
@@ -84,7 +88,9 @@
         self._window_began_s = clock.now_s()
         self._offered = 0
         self._finished = 0
-        self._refused = 0
+        self._refused_keys: collections.deque[list[int]] = collections.deque(
+            [[]], maxlen=LAG_WINDOWS
+        )
         self._fill_sum = 0.0
         self.threshold = shed_keys.MAX_SHED_KEY
 
@@ -99,9 +105,9 @@
         """Counts a request that the upstream ended."""
         self._finished += 1
 
-    def refused(self) -> None:
+    def refused(self, shed_key: int) -> None:
         """Counts a request for which there was no room."""
-        self._refused += 1
+        self._refused_keys[-1].append(shed_key)
 
     def update(self) -> None:
         """Changes the threshold when a window is over."""
@@ -115,7 +121,7 @@
         self._thresholds.append(self.threshold)
         self._offered = 0
         self._finished = 0
-        self._refused = 0
+        self._refused_keys.append([])
         self._fill_sum = 0.0
 
     def _learn(self, elapsed_s: float) -> None:
@@ -133,20 +139,29 @@
     def _control(self, windows: float) -> None:
         fill = self._fill_sum / self._offered if self._offered else 0.0
         limited = self.threshold != shed_keys.MAX_SHED_KEY
-        if self._refused > GROSS_REFUSED_SHARE * self._offered:
+        refused = len(self._refused_keys[-1])
+        if refused > GROSS_REFUSED_SHARE * self._offered:
             self._rise = GAIN
             if not limited or self._served_per_s < self._admit_per_s:
                 self._admit_per_s = self._served_per_s
         elif limited:
-            self._move(fill, windows)
+            self._move(fill, windows, refused)
         else:
             return
-        self.threshold = shed_keys.ShedKey(
-            self._demand.key_at(self._admit_per_s)
-        )
-
-    def _move(self, fill: float, windows: float) -> None:
-        if fill < EMPTY_FILL and not self._refused:
+        key = self._demand.key_at(self._admit_per_s)
+        if key < self.threshold:
+            key = max(key, min(self.threshold, self._lowest_refused()))
+        self.threshold = shed_keys.ShedKey(key)
+
+    def _lowest_refused(self) -> int:
+        """Returns the key below which the gate itself refuses nothing."""
+        refused = sorted(itertools.chain.from_iterable(self._refused_keys))
+        if not refused:
+            return shed_keys.MAX_SHED_KEY
+        return refused[int(STRAY_SHARE * len(refused))]
+
+    def _move(self, fill: float, windows: float, refused: int) -> None:
+        if fill < EMPTY_FILL and not refused:
             self._admit_per_s *= 1 + min(LARGEST_RISE, self._rise * windows)
             self._rise = min(LARGEST_RISE, self._rise * ACCELERATION)
             return
