Let critical requests wait longer at a gate

With 0.8 of the capacity asked for by critical requests, some waited for 0.1 s behind each other and were refused although their share had room. They may now wait four times max_queue_s, always within their deadline.

--- a/src/cyclamendale/overload/gate_admission.py
+++ b/src/cyclamendale/overload/gate_admission.py
@@ -28,7 +28,15 @@
 OVERUSE_RATIO = 1.02
 """Customer's use over the average from which its requests give way."""
 
+CRITICAL_PATIENCE = 4.0
+"""Longest wait of a critical request over that of any other.
+
+In strict order it waits for other critical ones only. When these are most
+of the load, a short wait refuses them although their share has room.
+"""
+
 _IMPORTANCE_SHIFT = shed_keys.OVER_SHARE_BITS + shed_keys.COHORT_BITS
+_FIRST_KEY_BELOW_CRITICAL = 1 << _IMPORTANCE_SHIFT
 _CLASS_MASK = (1 << _IMPORTANCE_SHIFT) - 1
 _KEYS_PER_SHARE = fair_use.UNITS_PER_SHARE << shed_keys.COHORT_BITS
 
@@ -159,8 +167,10 @@
             self._refuse_for_room(
                 queue.take_highest(), refusals.RefusalReason.QUEUE_FULL
             )
-        patience_s = now_s + self._service.max_queue_s
-        expiry_s = min(latest_start_s, patience_s)
+        patience_s = self._service.max_queue_s
+        if ticket.shed_key < _FIRST_KEY_BELOW_CRITICAL:
+            patience_s *= CRITICAL_PATIENCE
+        expiry_s = min(latest_start_s, now_s + patience_s)
         queue.add(ticket, key, expiry_s)
         if expiry_s < self._expiry_s:
             self._schedule_expiry(expiry_s, now_s)
