Give waiting critical requests a longer queue as well

A queue full of critical requests refused the next one, and the refusals drew the threshold into their class.

--- a/src/cyclamendale/overload/gate_admission.py
+++ b/src/cyclamendale/overload/gate_admission.py
@@ -160,7 +160,7 @@
     ) -> None:
         queue = self._queue
         key = self._key(ticket)
-        if len(queue) >= self._most_waiting(now_s):
+        if self._is_full_for(key, now_s):
             if key >= queue.highest_key():
                 self._refuse_for_room(ticket, refusals.RefusalReason.QUEUE_FULL)
                 return
@@ -175,6 +175,17 @@
         if expiry_s < self._expiry_s:
             self._schedule_expiry(expiry_s, now_s)
 
+    def _is_full_for(self, key: int, now_s: float) -> bool:
+        waiting = len(self._queue)
+        most_waiting = self._most_waiting(now_s)
+        if waiting < most_waiting:
+            return False
+        if key >= _FIRST_KEY_BELOW_CRITICAL:
+            return True
+        if self._queue.highest_key() >= _FIRST_KEY_BELOW_CRITICAL:
+            return True
+        return waiting >= most_waiting * CRITICAL_PATIENCE
+
     def _fill(self, now_s: float) -> float:
         waiting = len(self._queue)
         return waiting / self._most_waiting(now_s) if waiting else 0.0
