--- a/src/cyclamendale/overload/gate_admission.py
+++ b/src/cyclamendale/overload/gate_admission.py
@@ -28,7 +28,15 @@
 OVERUSE_RATIO = 1.02
 """Customer's use over the average from which its requests give way."""
 
+CRITICAL_PATIENCE = 4.0
+"""Longest wait of a critical request over that of any other.
+
+In strict order it waits for other critical ones only. When these are most
+of the load, a short wait refuses them although their share has room.
+"""
+
 _IMPORTANCE_SHIFT = shed_keys.OVER_SHARE_BITS + shed_keys.COHORT_BITS
+_FIRST_KEY_BELOW_CRITICAL = 1 << _IMPORTANCE_SHIFT
 _CLASS_MASK = (1 << _IMPORTANCE_SHIFT) - 1
 _KEYS_PER_SHARE = fair_use.UNITS_PER_SHARE << shed_keys.COHORT_BITS
 
@@ -75,13 +83,12 @@
         if latest_start_s <= now_s:
             self._refuse(ticket, refusals.RefusalReason.DEADLINE)
             return
-        self._control.offered(ticket.shed_key)
+        self._control.offered(ticket.shed_key, self._fill(now_s))
+        self._control.update()
         if not len(self._queue) and self._in_service < self._limit.current:
             self._start(ticket, now_s)
-            self._control.update(True)
             return
         self._enqueue(ticket, latest_start_s, now_s)
-        self._control.update(False)
 
     def finish(
         self,
@@ -93,6 +100,8 @@
         self._limit.observe(own_time_s, self._in_service, completion)
         self._in_service -= 1
         self._finished += 1
+        if completion is not admission.Completion.CANCELLED:
+            self._control.finished()
         self._run_waiting()
 
     def withdraw(self, ticket: admission.Ticket) -> bool:
@@ -122,7 +131,7 @@
         """See base class."""
         limit = self._limit.current
         waiting = len(self._queue)
-        self._control.update(not waiting and self._in_service < limit)
+        self._control.update()
         return feedback.Feedback(
             self._control.threshold, (self._in_service + waiting) / limit
         )
@@ -151,19 +160,36 @@
     ) -> None:
         queue = self._queue
         key = self._key(ticket)
-        if len(queue) >= self._most_waiting(now_s):
+        if self._is_full_for(key, now_s):
             if key >= queue.highest_key():
                 self._refuse_for_room(ticket, refusals.RefusalReason.QUEUE_FULL)
                 return
             self._refuse_for_room(
                 queue.take_highest(), refusals.RefusalReason.QUEUE_FULL
             )
-        patience_s = now_s + self._service.max_queue_s
-        expiry_s = min(latest_start_s, patience_s)
+        patience_s = self._service.max_queue_s
+        if ticket.shed_key < _FIRST_KEY_BELOW_CRITICAL:
+            patience_s *= CRITICAL_PATIENCE
+        expiry_s = min(latest_start_s, now_s + patience_s)
         queue.add(ticket, key, expiry_s)
         if expiry_s < self._expiry_s:
             self._schedule_expiry(expiry_s, now_s)
 
+    def _is_full_for(self, key: int, now_s: float) -> bool:
+        waiting = len(self._queue)
+        most_waiting = self._most_waiting(now_s)
+        if waiting < most_waiting:
+            return False
+        if key >= _FIRST_KEY_BELOW_CRITICAL:
+            return True
+        if self._queue.highest_key() >= _FIRST_KEY_BELOW_CRITICAL:
+            return True
+        return waiting >= most_waiting * CRITICAL_PATIENCE
+
+    def _fill(self, now_s: float) -> float:
+        waiting = len(self._queue)
+        return waiting / self._most_waiting(now_s) if waiting else 0.0
+
     def _most_waiting(self, now_s: float) -> int:
         elapsed_s = now_s - self._rate_since_s
         if elapsed_s >= RATE_WINDOW_S:
@@ -184,7 +210,6 @@
 
     def _start(self, ticket: admission.Ticket, now_s: float) -> None:
         self._in_service += 1
-        self._control.served()
         self._shares_of(ticket.shed_key).count(ticket.customer)
         ticket.started_s = now_s
         ticket.start()
@@ -219,7 +244,7 @@
     def _refuse_for_room(
         self, ticket: admission.Ticket, reason: refusals.RefusalReason
     ) -> None:
-        self._control.refused()
+        self._control.refused(ticket.shed_key)
         self._refuse(ticket, reason)
 
     def _refuse(
