--- a/src/cyclamendale/logs.py
+++ b/src/cyclamendale/logs.py
@@ -15,8 +15,8 @@
 ROOT_LOGGER = "cyclamendale"
 TWISTED_LOGGER = "twisted"
 
-_FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
-_RENAMED = {"asctime": "time", "levelname": "level", "name": "logger"}
+_FORMAT = "%(levelname)s %(name)s %(message)s"
+_RENAMED = {"levelname": "level", "name": "logger"}
 
 
 def make_handler(
@@ -33,6 +33,7 @@
         json_logs.JsonFormatter(
             _FORMAT,
             rename_fields=_RENAMED,
+            timestamp="time",
             static_fields={"node": node} if node else {},
         )
     )
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -199,10 +199,17 @@
         stream = io.StringIO()
         handler = logs.make_handler(stream, "127.0.0.1:1#ab")
         record = logging.makeLogRecord(
-            {"name": "x", "levelname": "INFO", "msg": "up\n", "version": 3}
+            {
+                "name": "x",
+                "levelname": "INFO",
+                "msg": "up\n",
+                "version": 3,
+                "created": 1.5,
+            }
         )
         handler.emit(record)
         line = json.loads(stream.getvalue())
+        self.assertEqual("1970-01-01T00:00:01.500000+00:00", line["time"])
         self.assertEqual(
             ("up\n", "INFO", "x", "127.0.0.1:1#ab", 3),
             tuple(
