--- a/tests/test_intents_merge.py
+++ b/tests/test_intents_merge.py
@@ -280,6 +280,7 @@
     'kind = "customer"\nname = "masons"\nrate_per_s = 1\nburst = 1',
     f'kind = "key"\ndigest = "{_DIGEST}"\nstate = "withdrawn"',
     'kind = "route"\nname = "b"\nservice = "shop"\npath_prefix = "/buy"',
+    'kind = "customer"\nname = "incomplete"',
     'kind = "defaults"\nmax_depth = 3',
     'kind = "defaults"\nretry_budget = 1',
     "kind =",
