Split the time line's codec and explanations into modules

Replies and requests that leave thrift fields out are now read as empty instead of ending as a defect of the whole gathering.

--- a/src/cyclamendale/cli/node_commands.py
+++ b/src/cyclamendale/cli/node_commands.py
@@ -10,6 +10,7 @@
 from expression import effect
 from expression import Error
 
+from cyclamendale import explanation as explanations
 from cyclamendale import ids
 from cyclamendale import timeline
 from cyclamendale.cli import arguments
@@ -89,7 +90,7 @@
         merged = yield from base.ask_node(
             self, lambda client: client.merged_timeline(query)
         )
-        explanation = timeline.explain_request(merged, request)
+        explanation = explanations.explain_request(merged, request)
         if not explanation.outcomes:
             yield from Error(
                 faults.NotFound(
--- a/src/cyclamendale/cli/reports.py
+++ b/src/cyclamendale/cli/reports.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from cyclamendale import events
+from cyclamendale import explanation as explanations
 from cyclamendale import ids
 from cyclamendale import timeline
 from cyclamendale.cli import exit_codes
@@ -156,7 +157,7 @@
 class RequestReport(Report, frozen=True):
     """What became of a request."""
 
-    explanation: timeline.RequestExplanation
+    explanation: explanations.RequestExplanation
 
     def lines(self) -> Iterator[str]:
         """See base class."""
--- /dev/null
+++ b/src/cyclamendale/controllers/_timeline_codec.py
@@ -0,0 +1,98 @@
+"""Encoding of the time line and of status between nodes."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from cyclamendale import events
+from cyclamendale import ids
+from cyclamendale import timeline
+from cyclamendale.peer import network
+from cyclamendale.peer.generated.timeline import ttypes
+
+MAX_REPLY_BYTES = 256 * 1024
+
+_Answer = TypeVar("_Answer")
+
+
+class Tail:
+    """The last encoded events that fit into a reply."""
+
+    def __init__(self, limit_events: int, limit_bytes: int) -> None:
+        self._limit_events = limit_events
+        self._limit_bytes = limit_bytes
+        self._bytes = 0
+        self.items: collections.deque[bytes] = collections.deque()
+        self.truncated = False
+
+    def add(self, item: bytes) -> None:
+        """Adds the next event, and drops the first ones when full."""
+        self.items.append(item)
+        self._bytes += len(item) + 1
+        while self.items and self._is_over():
+            self._bytes -= len(self.items.popleft()) + 1
+            self.truncated = True
+
+    def _is_over(self) -> bool:
+        return (
+            len(self.items) > self._limit_events
+            or self._bytes > self._limit_bytes
+        )
+
+
+def take(
+    decode: Callable[[Any], _Answer], reply: Any, peer: ids.PeerAddress
+) -> Result[_Answer, network.PeerError]:
+    """Decodes a reply; one that cannot be read counts as rejected."""
+    # A node of another release may answer what this one cannot read.
+    try:
+        return Ok(decode(reply))
+    except msgspec.DecodeError:
+        return Error(network.PeerError(network.PeerErrorKind.REJECTED, peer))
+
+
+def decode_timeline(
+    reply: ttypes.TimelineReply,
+) -> tuple[list[events.RecordedEvent], bool]:
+    """Returns the events of a reply, and whether some were left out."""
+    recorded = msgspec.json.decode(
+        reply.events or b"", type=list[events.RecordedEvent]
+    )
+    return recorded, bool(reply.truncated)
+
+
+def decode_status(reply: ttypes.StatusReply) -> timeline.NodeStatus:
+    """Returns the status in a reply."""
+    return msgspec.json.decode(reply.status or b"", type=timeline.NodeStatus)
+
+
+def to_thrift(query: timeline.TimelineQuery) -> ttypes.TimelineRequest:
+    """Returns the request that asks a node for a query's events."""
+    return ttypes.TimelineRequest(
+        request=query.request,
+        customer=query.customer,
+        file=query.file,
+        since_ms=query.since_ms,
+        limit_events=query.limit_events,
+        limit_bytes=MAX_REPLY_BYTES,
+    )
+
+
+def from_thrift(request: ttypes.TimelineRequest) -> timeline.TimelineQuery:
+    """Returns the query of a request, within this node's limits."""
+    return timeline.TimelineQuery(
+        request=request.request,
+        customer=request.customer,
+        file=request.file,
+        since_ms=request.since_ms or 0,
+        limit_events=max(
+            1, min(request.limit_events or 0, timeline.MAX_LIMIT_EVENTS)
+        ),
+    )
--- a/src/cyclamendale/controllers/timeline.py
+++ b/src/cyclamendale/controllers/timeline.py
@@ -2,14 +2,11 @@
 
 from __future__ import annotations
 
-import collections
 from collections.abc import Callable, Generator, Iterator
 import itertools
 import math
 from typing import Any, cast, TypeVar
 
-from expression import Error
-from expression import Ok
 from expression import Result
 import msgspec
 from twisted.internet import defer
@@ -21,6 +18,7 @@
 from cyclamendale import timeline
 from cyclamendale.configuration import source
 from cyclamendale.controllers import _lost_members
+from cyclamendale.controllers import _timeline_codec
 from cyclamendale.controllers import base
 from cyclamendale.intents import explain
 from cyclamendale.membership import directory
@@ -28,7 +26,6 @@
 from cyclamendale.peer import network
 from cyclamendale.peer.generated.timeline import ttypes
 
-MAX_REPLY_BYTES = 256 * 1024
 MAX_CONCURRENT_REQUESTS = 32
 PEER_TIMEOUT_S = 1.0
 EVENTS_PER_SLICE = 32
@@ -110,12 +107,12 @@
     ) -> Generator[defer.Deferred[Any], Any, timeline.MergedTimeline]:
         """Merges the events of all nodes that answer."""
         merger = timeline.TimelineMerger(query.limit_events)
-        request = _to_thrift(query)
+        request = _timeline_codec.to_thrift(query)
         own = yield self._serve_timeline(request)
-        merger.add(*_decode_timeline(own))
+        merger.add(*_timeline_codec.decode_timeline(own))
 
         def merge(reply: ttypes.TimelineReply) -> None:
-            merger.add(*_decode_timeline(reply))
+            merger.add(*_timeline_codec.decode_timeline(reply))
 
         results = yield self._ask_all(
             kinds.MessageKind.TIMELINE, request, ttypes.TimelineReply, merge
@@ -136,7 +133,7 @@
             kinds.MessageKind.STATUS,
             ttypes.StatusRequest(),
             ttypes.StatusReply,
-            _decode_status,
+            _timeline_codec.decode_status,
         )
         answered = [result.ok for _, result in results if result.is_ok()]
         return timeline.summarize(
@@ -172,7 +169,7 @@
                 member.address, kind, message, reply_type, PEER_TIMEOUT_S
             )
             return member, result.bind(
-                lambda reply: _take(take, reply, member.address)
+                lambda reply: _timeline_codec.take(take, reply, member.address)
             )
 
         return defer.gatherResults(
@@ -187,17 +184,20 @@
     def _serve_timeline(
         self, request: ttypes.TimelineRequest
     ) -> defer.Deferred[network.ThriftStruct]:
-        query = _from_thrift(request)
-        tail = _Tail(
+        query = _timeline_codec.from_thrift(request)
+        tail = _timeline_codec.Tail(
             query.limit_events,
-            max(0, min(request.limit_bytes, MAX_REPLY_BYTES)),
+            max(
+                0,
+                min(request.limit_bytes or 0, _timeline_codec.MAX_REPLY_BYTES),
+            ),
         )
         slices = self._encode_slices(query, tail)
         finished = self._cooperator.coiterate(slices)
         return finished.addCallback(lambda _: self._reply(tail))
 
     def _encode_slices(
-        self, query: timeline.TimelineQuery, tail: _Tail
+        self, query: timeline.TimelineQuery, tail: _timeline_codec.Tail
     ) -> Iterator[None]:
         looked_at = self._event_log.recorded()
         while True:
@@ -208,7 +208,7 @@
                 tail.add(msgspec.json.encode(event))
             yield
 
-    def _reply(self, tail: _Tail) -> network.ThriftStruct:
+    def _reply(self, tail: _timeline_codec.Tail) -> network.ThriftStruct:
         return ttypes.TimelineReply(
             node=self._members.own().node,
             events=b"[" + b",".join(tail.items) + b"]",
@@ -216,30 +216,6 @@
         )
 
 
-class _Tail:
-    """The last encoded events that fit into a reply."""
-
-    def __init__(self, limit_events: int, limit_bytes: int) -> None:
-        self._limit_events = limit_events
-        self._limit_bytes = limit_bytes
-        self._bytes = 0
-        self.items: collections.deque[bytes] = collections.deque()
-        self.truncated = False
-
-    def add(self, item: bytes) -> None:
-        self.items.append(item)
-        self._bytes += len(item) + 1
-        while self.items and self._is_over():
-            self._bytes -= len(self.items.popleft()) + 1
-            self.truncated = True
-
-    def _is_over(self) -> bool:
-        return (
-            len(self.items) > self._limit_events
-            or self._bytes > self._limit_bytes
-        )
-
-
 def make_timeline_controller(
     clock: clocks.Clock,
     members: directory.Directory,
@@ -266,49 +242,3 @@
 def finite(age_s: float) -> float | None:
     """Returns an age, or None for one that JSON cannot carry."""
     return age_s if math.isfinite(age_s) else None
-
-
-def _take(
-    take: Callable[[Any], _Answer], reply: Any, peer: ids.PeerAddress
-) -> Result[_Answer, network.PeerError]:
-    # A node of another release may answer what this one cannot read.
-    try:
-        return Ok(take(reply))
-    except msgspec.DecodeError:
-        return Error(network.PeerError(network.PeerErrorKind.REJECTED, peer))
-
-
-def _decode_timeline(
-    reply: ttypes.TimelineReply,
-) -> tuple[list[events.RecordedEvent], bool]:
-    recorded = msgspec.json.decode(
-        reply.events, type=list[events.RecordedEvent]
-    )
-    return recorded, bool(reply.truncated)
-
-
-def _decode_status(reply: ttypes.StatusReply) -> timeline.NodeStatus:
-    return msgspec.json.decode(reply.status, type=timeline.NodeStatus)
-
-
-def _to_thrift(query: timeline.TimelineQuery) -> ttypes.TimelineRequest:
-    return ttypes.TimelineRequest(
-        request=query.request,
-        customer=query.customer,
-        file=query.file,
-        since_ms=query.since_ms,
-        limit_events=query.limit_events,
-        limit_bytes=MAX_REPLY_BYTES,
-    )
-
-
-def _from_thrift(request: ttypes.TimelineRequest) -> timeline.TimelineQuery:
-    return timeline.TimelineQuery(
-        request=request.request,
-        customer=request.customer,
-        file=request.file,
-        since_ms=request.since_ms or 0,
-        limit_events=max(
-            1, min(request.limit_events, timeline.MAX_LIMIT_EVENTS)
-        ),
-    )
--- /dev/null
+++ b/src/cyclamendale/explanation.py
@@ -0,0 +1,68 @@
+"""What became of one request, from the time line."""
+
+from __future__ import annotations
+
+import msgspec
+
+from cyclamendale import events
+from cyclamendale import ids
+from cyclamendale import timeline
+
+
+class RequestOutcome(msgspec.Struct, frozen=True):
+    """One answer or refusal that a request received.
+
+    Attributes:
+        node: Node that answered.
+        stamp: When.
+        route: Its route, if it was found.
+        status: HTTP status of an answer; None for a refusal.
+        reason: Why it was refused; None for an answer.
+        execution: Whether a refused request is known not to have run.
+        file: Intent file that decided the refusal, if one did.
+        version: Version of the configuration with that file.
+    """
+
+    node: ids.NodeId
+    stamp: events.HlcStamp
+    route: str | None = None
+    status: int | None = None
+    reason: str | None = None
+    execution: str | None = None
+    file: str | None = None
+    version: int | None = None
+
+
+class RequestExplanation(msgspec.Struct, frozen=True):
+    """What became of a request, as far as reached nodes remember."""
+
+    request: ids.RequestId
+    outcomes: list[RequestOutcome]
+    unreachable: list[ids.NodeId]
+
+
+def explain_request(
+    merged: timeline.MergedTimeline, request: ids.RequestId
+) -> RequestExplanation:
+    """Returns what became of a request.
+
+    Args:
+        merged: A time line that contains the request's events.
+        request: The request.
+    """
+    own = timeline.select(
+        merged.events, timeline.TimelineQuery(request=request)
+    )
+    outcomes = [_outcome(event) for event in own if event.kind in _OUTCOMES]
+    return RequestExplanation(request, outcomes, merged.unreachable)
+
+
+_OUTCOMES = frozenset(
+    (events.RequestServed.__name__, events.RequestRefused.__name__)
+)
+
+
+def _outcome(event: events.RecordedEvent) -> RequestOutcome:
+    names = ("route", "status", "reason", "execution", "file", "version")
+    known = {name: event.fields.get(name) for name in names}
+    return RequestOutcome(event.node, event.stamp, **known)
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -18,9 +18,11 @@
 
 from cyclamendale import clocks
 from cyclamendale import events
+from cyclamendale import explanation as explanations
 from cyclamendale import ids
 from cyclamendale import timeline
 from cyclamendale.configuration import source
+from cyclamendale.controllers import _timeline_codec
 from cyclamendale.controllers import timeline as timelines
 from cyclamendale.controllers import timeline_site
 from cyclamendale.intents import merge
@@ -243,10 +245,22 @@
             self.assertEqual(expected, self.gather().unreachable)
 
     def test_an_unreadable_answer_counts_as_missing(self):
-        self.wires.peers[self.all[1].address].serve(
-            50, None, lambda _: ttypes.TimelineReply("n", b"?", False)
+        for body in (b"?", b"[{}]", None):
+            reply = ttypes.TimelineReply("n", body, False)
+            self.wires.peers[self.all[1].address].serve(
+                50, None, lambda _, reply=reply: reply
+            )
+            self.assertEqual([self.all[1].node], self.gather().unreachable)
+
+    def test_a_request_without_limits_gets_no_events(self):
+        self.record(1, 5)
+        replies = []
+        handled = self.controllers[1]._serve_timeline(ttypes.TimelineRequest())
+        handled.addCallback(replies.append)
+        self.reactor.pump([0.001] * 10)
+        self.assertEqual(
+            (b"[]", True), (replies[0].events, replies[0].truncated)
         )
-        self.assertEqual([self.all[1].node], self.gather().unreachable)
 
     def test_the_newest_events_are_kept_and_the_cut_is_told(self):
         self.record(1, 50)
@@ -269,7 +283,7 @@
         self.reactor.pump([0.001] * 1000)
         factory = TBinaryProtocol.TBinaryProtocolAcceleratedFactory()
         wire = TSerialization.serialize(replies[0], factory)
-        self.assertLess(len(wire), timelines.MAX_REPLY_BYTES + 200)
+        self.assertLess(len(wire), _timeline_codec.MAX_REPLY_BYTES + 200)
         reply = TSerialization.deserialize(
             ttypes.TimelineReply(), wire, factory
         )
@@ -315,7 +329,7 @@
             )
         )
         self.record(2, 1, request="r7")
-        explained = timeline.explain_request(self.gather(), "r7")
+        explained = explanations.explain_request(self.gather(), "r7")
         self.assertEqual(
             [("quota", "not-run", "40-masons.toml", 4)],
             [
