--- a/src/cyclamendale/cli/local_commands.py
+++ b/src/cyclamendale/cli/local_commands.py
@@ -94,7 +94,9 @@
 
 def read_key(io: IO) -> Result[Any, faults.Fault]:
     """Reads a key from the first line of the input."""
-    return to_key("the input", io.read_line(MAX_KEY_CHARS + 1))
+    # The library's own reading answers with nothing unless a terminal is
+    # there to ask.
+    return to_key("the input", io.input.stream.readline(MAX_KEY_CHARS + 1))
 
 
 def to_key(name: str, text: str) -> Result[Any, faults.Fault]:
--- a/tests/support/fake_operator.py
+++ b/tests/support/fake_operator.py
@@ -115,7 +115,7 @@
     def run(self, *words, inputs=None):
         """Returns the exit code of a command."""
         line = " ".join(f"'{word}'" for word in words)
-        code = self._tester.execute(line, inputs=inputs)
+        code = self._tester.execute(line, inputs=inputs, interactive=False)
         self.output = self._tester.io.fetch_output()
         self.errors = self._tester.io.fetch_error()
         return code
