--- a/src/cyclamendale/controllers/quota_holder.py
+++ b/src/cyclamendale/controllers/quota_holder.py
@@ -97,7 +97,7 @@
     ) -> ttypes.QuotaReturnReply:
         """Credits unspent tokens."""
         credited = self._credit(request.returns, self._clock.now_s())
-        return ttypes.QuotaReturnReply(credited=credited)
+        return ttypes.QuotaReturnReply(credited=int(credited))
 
     def _grant(
         self,
@@ -130,8 +130,8 @@
             self._grant(want, reply, now_s)
         return reply
 
-    def _credit(self, returns: list[ttypes.QuotaReturn], now_s: float) -> int:
-        credited = 0
+    def _credit(self, returns: list[ttypes.QuotaReturn], now_s: float) -> float:
+        credited = 0.0
         for entry in returns:
             shard_holder = self._leases.holder_of(ids.ShardId(entry.shard))
             if shard_holder is not None and shard_holder.epoch == entry.epoch:
--- a/src/cyclamendale/controllers/quota_leases.py
+++ b/src/cyclamendale/controllers/quota_leases.py
@@ -105,14 +105,15 @@
     def stop(self) -> defer.Deferred[None]:
         """Gives all leases back; see base class."""
         self._leaving = True
-        self._stopped = defer.Deferred()
+        stopped: defer.Deferred[None] = defer.Deferred()
+        self._stopped = stopped
         self._stop_timeout = self._clock.call_later(
             STOP_TIMEOUT_S, self._finish_stop
         )
         for shard in list(self._leases):
             self._step(shard)
         self._check_stopped()
-        return self._stopped
+        return stopped
 
     def holder_of(self, shard: ids.ShardId) -> holder.ShardHolder | None:
         """Returns the holder of an own shard while it may be spent.
--- a/src/cyclamendale/quotas/holder.py
+++ b/src/cyclamendale/quotas/holder.py
@@ -185,7 +185,7 @@
         grants += self._grant(customer, account, taken, None, now_s)
         return grants
 
-    def take_back(self, grant_id: int, tokens: int, now_s: float) -> int:
+    def take_back(self, grant_id: int, tokens: int, now_s: float) -> float:
         """Credits unspent tokens of a grant; only the first time.
 
         Returns:
@@ -197,8 +197,8 @@
         credited = max(0, min(tokens, granted.tokens))
         account = self._accounts[granted.customer]
         if granted.borrowed is None:
-            account.bucket.put_back(credited, now_s)
-        elif credited:
+            return account.bucket.put_back(credited, now_s)
+        if credited:
             lot = msgspec.structs.replace(granted.borrowed, tokens=credited)
             account.borrowed.append(lot)
         return credited
--- a/src/cyclamendale/quotas/token_bucket.py
+++ b/src/cyclamendale/quotas/token_bucket.py
@@ -68,9 +68,18 @@
 
 
 class TokenBucket:
-    """Tokens that refill at a rate up to a capacity."""
+    """Tokens that refill at a rate up to a capacity.
+
+    Attributes:
+        limits: Refill rate and capacity.
+        level: Tokens in the bucket.
+        updated_s: Time up to which refill was added.
+        creditable: Most tokens that may still be put back. Refill that
+            arrives while tokens are out would have overflowed had they
+            stayed, so it takes their place.
+    """
 
-    __slots__ = ("level", "limits", "updated_s")
+    __slots__ = ("creditable", "level", "limits", "updated_s")
 
     def __init__(
         self, limits: BucketLimits, level: float, now_s: float
@@ -78,20 +87,21 @@
         self.limits = limits
         self.level = min(level, limits.capacity)
         self.updated_s = now_s
+        self.creditable = 0.0
 
     def refill(self, now_s: float) -> None:
         """Adds what has refilled since the last call."""
         elapsed_s = now_s - self.updated_s
         if elapsed_s > 0:
-            refilled = self.level + elapsed_s * self.limits.rate_per_s
-            self.level = min(refilled, self.limits.capacity)
+            self.level += elapsed_s * self.limits.rate_per_s
             self.updated_s = now_s
+            self._clamp()
 
     def set_limits(self, limits: BucketLimits, at_s: float) -> None:
         """Changes the limits as of `at_s`; never raises the level."""
         self.refill(at_s)
         self.limits = limits
-        self.level = min(self.level, limits.capacity)
+        self._clamp()
 
     def take(self, wanted: int, now_s: float, reserve: float = 0.0) -> int:
         """Takes up to `wanted` whole tokens and leaves the reserve."""
@@ -99,9 +109,22 @@
         available = math.floor(self.level - reserve + _ROUNDING_TOKENS)
         taken = max(0, min(wanted, available))
         self.level -= taken
+        self.creditable += taken
         return taken
 
-    def put_back(self, tokens: int, now_s: float) -> None:
-        """Adds tokens that were taken and certainly not spent."""
+    def put_back(self, tokens: int, now_s: float) -> float:
+        """Adds tokens that were taken and certainly not spent.
+
+        Returns:
+            How many were credited.
+        """
         self.refill(now_s)
-        self.level = min(self.level + tokens, self.limits.capacity)
+        credited = min(tokens, self.creditable)
+        self.level += credited
+        self.creditable -= credited
+        return credited
+
+    def _clamp(self) -> None:
+        capacity = self.limits.capacity
+        self.level = min(self.level, capacity)
+        self.creditable = min(self.creditable, capacity - self.level)
--- a/tests/support/quota_fleet.py
+++ b/tests/support/quota_fleet.py
@@ -231,8 +231,12 @@
     def __init__(self, fleet, address, domain, rate):
         self.fleet = fleet
         self.clock = PausableClock(fleet.reactor, rate)
+        fleet.processes += 1
         own = directory.Member(
-            ids.make_node_id(address), address, domain, incarnation=1
+            ids.NodeId(f"{address}#{fleet.processes}"),
+            address,
+            domain,
+            incarnation=1,
         )
         self.member = own
         fleet.members[address] = own
@@ -291,6 +295,7 @@
         )
         self.members = {}
         self.nodes = []
+        self.processes = 0
         self.admitted = collections.defaultdict(list)
         self.refused = collections.defaultdict(list)
 
@@ -329,13 +334,26 @@
     )
 
 
+class WindowMeter:
+    """The most by which any window exceeds burst + rate * t so far."""
+
+    def __init__(self, burst):
+        self.burst = burst
+        self.worst = 0.0
+        self._level = 0.0
+        self._last_s = 0.0
+
+    def admit(self, at_s, rate_per_s):
+        """Counts a request; the rate is the one since the last."""
+        self._level -= (at_s - self._last_s) * rate_per_s
+        self._level = max(0.0, self._level) + 1
+        self._last_s = at_s
+        self.worst = max(self.worst, self._level - self.burst)
+
+
 def worst_excess(times, rate_per_s, burst):
     """Returns the most by which any window exceeds burst + rate * t."""
-    worst = 0.0
-    level = 0.0
-    last_s = 0.0
-    for time_s in sorted(times):
-        level = max(0.0, level - (time_s - last_s) * rate_per_s) + 1
-        last_s = time_s
-        worst = max(worst, level - burst)
-    return worst
+    meter = WindowMeter(burst)
+    for at_s in times:
+        meter.admit(at_s, rate_per_s)
+    return meter.worst
