Prove the quota rules one by one and under faults; bound returns by lot

Ruled out before: one sum for all lots. Adds rules and fault tables, and random runs that aim at the current holder.

--- a/src/cyclamendale/quotas/holder.py
+++ b/src/cyclamendale/quotas/holder.py
@@ -37,9 +37,8 @@
     """A grant that may still come back, in part or whole."""
 
     customer: ids.CustomerId
-    tokens: int
     granted_s: float
-    borrowed: _Borrowed | None
+    source: token_bucket.Lot | _Borrowed
 
 
 class _Account:
@@ -170,19 +169,17 @@
             return []
         if lending:
             reserve = account.reserve(now_s)
-            taken = account.bucket.take(wanted, now_s, reserve)
-            return list(self._grant(customer, account, taken, None, now_s))
+            lot = account.bucket.take(wanted, now_s, reserve)
+            return list(self._grant(customer, account, lot, now_s))
         account.note_demand(wanted, now_s)
         grants: list[ttypes.QuotaGrant] = []
         while account.borrowed and wanted:
             part = _split(account.borrowed, wanted)
             if part.born_s + part.age_limit_s > now_s:
                 wanted -= part.tokens
-                grants += self._grant(
-                    customer, account, part.tokens, part, now_s
-                )
-        taken = account.bucket.take(wanted, now_s)
-        grants += self._grant(customer, account, taken, None, now_s)
+                grants += self._grant(customer, account, part, now_s)
+        lot = account.bucket.take(wanted, now_s)
+        grants += self._grant(customer, account, lot, now_s)
         return grants
 
     def take_back(self, grant_id: int, tokens: int, now_s: float) -> float:
@@ -194,14 +191,14 @@
         granted = self._granted.pop(grant_id, None)
         if granted is None:
             return 0
-        credited = max(0, min(tokens, granted.tokens))
+        tokens = max(0, min(tokens, granted.source.tokens))
         account = self._accounts[granted.customer]
-        if granted.borrowed is None:
-            return account.bucket.put_back(credited, now_s)
-        if credited:
-            lot = msgspec.structs.replace(granted.borrowed, tokens=credited)
+        if isinstance(granted.source, token_bucket.Lot):
+            return account.bucket.put_back(granted.source, tokens, now_s)
+        if tokens:
+            lot = msgspec.structs.replace(granted.source, tokens=tokens)
             account.borrowed.append(lot)
-        return credited
+        return tokens
 
     def deposit(
         self,
@@ -234,42 +231,41 @@
         self,
         customer: ids.CustomerId,
         account: _Account,
-        tokens: int,
-        borrowed: _Borrowed | None,
+        source: token_bucket.Lot | _Borrowed | None,
         now_s: float,
     ) -> Iterable[ttypes.QuotaGrant]:
-        if tokens <= 0 or account.customer is None:
+        if source is None or account.customer is None:
             return
         self._forget_old_grants(now_s)
         self._last_grant_id += 1
-        self._granted[self._last_grant_id] = _Granted(
-            customer, tokens, now_s, borrowed
-        )
-        if borrowed is None:
+        self._granted[self._last_grant_id] = _Granted(customer, now_s, source)
+        if isinstance(source, token_bucket.Lot):
             age_s = 0.0
             limit_s = token_bucket.age_limit_s(
                 account.customer.rate_per_s, account.customer.burst
             )
         else:
-            age_s = now_s - borrowed.born_s
+            age_s = now_s - source.born_s
             age_s /= 1.0 - token_bucket.ALLOWED_DRIFT
-            limit_s = borrowed.age_limit_s
+            limit_s = source.age_limit_s
         yield ttypes.QuotaGrant(
             shard=self.shard,
             epoch=self.epoch,
             grant_id=self._last_grant_id,
             customer=customer,
-            tokens=tokens,
+            tokens=source.tokens,
             age_limit_s=limit_s,
             age_s=age_s,
         )
 
     def _forget_old_grants(self, now_s: float) -> None:
         while self._granted:
-            oldest = next(iter(self._granted))
-            if self._granted[oldest].granted_s > now_s - RETURN_WINDOW_S:
+            grant_id, oldest = next(iter(self._granted.items()))
+            if oldest.granted_s > now_s - RETURN_WINDOW_S:
                 return
-            del self._granted[oldest]
+            del self._granted[grant_id]
+            if isinstance(oldest.source, token_bucket.Lot):
+                self._accounts[oldest.customer].bucket.close(oldest.source)
 
     def _open(
         self, customer: model.Customer, share: float, now_s: float
--- a/src/cyclamendale/quotas/token_bucket.py
+++ b/src/cyclamendale/quotas/token_bucket.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 
 import msgspec
@@ -67,19 +68,36 @@
     return BucketLimits(rate / (1.0 + ALLOWED_DRIFT), max(capacity, 0.0))
 
 
+class Lot:
+    """Tokens taken together.
+
+    Attributes:
+        tokens: How many were taken.
+        creditable: How many of them may still be put back.
+    """
+
+    __slots__ = ("creditable", "tokens")
+
+    def __init__(self, tokens: int) -> None:
+        self.tokens = tokens
+        self.creditable: float = tokens
+
+
 class TokenBucket:
     """Tokens that refill at a rate up to a capacity.
 
+    Had a token that is put back never been taken, refill that arrived
+    meanwhile might have overflowed. So the level and all that may still
+    be put back together never exceed the capacity; the oldest lots make
+    room first.
+
     Attributes:
         limits: Refill rate and capacity.
         level: Tokens in the bucket.
         updated_s: Time up to which refill was added.
-        creditable: Most tokens that may still be put back. Refill that
-            arrives while tokens are out would have overflowed had they
-            stayed, so it takes their place.
     """
 
-    __slots__ = ("creditable", "level", "limits", "updated_s")
+    __slots__ = ("_creditable", "_lots", "level", "limits", "updated_s")
 
     def __init__(
         self, limits: BucketLimits, level: float, now_s: float
@@ -87,7 +105,8 @@
         self.limits = limits
         self.level = min(level, limits.capacity)
         self.updated_s = now_s
-        self.creditable = 0.0
+        self._lots: collections.deque[Lot] = collections.deque()
+        self._creditable = 0.0
 
     def refill(self, now_s: float) -> None:
         """Adds what has refilled since the last call."""
@@ -103,28 +122,49 @@
         self.limits = limits
         self._clamp()
 
-    def take(self, wanted: int, now_s: float, reserve: float = 0.0) -> int:
+    def take(
+        self, wanted: int, now_s: float, reserve: float = 0.0
+    ) -> Lot | None:
         """Takes up to `wanted` whole tokens and leaves the reserve."""
         self.refill(now_s)
         available = math.floor(self.level - reserve + _ROUNDING_TOKENS)
-        taken = max(0, min(wanted, available))
+        taken = min(wanted, available)
+        if taken <= 0:
+            return None
+        while self._lots and self._lots[0].creditable <= 0:
+            self._lots.popleft()
+        lot = Lot(taken)
         self.level -= taken
-        self.creditable += taken
-        return taken
+        self._lots.append(lot)
+        self._creditable += taken
+        return lot
 
-    def put_back(self, tokens: int, now_s: float) -> float:
-        """Adds tokens that were taken and certainly not spent.
+    def put_back(self, lot: Lot, tokens: int, now_s: float) -> float:
+        """Adds tokens of a lot that were certainly not spent.
 
         Returns:
             How many were credited.
         """
         self.refill(now_s)
-        credited = min(tokens, self.creditable)
+        credited = min(tokens, lot.creditable)
         self.level += credited
-        self.creditable -= credited
+        self.close(lot)
         return credited
 
+    def close(self, lot: Lot) -> None:
+        """Notes that no more of a lot is put back."""
+        self._creditable -= lot.creditable
+        lot.creditable = 0.0
+
     def _clamp(self) -> None:
         capacity = self.limits.capacity
         self.level = min(self.level, capacity)
-        self.creditable = min(self.creditable, capacity - self.level)
+        overflow = self._creditable - (capacity - self.level)
+        while overflow > 0 and self._lots:
+            lot = self._lots[0]
+            lost = min(overflow, lot.creditable)
+            lot.creditable -= lost
+            self._creditable -= lost
+            overflow -= lost
+            if lot.creditable <= 0:
+                self._lots.popleft()
--- /dev/null
+++ b/tests/test_quota_rules.py
@@ -0,0 +1,291 @@
+"""The single rules that the quota bound hangs on."""
+
+from __future__ import annotations
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from cyclamendale import ids
+from cyclamendale.intents import model
+from cyclamendale.peer.generated.quota import ttypes
+from cyclamendale.platform import table
+from cyclamendale.quotas import holder
+from cyclamendale.quotas import lease
+from cyclamendale.quotas import shard_row
+from cyclamendale.quotas import shares
+from cyclamendale.quotas import token_bucket
+from cyclamendale.quotas import token_cache
+
+ACME = model.Customer("acme", 10.0, 100.0)
+DIVISION = shares.Division(1, (shares.DomainWeight("east", 1.0),))
+DAY_S = 24 * 3600.0
+ME = "10.0.0.1:7000#me"
+OTHER = "10.0.0.2:7000#other"
+WISH = lease.Wish(0, DIVISION.digest, shares.SHARE_UNITS * 3 // 4)
+
+
+def make_row(**changes):
+    row = shard_row.ShardRow(
+        write_id=1,
+        epoch=3,
+        holder=OTHER,
+        units=shares.SHARE_UNITS,
+        kept_units=shares.SHARE_UNITS * 3 // 4,
+        divisions=(DIVISION.digest,),
+    )
+    return shard_row.msgspec.structs.replace(row, **changes)
+
+
+def make_lease():
+    return lease.ShardLease(ME, lease.LeaseSettings(), random.Random(0))
+
+
+def make_held(**changes):
+    """Returns a lease that was claimed at time 0, of a released row."""
+    held = make_lease()
+    changes = {"holder": shard_row.NO_HOLDER, **changes}
+    held.saw(1, make_row(**changes), 0.0)
+    held.took_effect(held.write_due(WISH, 0.0), 2, 0.0)
+    return held
+
+
+def share_of(changes):
+    return changes[-1].units / shares.SHARE_UNITS
+
+
+def make_holder():
+    full = holder.ShardHolder("east", 0, 1, starts_full=True)
+    full.apply([lease.ShareChange(0.0, shares.SHARE_UNITS)])
+    full.set_plan({"acme": ACME}, [shares.DivisionIndex(DIVISION)], 0.0)
+    return full
+
+
+class DivisionTest(testtools.TestCase):
+    @hypothesis.given(
+        weights=strategies.lists(
+            strategies.floats(0.01, 100.0), min_size=1, max_size=7
+        ),
+        homes=strategies.integers(1, 7),
+        customer=strategies.text(max_size=5),
+    )
+    def test_shares_of_a_customer_never_exceed_a_whole(
+        self, weights, homes, customer
+    ):
+        division = shares.Division(
+            8,
+            tuple(
+                shares.DomainWeight(f"d{index}", weight)
+                for index, weight in enumerate(weights)
+            ),
+            (shares.CustomerHomes(customer, homes),),
+        )
+        units = shares.DivisionIndex(division).units(customer)
+        self.assertLessEqual(sum(units.values()), shares.SHARE_UNITS)
+        self.assertEqual(min(homes, len(weights)), len(units))
+
+    def test_small_burst_has_fewer_homes(self):
+        configuration = model.Configuration(
+            failure_domains={
+                name: model.FailureDomain(name) for name in ("a", "b", "c")
+            },
+            customers={
+                name: model.Customer(name, 10.0, burst)
+                for name, burst in (("s", 10.0), ("m", 20.0), ("l", 40.0))
+            },
+        )
+        division = shares.make_division(configuration, ())
+        counts = {entry.customer: entry.count for entry in division.homes}
+        self.assertEqual({"m": 2, "l": 3}, counts)
+
+
+class RowTest(testtools.TestCase):
+    scenarios = [
+        ("whole", {"changes": {}, "error": None}),
+        (
+            "newer format",
+            {"changes": {"format": 2}, "error": "NEWER_FORMAT"},
+        ),
+        ("part missing", {"changes": {"units": 1}, "error": "MALFORMED"}),
+        (
+            "negative part",
+            {
+                "changes": {
+                    "units": shares.SHARE_UNITS + 1,
+                    "retained": (shard_row.RetainedShare(1, OTHER, -1, ()),),
+                },
+                "error": "MALFORMED",
+            },
+        ),
+    ]
+
+    def test_only_whole_rows_of_a_known_format_are_used(self):
+        row = make_row(**self.changes)
+        decoded = shard_row.decode_row(shard_row.encode_row(row))
+        if self.error is None:
+            self.assertEqual(row, decoded.ok)
+        else:
+            self.assertEqual(self.error, decoded.error.kind.name)
+
+
+class LeaseTest(testtools.TestCase):
+    def test_lapse_counts_from_before_the_send(self):
+        held = make_lease()
+        held.saw(1, make_row(holder=shard_row.NO_HOLDER), 0.0)
+        claim = held.write_due(WISH, 1.0)
+        held.took_effect(claim, 2, 9.0)
+        self.assertEqual(1.0, share_of(held.advance(12.9)))
+        self.assertEqual(0.75, share_of(held.advance(13.0)))
+
+    def test_pause_after_a_lapse_is_dated_back_to_it(self):
+        held = make_held()
+        changes = held.advance(500.0)
+        self.assertEqual(12.0, changes[-1].at_s)
+
+    def test_unchanged_row_is_taken_over_after_one_and_a_quarter_leases(self):
+        claimer = make_lease()
+        claimer.saw(7, make_row(), 0.0)
+        self.assertIsNone(claimer.write_due(WISH, 14.9))
+        row = claimer.write_due(WISH, 15.0).row
+        self.assertEqual((4, ME), (row.epoch, row.holder))
+        self.assertEqual(shares.SHARE_UNITS // 4, row.units)
+        self.assertEqual([OTHER], [entry.owner for entry in row.retained])
+
+    def test_failed_read_starts_the_watch_anew(self):
+        claimer = make_lease()
+        claimer.saw(7, make_row(), 0.0)
+        claimer.read_failed(14.0)
+        claimer.saw(7, make_row(), 14.5)
+        self.assertIsNone(claimer.write_due(WISH, 29.0))
+
+    def test_claim_of_unknown_outcome_spends_nothing(self):
+        claimer = make_lease()
+        claimer.saw(1, make_row(holder=shard_row.NO_HOLDER), 0.0)
+        claim = claimer.write_due(WISH, 0.0)
+        claimer.failed(claim, table.TableErrorKind.OUTCOME_UNKNOWN, 0.1)
+        self.assertFalse(claimer.spends)
+        self.assertTrue(claimer.read_due(1.0, WISH))
+        claimer.saw(2, claim.row, 1.0)
+        self.assertTrue(claimer.spends)
+        self.assertEqual(0.75, share_of(claimer.advance(12.0)))
+
+    def test_superseded_holder_stops_and_gives_its_retained_share_back(self):
+        held = make_held()
+        held.advance(20.0)
+        entry = shard_row.RetainedShare(4, ME, 5, ())
+        units = shares.SHARE_UNITS - 5
+        newer = make_row(epoch=5, units=units, retained=(entry,))
+        held.saw(9, newer, 20.0)
+        self.assertEqual(0.0, share_of(held.advance(20.0)))
+        row = held.write_due(WISH, 20.0).row
+        self.assertEqual((), row.retained)
+        self.assertEqual((OTHER, shares.SHARE_UNITS), (row.holder, row.units))
+
+    def test_owner_drops_its_retained_share_after_a_day(self):
+        held = make_held()
+        self.assertEqual(0.75, share_of(held.advance(DAY_S)))
+        self.assertEqual(0.0, share_of(held.advance(DAY_S + 12.0)))
+
+    def test_reclaimer_waits_a_quarter_longer_than_a_day(self):
+        entry = shard_row.RetainedShare(1, OTHER, 5, ())
+        held = make_held(units=shares.SHARE_UNITS - 5, retained=(entry,))
+        first = held.write_due(WISH, 10.0)
+        held.took_effect(first, 3, 10.0)
+        late = held.write_due(WISH, 9.0 + 1.25 * DAY_S)
+        self.assertEqual((entry,), late.row.retained)
+        after = held.write_due(WISH, 11.0 + 1.25 * DAY_S)
+        self.assertEqual((), after.row.retained)
+        self.assertEqual(shares.SHARE_UNITS, after.row.units)
+
+    def test_gone_node_leaves_its_whole_share(self):
+        claimer = make_lease()
+        claimer.saw(7, make_row(), 0.0)
+        wish = shard_row.msgspec.structs.replace(
+            WISH, gone=frozenset([ids.NodeId(OTHER)])
+        )
+        claim = claimer.write_due(wish, 0.0)
+        self.assertEqual(shares.SHARE_UNITS, claim.row.units)
+        self.assertFalse(claim.starts_full)
+
+    def test_only_the_first_holder_starts_full(self):
+        for epoch, starts_full in ((0, True), (1, False)):
+            claimer = make_lease()
+            row = make_row(epoch=epoch, holder=shard_row.NO_HOLDER)
+            claimer.saw(1, row, 0.0)
+            claim = claimer.write_due(WISH, 0.0)
+            self.assertEqual(starts_full, claim.starts_full)
+
+
+class HolderTest(testtools.TestCase):
+    def test_return_is_credited_once(self):
+        full = make_holder()
+        (grant,) = full.draw("acme", 40, 0.0)
+        level = full.level("acme", 0.0)
+        self.assertEqual(30, full.take_back(grant.grant_id, 30, 0.0))
+        self.assertEqual(0, full.take_back(grant.grant_id, 30, 0.0))
+        self.assertEqual(level + 30, full.level("acme", 0.0))
+
+    def test_return_never_replaces_what_refilled_meanwhile(self):
+        full = make_holder()
+        capacity = full.level("acme", 0.0)
+        (first,) = full.draw("acme", 20, 0.0)
+        full.level("acme", 5.0)
+        (spent,) = full.draw("acme", int(capacity), 5.0)
+        self.assertEqual(0, full.take_back(first.grant_id, 20, 5.0))
+
+    def test_loan_is_deducted_before_the_next_one(self):
+        full = make_holder()
+        capacity = full.level("acme", 0.0)
+        lent = [
+            grant.tokens
+            for _ in range(3)
+            for grant in full.draw("acme", 60, 0.0, lending=True)
+        ]
+        self.assertLessEqual(sum(lent), capacity)
+
+    def test_lender_keeps_back_its_own_demand(self):
+        full = make_holder()
+        for at_s in range(3):
+            full.draw("acme", 10, float(at_s))
+        full.draw("acme", 1000, 3.0, lending=True)
+        self.assertGreater(full.level("acme", 3.0), 1.0)
+
+    def test_borrowed_tokens_keep_their_age(self):
+        full = make_holder()
+        full.deposit("acme", 5, 0.5, born_s=1.0)
+        grant, _ = full.draw("acme", 6, 1.3)
+        self.assertEqual(5, grant.tokens)
+        self.assertGreaterEqual(grant.age_s, 0.3)
+        full.deposit("acme", 5, 0.5, born_s=1.0)
+        self.assertEqual(1, len(full.draw("acme", 1, 1.6)))
+
+    def test_share_of_an_unknown_division_is_not_spent(self):
+        full = make_holder()
+        full.set_plan(
+            {"acme": ACME}, [shares.DivisionIndex(DIVISION), None], 0.0
+        )
+        self.assertEqual([], full.draw("acme", 1, 10.0))
+
+
+class TokenAgeTest(testtools.TestCase):
+    def test_token_is_not_spent_past_its_age_on_a_slow_clock(self):
+        tokens = token_cache.CustomerTokens("acme", lambda tokens: None)
+        grant = ttypes.QuotaGrant(0, 1, 1, "acme", 5, 1.0, 0.0)
+        tokens.add(OTHER, grant, sent_s=0.0)
+        self.assertTrue(tokens.spend(0.97))
+        slow_s = 1.0 * (1.0 - token_bucket.ALLOWED_DRIFT)
+        self.assertFalse(tokens.spend(slow_s))
+        self.assertEqual(4, next(iter(tokens.expired(slow_s))).count)
+        self.assertEqual(0, tokens.available)
+
+    def test_unspent_tokens_are_given_back_when_demand_ends(self):
+        tokens = token_cache.CustomerTokens("acme", lambda tokens: None)
+        grant = ttypes.QuotaGrant(0, 1, 1, "acme", 5, 100.0, 0.0)
+        tokens.add(OTHER, grant, sent_s=0.0)
+        given_back = []
+        for tick in range(10):
+            tokens.measure(0.1)
+            given_back.extend(tokens.surplus(tick * 0.1))
+        self.assertEqual([5], [batch.count for batch in given_back])
