--- a/src/cyclamendale/controllers/quotas.py
+++ b/src/cyclamendale/controllers/quotas.py
@@ -128,7 +128,7 @@
             wait_s = max(wait_s, 1.0 / entry.rate_per_s)
         return refusals.Refusal(
             reason,
-            decider=configuration.decider("customer", customer),
+            decider=configuration.decider("customer", customer, "rate_per_s"),
             retry_after_s=wait_s * self._rng.uniform(1.0, 2.0),
         )
 
--- a/src/cyclamendale/node.py
+++ b/src/cyclamendale/node.py
@@ -135,7 +135,7 @@
                 directory=self._directory,
                 clock=self._clock,
                 randomness=self._random,
-                merge=merge.merge,
+                merge=merge.make_merger().merge,
                 log=self.event_log,
             )
         )
