Stamp frames between nodes; size the platform share by a setting

Cause: nothing observed the stamps of other processes, so the time line was ordered by host clocks only. Each frame now carries a 12-byte stamp. Cause: the share of a node was that of 1,100 nodes, 0.29 writes a second, while a small fleet's holder renews up to eight leases every 4 s: leases lapsed and were regained every few seconds (seen with one node in 45 s). Ruled out: counting the members seen, which both sides of a partition would do at once.

--- a/src/cyclamendale/_setting_definitions.py
+++ b/src/cyclamendale/_setting_definitions.py
@@ -60,6 +60,8 @@
     return Definition(name, text, converter, default, _SECONDS)
 
 
+MAX_FLEET_NODES = 10_000
+
 DEFINITIONS: tuple[Definition, ...] = (
     Definition(
         "http_address",
@@ -145,11 +147,13 @@
         60,
         "longest wait for one answer of the platform",
     ),
-    _seconds(
-        "configuration_poll_s",
-        "1",
-        60,
-        "time between two looks for a new configuration",
+    Definition(
+        "fleet_nodes",
+        "most nodes that run at once; each keeps its load on the platform "
+        "to that part of what the platform bears",
+        values.whole_number_between(1, MAX_FLEET_NODES),
+        "100",
+        "COUNT",
     ),
     _seconds(
         "announcement_timeout_s",
--- a/src/cyclamendale/_setting_values.py
+++ b/src/cyclamendale/_setting_values.py
@@ -217,6 +217,18 @@
     return convert
 
 
+def whole_number_between(minimum: int, maximum: int) -> Converter:
+    """Returns a converter of whole numbers within bounds."""
+    in_bounds = number_between(minimum, maximum)
+
+    def convert(text: str) -> Result[Any, Fault]:
+        if not text.isdigit():
+            return _malformed(text, f"a whole number, {minimum} to {maximum}")
+        return in_bounds(text).map(int)
+
+    return convert
+
+
 def one_of(choices: type[enum.Enum]) -> Converter:
     """Returns a converter to an Enum by the texts of its values."""
     allowed = "one of " + ", ".join(choice.value for choice in choices)
--- a/src/cyclamendale/events.py
+++ b/src/cyclamendale/events.py
@@ -12,6 +12,10 @@
 from cyclamendale import clocks
 from cyclamendale import ids
 
+MAX_AHEAD_MS = 600_000
+"""Stamps further ahead of this host's clock are not followed, so that one
+host with a wrong clock does not move the time of all others."""
+
 DEFAULT_RING_EVENTS = 4096
 """Events of each ring that a node keeps in memory."""
 
@@ -41,7 +45,10 @@
 
     def observe(self, stamp: HlcStamp) -> None:
         """Advances past a stamp received from another process."""
-        if stamp > self._last:
+        if stamp <= self._last:
+            return
+        wall_ms = int(self._clock.wall_s() * 1000)
+        if stamp.wall_ms <= wall_ms + MAX_AHEAD_MS:
             self._last = stamp
 
 
--- a/src/cyclamendale/node.py
+++ b/src/cyclamendale/node.py
@@ -46,6 +46,7 @@
 from cyclamendale.peer import calls as peer_calls
 from cyclamendale.peer import thrift_network
 from cyclamendale.platform import http_client
+from cyclamendale.platform import load_limit
 from cyclamendale.upstream import gate as gates
 
 LINGER_S = 1.0
@@ -73,8 +74,13 @@
         self._metrics = _make_metrics(self._clock, settings)
         fleet_secret = settings.fleet_secret
         secret = fleet_secret.reveal() if fleet_secret else b""
+        hlc = events.HybridLogicalClock(self._clock)
         self._network = thrift_network.ThriftPeerNetwork(
-            reactor, self._clock, secret, settings.peer_connect_timeout_s
+            reactor,
+            self._clock,
+            secret,
+            settings.peer_connect_timeout_s,
+            hlc,
         )
         peer_port = self._network.listen(
             settings.peer_address.host, settings.peer_address.port
@@ -83,9 +89,7 @@
         self.own = directory.Member(
             ids.make_node_id(address), address, settings.failure_domain, 1
         )
-        self.event_log = events.EventLog(
-            self.own.node, events.HybridLogicalClock(self._clock)
-        )
+        self.event_log = events.EventLog(self.own.node, hlc)
         self._build_platform()
         self._build_membership(secret, peer_port)
         self._build_configuration()
@@ -106,6 +110,7 @@
             http_client.HttpSettings(
                 self._settings.platform_url,
                 timeout_s=self._settings.platform_timeout_s,
+                share=load_limit.make_node_share(self._settings.fleet_nodes),
             ),
         )
         self._table = http_client.make_table(platform)
--- a/src/cyclamendale/peer/connection.py
+++ b/src/cyclamendale/peer/connection.py
@@ -1,9 +1,10 @@
 """One authenticated, multiplexed connection between two nodes.
 
-Frames are length-prefixed. Each starts with the kind of message, a flag
-and a call id chosen by the requester, and continues with one encoded
-thrift struct. Before any frame, both sides prove that they know the fleet
-secret: each sends a random challenge and answers the other's.
+Frames are length-prefixed. Each starts with the kind of message, a flag,
+a call id chosen by the requester and the sender's hybrid logical clock
+stamp, and continues with one encoded thrift struct. Before any frame,
+both sides prove that they know the fleet secret: each sends a random
+challenge and answers the other's.
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
 from twisted.python import failure
 
 from cyclamendale import _immediate_write
+from cyclamendale import events
 from cyclamendale.peer import network
 
 if TYPE_CHECKING:
@@ -28,11 +30,12 @@
 
 MAX_FRAME_BYTES = 1024 * 1024
 HANDSHAKE_TIMEOUT_S = 5.0
-PROTOCOL_VERSION = b"cyclamendale-peer-1"
+PROTOCOL_VERSION = b"cyclamendale-peer-2"
 
 _CHALLENGE_BYTES = 16
-_HEADER = struct.Struct("!BBI")
+_HEADER = struct.Struct("!BBIQI")
 _HEADER_BYTES = _HEADER.size
+_COUNTER_MASK = 0xFFFFFFFF
 
 
 class Flag(enum.IntEnum):
@@ -72,6 +75,7 @@
         on_open: Callable[[PeerConnection], None],
         on_closed: Callable[[PeerConnection], None],
         call_later: Callable[..., Any],
+        hlc: events.HybridLogicalClock,
     ) -> None:
         self._secret = secret
         self._is_initiator = is_initiator
@@ -79,6 +83,7 @@
         self._on_open = on_open
         self._on_closed = on_closed
         self._call_later = call_later
+        self._hlc = hlc
         self._challenge = secrets.token_bytes(_CHALLENGE_BYTES)
         self._peer_challenge = b""
         self._phase = _Phase.AWAITING_CHALLENGE
@@ -180,19 +185,21 @@
     def _send(
         self, kind: int, flag: Flag, call_id: int, payload: bytes
     ) -> None:
+        stamp = self._hlc.tick()
         length = _HEADER_BYTES + len(payload)
+        header = _HEADER.pack(
+            kind, flag, call_id, stamp.wall_ms, stamp.counter & _COUNTER_MASK
+        )
         _immediate_write.write_now(
-            self.transport,
-            length.to_bytes(4, "big")
-            + _HEADER.pack(kind, flag, call_id)
-            + payload,
+            self.transport, length.to_bytes(4, "big") + header + payload
         )
 
     def _frame_received(self, frame: bytes) -> None:
         if len(frame) < _HEADER_BYTES:
             self._abort()
             return
-        kind, flag, call_id = _HEADER.unpack_from(frame)
+        kind, flag, call_id, wall_ms, counter = _HEADER.unpack_from(frame)
+        self._hlc.observe(events.HlcStamp(wall_ms, counter))
         payload = frame[_HEADER_BYTES:]
         if flag == Flag.REQUEST:
             self._on_request(self, kind, call_id, payload)
--- a/src/cyclamendale/peer/thrift_network.py
+++ b/src/cyclamendale/peer/thrift_network.py
@@ -13,6 +13,7 @@
 from twisted.python import failure
 
 from cyclamendale import clocks
+from cyclamendale import events
 from cyclamendale import ids
 from cyclamendale.peer import codec
 from cyclamendale.peer import connection as connections
@@ -52,8 +53,10 @@
         clock: clocks.Clock,
         secret: bytes,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        hlc: events.HybridLogicalClock | None = None,
     ) -> None:
         self._reactor = reactor
+        self._hlc = hlc or events.HybridLogicalClock(clock)
         self._connect_timeout_s = connect_timeout_s
         self._clock = clock
         self._secret = secret
@@ -158,6 +161,7 @@
             self._accepted.add,
             self._accepted.discard,
             self._clock.call_later,
+            self._hlc,
         )
 
     def _dispatch(
@@ -204,6 +208,7 @@
                 opened,
                 closed,
                 self._clock.call_later,
+                self._hlc,
             ),
             failed,
         )
--- a/src/cyclamendale/settings.py
+++ b/src/cyclamendale/settings.py
@@ -46,7 +46,7 @@
         shutdown_timeout_s: Longest time that a graceful stop waits for
             requests in flight.
         platform_timeout_s: Longest wait for one answer of the platform.
-        configuration_poll_s: Time between two looks for a new version.
+        fleet_nodes: Most nodes that run at once and share the platform.
         announcement_timeout_s: Silence after which the host's upstream
             gets no new work.
         peer_connect_timeout_s: Longest wait for a connection to a node.
@@ -68,7 +68,7 @@
     log_level: definitions.LogLevel
     shutdown_timeout_s: float
     platform_timeout_s: float
-    configuration_poll_s: float
+    fleet_nodes: int
     announcement_timeout_s: float
     peer_connect_timeout_s: float
     http_idle_timeout_s: float
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -10,8 +10,11 @@
 import msgspec
 import testscenarios
 import testtools
+from testtools import twistedsupport
 from thrift import TSerialization
 from thrift.protocol import TBinaryProtocol
+from twisted.internet import defer
+from twisted.internet import reactor
 from twisted.internet import task
 from twisted.web import resource
 from twisted.web.test import requesthelper
@@ -27,6 +30,8 @@
 from cyclamendale.controllers import timeline_site
 from cyclamendale.intents import merge
 from cyclamendale.membership import directory
+from cyclamendale.peer import kinds
+from cyclamendale.peer import thrift_network
 from cyclamendale.peer.generated.timeline import ttypes
 from tests.support import fake_network
 
@@ -60,9 +65,9 @@
         strategies.permutations(range(_NODES)),
     )
     def test_what_an_event_caused_comes_later(self, offsets, sends, order):
-        reactor = task.Clock()
+        moving = task.Clock()
         hlcs = [
-            events.HybridLogicalClock(Skewed(reactor, offset))
+            events.HybridLogicalClock(Skewed(moving, offset))
             for offset in offsets
         ]
         logs = [
@@ -85,7 +90,7 @@
             hlcs[receiver].observe(hlcs[sender].tick())
             knows[receiver] |= knows[sender]
             record(receiver)
-            reactor.advance(pause_s)
+            moving.advance(pause_s)
         merger = timeline.TimelineMerger(limit_events=1000)
         for node in order:
             merger.add(reversed(list(logs[node].recorded())))
@@ -98,6 +103,57 @@
             self.assertLess(place[cause], place[effect])
 
 
+class StampTest(testtools.TestCase):
+    """Two nodes over loopback; the clock of the second is behind."""
+
+    run_tests_with = (
+        twistedsupport.AsynchronousDeferredRunTestForBrokenTwisted.make_factory(
+            timeout=20
+        )
+    )
+
+    def node(self, offset_s):
+        clock = Skewed(reactor, offset_s)
+        hlc = events.HybridLogicalClock(clock)
+        peers = thrift_network.ThriftPeerNetwork(
+            reactor, clock, b"secret", hlc=hlc
+        )
+        self.addCleanup(peers.close)
+        return peers, events.EventLog(ids.NodeId(f"n{offset_s}"), hlc)
+
+    @defer.inlineCallbacks
+    def test_requests_and_replies_carry_stamps(self):
+        (first, log), (second, other_log) = self.node(30.0), self.node(0.0)
+        event = events.NodeStopping()
+
+        def handle(_):
+            other_log.record(event)
+            return ttypes.StatusReply(status=b"")
+
+        port = second.listen("127.0.0.1", 0)
+        second.serve(kinds.MessageKind.STATUS, ttypes.StatusRequest, handle)
+        log.record(event)
+        result = yield first.request(
+            ids.PeerAddress(f"127.0.0.1:{port}"),
+            kinds.MessageKind.STATUS,
+            ttypes.StatusRequest(),
+            ttypes.StatusReply,
+            10.0,
+        )
+        self.assertTrue(result.is_ok())
+        log.record(event)
+        before, after = (each.stamp for each in log.recorded())
+        [between] = (each.stamp for each in other_log.recorded())
+        self.assertLess(before, between)
+        self.assertLess(between, after)
+
+    def test_a_stamp_far_ahead_is_not_followed(self):
+        hlc = events.HybridLogicalClock(Skewed(task.Clock(), 0.0))
+        wall_ms = 1_000_000 + events.MAX_AHEAD_MS + 1
+        hlc.observe(events.HlcStamp(wall_ms, 0))
+        self.assertEqual(1_000_000, hlc.tick().wall_ms)
+
+
 class Members(directory.Directory):
     """A directory set by hand."""
 
