--- a/examples/fleet.py
+++ b/examples/fleet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterator, Mapping, Sequence
 import contextlib
 import http.client
 import json
@@ -118,12 +118,16 @@
         self.platform: subprocess.Popen | None = None
         self.platform_url = ""
 
-    def start(self) -> None:
-        """Starts platform, nodes and upstreams."""
+    def start(self, without_upstream: Collection[int] = ()) -> None:
+        """Starts platform, nodes and upstreams.
+
+        Args:
+            without_upstream: Hosts whose upstream is started later.
+        """
         self._start_platform()
         for number, host in enumerate(self.hosts):
             self.start_node(number)
-            if host.service is not None:
+            if host.service is not None and number not in without_upstream:
                 self.start_upstream(number)
 
     def _start_platform(self) -> None:
--- a/tests/test_fleet_failures.py
+++ b/tests/test_fleet_failures.py
@@ -60,7 +60,7 @@
 
 
 class FleetTest(testtools.TestCase):
-    def start(self, *layout, put=True):
+    def start(self, *layout, put=True, without_upstream=()):
         folder = pathlib.Path(self.useFixture(fixtures.TempDir()).path)
         self.fleet = fleets.Fleet(folder, layout)
         self.addCleanup(self.fleet.kill)
@@ -69,7 +69,7 @@
                 "logs", testtools.content.text_content(self.fleet.logs())
             )
         )
-        self.fleet.start()
+        self.fleet.start(without_upstream)
         if put:
             self.put(fleets.QUICKSTART)
 
@@ -118,11 +118,15 @@
             ("north", None, None),
             ("north", "price", None),
             ("south", "price", None),
+            without_upstream=[1],
         )
+        # Served so far by the south: the entry knows of that target.
         self.wait_served(0)
-        self.wait_served(1)
+        self.fleet.start_upstream(1)
+        fleets.wait_until("ready", lambda: self.ready() == 2, WAIT_S)
         caller = Caller(self.fleet.hosts[0].http, PRICE)
         caller.start()
+        time.sleep(1.0)
         leaving = self.fleet.hosts[1].node
         leaving.send_signal(signal.SIGTERM)
         self.assertEqual(0, leaving.wait(WAIT_S))
@@ -130,6 +134,12 @@
         self.assertEqual([], caller.broken)
         self.assertEqual({(200, "")}, caller.outcomes())
 
+    def ready(self):
+        status = json.loads(self.control(1, "/status"))
+        return sum(
+            node["upstream_state"] == "ready" for node in status["nodes"]
+        )
+
     def test_a_request_in_flight_at_the_stopping_entry_is_answered(self):
         self.start(("north", "price", None))
         self.wait_served(0)
