Give leases a load share of their own

The share of one node of 1,100 is 0.29 writes a second, and two leases renewed every 4 s need 0.5: the second would lapse. The number of leases bounds their writes over the fleet (14 a second), not that of nodes.

Also tell listeners when the platform stops or begins to answer.

--- a/measure/configuration_spread.py
+++ b/measure/configuration_spread.py
@@ -38,7 +38,10 @@
 FILES = 200
 FILE_BYTES = 300
 CHANGES = 10
-QUIET_S = 20.0
+WARM_UP_S = 60.0
+"""Time after which the rare polls of the nodes are spread out."""
+
+QUIET_S = 30.0
 GIVE_UP_S = 60.0
 CHANGES_PER_DAY = 3500
 SEED = 1
@@ -173,7 +176,7 @@
     """Runs one fleet; returns its figures."""
     fleet = Fleet(nodes, cut_off_domains, spreads=spreads)
     fleet.publish({_file(number): b"x" * FILE_BYTES for number in range(FILES)})
-    fleet.run_for(10.0)
+    fleet.run_for(WARM_UP_S)
     before = fleet.wires.sent_bytes, fleet.switch.operations.total()
     cpu_s = time.process_time()
     fleet.run_for(QUIET_S)
@@ -191,8 +194,8 @@
         fleet.run_for(5.0 + fleet.random.random())
         reached = min(reached, fleet.reached())
         passed_s = fleet.scheduler.now_s - start_s
-        sent = (fleet.wires.sent_bytes - sent) / nodes
-        change_bytes.append(max(0.0, sent - quiet_bytes * passed_s))
+        sent_bytes = (fleet.wires.sent_bytes - sent) / nodes
+        change_bytes.append(max(0.0, sent_bytes - quiet_bytes * passed_s))
     times.sort()
     per_change = sum(change_bytes) / len(change_bytes)
     return Figures(
--- a/src/cyclamendale/platform/http_client.py
+++ b/src/cyclamendale/platform/http_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import random
 from typing import Any
 
@@ -65,7 +66,10 @@
         clock: clocks.Clock,
         randomness: random.Random,
         settings: HttpSettings,
+        on_reachability: Callable[[bool], None] | None = None,
     ) -> None:
+        self._on_reachability = on_reachability
+        self._is_reachable: bool | None = None
         self._clock = clock
         self._random = randomness
         self._settings = settings
@@ -110,9 +114,18 @@
         if not await self._limiter.acquire(is_write=is_write):
             return Error(Failure.NOT_SENT)
         try:
-            return await self._sender.send(method, path, body)
+            result = await self._sender.send(method, path, body)
         finally:
             self._limiter.release()
+        self._note_reachability(_is_answer(result))
+        return result
+
+    def _note_reachability(self, is_reachable: bool) -> None:
+        if is_reachable == self._is_reachable:
+            return
+        self._is_reachable = is_reachable
+        if self._on_reachability is not None:
+            self._on_reachability(is_reachable)
 
     def _backoff_s(self, attempt: int) -> float:
         longest_s = min(BACKOFF_CAP_S, BACKOFF_BASE_S * 2**attempt)
@@ -123,6 +136,16 @@
         return self._sender.close()
 
 
+def _is_answer(
+    result: Result[_http_attempt.HttpAnswer, Failure],
+) -> bool:
+    match result:
+        case Result(tag="ok", ok=answer):
+            return answer.status < http.INTERNAL_SERVER_ERROR
+        case _:
+            return False
+
+
 def _may_repeat(
     operation: faults.Operation,
     result: Result[_http_attempt.HttpAnswer, Failure],
@@ -153,9 +176,19 @@
     clock: clocks.Clock,
     randomness: random.Random,
     settings: HttpSettings,
+    on_reachability: Callable[[bool], None] | None = None,
 ) -> HttpPlatform:
-    """Returns the connection that a table and an object store share."""
-    return HttpPlatform(reactor, clock, randomness, settings)
+    """Returns the connection that a table and an object store share.
+
+    Args:
+        reactor: The twisted reactor.
+        clock: Clock for time-outs, pauses and the load share.
+        randomness: Source of the jitter of pauses.
+        settings: How to talk to the platform.
+        on_reachability: Called with whether the platform answers, at
+            first and whenever that changes.
+    """
+    return HttpPlatform(reactor, clock, randomness, settings, on_reachability)
 
 
 def make_table(platform: HttpPlatform) -> table.Table:
--- a/src/cyclamendale/platform/load_limit.py
+++ b/src/cyclamendale/platform/load_limit.py
@@ -24,6 +24,13 @@
 NODE_WRITE_BURST = 8
 """Writes that a node may make at once, such as the leases of a start."""
 
+LEASE_READS_PER_S = 8.0
+LEASE_WRITES_PER_S = 4.0
+"""Lease operations of one node. Their sum over the fleet is bounded by
+the number of leases, not of nodes: 8 shards in each of 7 failure domains,
+renewed every 4 s, make 14 writes a second. A share by nodes would let
+leases lapse on a node that holds several."""
+
 OPERATOR_READS_PER_S = 100.0
 OPERATOR_WRITES_PER_S = 20.0
 OPERATOR_BURST = 200
@@ -72,6 +79,16 @@
     )
 
 
+def make_lease_share() -> LoadShare:
+    """Returns the share of one node for its leases alone."""
+    return LoadShare(
+        reads_per_s=LEASE_READS_PER_S,
+        writes_per_s=LEASE_WRITES_PER_S,
+        read_burst=NODE_READ_BURST,
+        write_burst=NODE_WRITE_BURST,
+    )
+
+
 def make_operator_share() -> LoadShare:
     """Returns the share of one operator's command."""
     return LoadShare(
--- a/tests/support/fake_platform.py
+++ b/tests/support/fake_platform.py
@@ -60,6 +60,7 @@
     def __init__(self, share=WIDE_SHARE):
         self.platform = stand_in.Platform()
         self.switch = self.platform.switch
+        self.reachability = []
         self.server_clock = task.Clock()
         self.client_clock = task.Clock()
         site = stand_in.make_site(
@@ -77,6 +78,7 @@
                 connect_timeout_s=30.0,
                 share=share,
             ),
+            self.reachability.append,
         )
         self.table = http_client.make_table(self.client)
         self.objects = http_client.make_object_store(self.client)
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -78,6 +78,16 @@
         self.assertEqual(KINDS.UNAVAILABLE, error.kind)
 
 
+class ReachabilityTest(LoopbackTest):
+    @defer.inlineCallbacks
+    def test_a_change_is_told_once(self):
+        down = faults.FaultRule(faults.Fault.DOWN)
+        for rules in ([], [down], [down], []):
+            self.platform.switch.switch(rules)
+            yield self.table.read("k")
+        self.assertEqual([True, False, True], self.platform.reachability)
+
+
 class BadAnswerTest(LoopbackTest):
     """Answers that the adapter cannot understand."""
 
