Refuse versions that a faulty peer cannot prove

A peer with a fault could claim a version that its manifest does not have, send pages without end, or an age below nothing, which would have made a confirmation lie in the future. A manifest's last change must be the version claimed, an empty page ends a fetch, and ages are clamped.

Ruled out: signing heads by the platform; it has no keys of its own.

--- a/src/cyclamendale/configuration/snapshot.py
+++ b/src/cyclamendale/configuration/snapshot.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
+import itertools
 
 from expression import Error
 from expression import Ok
@@ -90,7 +91,11 @@
             **dict(_contents(delta.changes)),
         }
         wanted = {state.digest for state in manifest.files.values()}
-        if digest != delta.manifest or not wanted <= contents.keys():
+        if (
+            digest != delta.manifest
+            or _newest(manifest) != delta.version
+            or not wanted <= contents.keys()
+        ):
             return Error(DeltaMismatch(delta.version))
         kept = {d: contents[d] for d in wanted}
         return Ok(Snapshot(delta.version, digest, store.Folder(manifest, kept)))
@@ -122,6 +127,15 @@
     return documents.Manifest(files, kept, since)
 
 
+def _newest(manifest: documents.Manifest) -> ids.ConfigVersion:
+    """Returns the version of a manifest: that of its last change."""
+    states = itertools.chain(manifest.files.values(), manifest.removed.values())
+    versions = (state.version for state in states)
+    return max(
+        manifest.removals_since, max(versions, default=documents.NO_VERSION)
+    )
+
+
 def _contents(changes: Iterable[FileChange]) -> Iterator[tuple[str, bytes]]:
     for change in changes:
         if change.content is not None:
--- a/src/cyclamendale/configuration/spread.py
+++ b/src/cyclamendale/configuration/spread.py
@@ -141,8 +141,8 @@
                 return Error(FetchFailed(peer))
             page = reply.ok
             first = first or page
-            if page.manifest != first.manifest:
-                # The peer moved on between two pages.
+            has_moved_on = page.manifest != first.manifest
+            if has_moved_on or (page.more and not page.changes):
                 return Error(FetchFailed(peer))
             changes.extend(_file_change(change) for change in page.changes)
             if not page.more:
@@ -202,7 +202,7 @@
         peer,
         ids.ConfigVersion(message.version),
         message.ready,
-        None if age_ms is None else age_ms / 1000,
+        None if age_ms is None else max(0, age_ms) / 1000,
     )
 
 
--- a/tests/test_configuration_controller.py
+++ b/tests/test_configuration_controller.py
@@ -11,6 +11,7 @@
 from cyclamendale.configuration import documents
 from cyclamendale.configuration import polling
 from cyclamendale.peer import kinds
+from cyclamendale.peer.generated.configuration import ttypes
 from cyclamendale.platform import faults
 from cyclamendale.platform import table
 from tests.support import fake_platform_cluster as fake_cluster
@@ -193,6 +194,51 @@
         self.assertLess(self.settle(later), SPREAD_TARGET_S)
 
 
+class FaultyPeerTest(testscenarios.WithScenarios, ControllerTest):
+    """A peer that claims a version which nothing proves."""
+
+    sizes = (2,)
+    scenarios = [
+        ("no field set", {"reply": {}}),
+        ("no file", {"reply": {"version": 9, "manifest": b"x" * 32}}),
+        ("pages without end", {"reply": {"version": 9, "more": True}}),
+        ("another's manifest", {"reply": {"version": 9}, "is_real": True}),
+        (
+            "files besides the manifest",
+            {
+                "reply": {
+                    "version": 9,
+                    "changes": [ttypes.FileChange("b", 9, "c", "eve", b"x")],
+                },
+                "is_real": True,
+            },
+        ),
+    ]
+    is_real = False
+
+    def test_the_version_in_force_stays(self):
+        self.settle(self.publish(0, {"a": b"1"}))
+        faulty = self.cluster.wires.peers[self.cluster.all[1].address]
+        digest = kinds.MessageKind.CONFIGURATION_DIGEST
+        fetch = kinds.MessageKind.CONFIGURATION_FETCH
+        real = faulty._handlers[fetch](ttypes.FetchRequest())
+
+        asked = []
+
+        def answer(request):
+            asked.append(request)
+            fields = dict(vars(real)) if self.is_real else {}
+            return ttypes.FetchReply(**{**fields, **self.reply})
+
+        faulty._handlers[digest] = lambda request: ttypes.DigestReply(
+            version=9, ready=True, confirmed_age_ms=0
+        )
+        faulty._handlers[fetch] = answer
+        self.cluster.advance(5)
+        self.assertEqual(1, self.node.version)
+        self.assertLess(len(asked), 50)
+
+
 class AgeTest(ControllerTest):
     def test_it_is_infinite_before_the_platforms_first_word(self):
         self.cluster.cut_from_platform("domain-0", "domain-1")
@@ -220,6 +266,15 @@
                 age_s = node.controller.confirmed_age_s()
                 self.assertGreaterEqual(age_s, passed_s - 0.1)
 
+    def test_an_age_below_nothing_counts_as_nothing(self):
+        peer = self.cluster.wires.peers[self.cluster.all[1].address]
+        digest = kinds.MessageKind.CONFIGURATION_DIGEST
+        peer._handlers[digest] = lambda request: ttypes.DigestReply(
+            version=0, ready=True, confirmed_age_ms=-(2**31)
+        )
+        self.cluster.advance(10)
+        self.assertGreaterEqual(self.node.controller.confirmed_age_s(), 0)
+
 
 class TrafficTest(ControllerTest):
     """What travels, and how often the platform is asked."""
