--- /dev/null
+++ b/measure/configuration_size.py
@@ -0,0 +1,138 @@
+"""Costs of holding and spreading configuration by number of files.
+
+Usage: python -m measure.configuration_size [files ...]
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+import json
+import sys
+import time
+import tracemalloc
+
+from thrift.protocol import TBinaryProtocol
+from thrift.transport import TTransport
+
+from cyclamendale import ids
+from cyclamendale.configuration import changes
+from cyclamendale.configuration import documents
+from cyclamendale.configuration import snapshot
+from cyclamendale.configuration import store
+from cyclamendale.peer import network
+from cyclamendale.peer.generated.configuration import ttypes
+
+FILES = (50, 200, 800, 3200)
+FILE_BYTES = 300
+REPEATS = 20
+
+
+@dataclasses.dataclass
+class Figures:
+    """Costs at one number of files."""
+
+    files: int
+    manifest_bytes: int
+    full_fetch_bytes: int
+    delta_bytes: int
+    apply_delta_ms: float
+    answer_delta_ms: float
+    memory_bytes: int
+
+
+def _file(number: int) -> ids.IntentFileName:
+    return ids.IntentFileName(f"{number:04}-customer.toml")
+
+
+def _next(old: snapshot.Snapshot, change: changes.Change) -> snapshot.Snapshot:
+    version = ids.ConfigVersion(old.version + 1)
+    head = documents.Head(old.version, "", "", change.change_id, ())
+    manifest = changes.combine(head, old.folder.manifest, change).ok
+    contents = dict(old.folder.contents)
+    for data in change.puts.values():
+        contents[documents.digest_of(data)] = data
+    digest = documents.digest_of(documents.encode(manifest))
+    return snapshot.Snapshot(version, digest, store.Folder(manifest, contents))
+
+
+def _change(base: int, numbers: range) -> changes.Change:
+    return changes.Change(
+        ids.ConfigVersion(base),
+        {_file(n): b"%d,%d;" % (base, n) * (FILE_BYTES // 6) for n in numbers},
+        frozenset(),
+        "operator@example",
+        ids.ChangeId(f"{base:032x}"),
+    )
+
+
+def _reply(new: snapshot.Snapshot, have: int) -> network.ThriftStruct:
+    return ttypes.FetchReply(
+        version=new.version,
+        manifest=bytes.fromhex(new.digest),
+        changes=[
+            ttypes.FileChange(
+                change.file,
+                change.version,
+                change.change_id,
+                change.writer,
+                change.content,
+            )
+            for change in new.changes_since(ids.ConfigVersion(have))
+        ],
+    )
+
+
+def _wire_bytes(message: network.ThriftStruct) -> int:
+    buffer = TTransport.TMemoryBuffer()
+    message.write(TBinaryProtocol.TBinaryProtocolAccelerated(buffer))
+    return len(buffer.getvalue())
+
+
+def _best_ms(work: Callable[[], object]) -> float:
+    times_s = []
+    for _ in range(REPEATS):
+        started_s = time.process_time()
+        work()
+        times_s.append(time.process_time() - started_s)
+    return round(min(times_s) * 1000, 3)
+
+
+def measure(files: int) -> Figures:
+    """Returns the costs at one number of files."""
+    tracemalloc.start()
+    old = _next(snapshot.make_empty(), _change(0, range(files)))
+    memory_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    new = _next(old, _change(1, range(1)))
+    delta = snapshot.Delta(
+        new.version,
+        new.digest,
+        False,
+        documents.NO_VERSION,
+        tuple(new.changes_since(old.version)),
+    )
+    return Figures(
+        files=files,
+        manifest_bytes=len(documents.encode(new.folder.manifest)),
+        full_fetch_bytes=_wire_bytes(_reply(new, 0)),
+        delta_bytes=_wire_bytes(_reply(new, 1)),
+        apply_delta_ms=_best_ms(lambda: old.apply(delta)),
+        answer_delta_ms=_best_ms(lambda: _reply(new, 1)),
+        memory_bytes=memory_bytes,
+    )
+
+
+def main(arguments: list[str]) -> None:
+    """Prints a table and then the same figures as JSON."""
+    sizes = [int(argument) for argument in arguments] or FILES
+    results = [measure(files) for files in sizes]
+    names = [field.name for field in dataclasses.fields(Figures)]
+    print(" | ".join(names))
+    for result in results:
+        print(" | ".join(str(getattr(result, name)) for name in names))
+    print(json.dumps([dataclasses.asdict(result) for result in results]))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
