Let a new node serve what its peers serve when files are missing

With the object store down and a head newer than what any node has, no restarted node became ready, though all its peers went on serving.

--- a/src/cyclamendale/configuration/readiness.py
+++ b/src/cyclamendale/configuration/readiness.py
@@ -33,14 +33,16 @@
     def may_serve(self, version: ids.ConfigVersion) -> bool:
         """Returns whether a node may serve with a version.
 
-        Either the platform has no higher one; or the platform did not
-        answer for `PLATFORM_WAIT_S`, and a peer that serves answered.
-        No peer that answered may have a higher version in either case.
+        No peer that answered may have a higher one. Besides, either the
+        platform has no higher one; or the platform did not answer, or
+        did not deliver its version, for `PLATFORM_WAIT_S`, and a peer
+        that serves answered: then the node is no worse than that peer.
         """
         if any(digest.version > version for digest in self._digests):
             return False
-        if self._platform_version is not None:
-            return version >= self._platform_version
+        platform_version = self._platform_version
+        if platform_version is not None and version >= platform_version:
+            return True
         waited_s = self._clock.now_s() - self._started_s
         is_any_ready = any(digest.ready for digest in self._digests)
         return waited_s >= PLATFORM_WAIT_S and is_any_ready
--- a/tests/test_configuration_controller.py
+++ b/tests/test_configuration_controller.py
@@ -144,6 +144,21 @@
         self.cluster.wires.lose = lambda *_: True
         self.check_waits_for(version)
 
+    def test_files_that_no_one_has_do_not_keep_a_node_from_serving(self):
+        version = self.publish(0, {"a": b"1"})
+        self.settle(version)
+        self.publish(1, {"a": b"2"})
+        down = faults.FaultRule(
+            faults.Fault.DOWN, (faults.Operation.GET_OBJECT,)
+        )
+        for node in self.cluster.all:
+            node.switch.switch([down])
+        self.node.start()
+        self.cluster.advance(CONVERGENCE_TARGET_S)
+        self.assertTrue(self.node.controller.is_ready)
+        self.assertEqual(version, self.node.version)
+        self.assertGreater(self.node.controller.confirmed_age_s(), 10)
+
     def check_waits_for(self, version):
         self.node.start()
         self.cluster.advance(30)
