--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -219,12 +219,12 @@
 class ObjectStoreTest(ContractTest):
     @defer.inlineCallbacks
     def test_an_object_reads_back_by_its_digest_also_when_put_twice(self):
-        data = bytes(range(256))
-        first = yield self.of(self.platform.objects.put(data))
-        second = yield self.of(self.platform.objects.put(data))
-        found = yield self.of(self.platform.objects.get(first.ok))
-        self.assertEqual(first.ok, second.ok)
-        self.assertEqual(data, found.ok)
+        for data in (b"", bytes(range(256)), b"x" * 300_000):
+            first = yield self.of(self.platform.objects.put(data))
+            second = yield self.of(self.platform.objects.put(data))
+            found = yield self.of(self.platform.objects.get(first.ok))
+            self.assertEqual(first.ok, second.ok)
+            self.assertEqual(data, found.ok)
 
     @defer.inlineCallbacks
     def test_an_unknown_object_is_not_found(self):
