--- a/tests/test_configuration_controller.py
+++ b/tests/test_configuration_controller.py
@@ -11,6 +11,7 @@
 from cyclamendale.configuration import documents
 from cyclamendale.configuration import polling
 from cyclamendale.peer import kinds
+from cyclamendale.peer.generated.configuration import ttypes
 from cyclamendale.platform import faults
 from cyclamendale.platform import table
 from tests.support import fake_platform_cluster as fake_cluster
@@ -143,6 +144,21 @@
         self.cluster.wires.lose = lambda *_: True
         self.check_waits_for(version)
 
+    def test_files_that_no_one_has_do_not_keep_a_node_from_serving(self):
+        version = self.publish(0, {"a": b"1"})
+        self.settle(version)
+        self.publish(1, {"a": b"2"})
+        down = faults.FaultRule(
+            faults.Fault.DOWN, (faults.Operation.GET_OBJECT,)
+        )
+        for node in self.cluster.all:
+            node.switch.switch([down])
+        self.node.start()
+        self.cluster.advance(CONVERGENCE_TARGET_S)
+        self.assertTrue(self.node.controller.is_ready)
+        self.assertEqual(version, self.node.version)
+        self.assertGreater(self.node.controller.confirmed_age_s(), 10)
+
     def check_waits_for(self, version):
         self.node.start()
         self.cluster.advance(30)
@@ -193,6 +209,51 @@
         self.assertLess(self.settle(later), SPREAD_TARGET_S)
 
 
+class FaultyPeerTest(testscenarios.WithScenarios, ControllerTest):
+    """A peer that claims a version which nothing proves."""
+
+    sizes = (2,)
+    scenarios = [
+        ("no field set", {"reply": {}}),
+        ("no file", {"reply": {"version": 9, "manifest": b"x" * 32}}),
+        ("pages without end", {"reply": {"version": 9, "more": True}}),
+        ("another's manifest", {"reply": {"version": 9}, "is_real": True}),
+        (
+            "files besides the manifest",
+            {
+                "reply": {
+                    "version": 9,
+                    "changes": [ttypes.FileChange("b", 9, "c", "eve", b"x")],
+                },
+                "is_real": True,
+            },
+        ),
+    ]
+    is_real = False
+
+    def test_the_version_in_force_stays(self):
+        self.settle(self.publish(0, {"a": b"1"}))
+        faulty = self.cluster.wires.peers[self.cluster.all[1].address]
+        digest = kinds.MessageKind.CONFIGURATION_DIGEST
+        fetch = kinds.MessageKind.CONFIGURATION_FETCH
+        real = faulty._handlers[fetch](ttypes.FetchRequest())
+
+        asked = []
+
+        def answer(request):
+            asked.append(request)
+            fields = dict(vars(real)) if self.is_real else {}
+            return ttypes.FetchReply(**{**fields, **self.reply})
+
+        faulty._handlers[digest] = lambda request: ttypes.DigestReply(
+            version=9, ready=True, confirmed_age_ms=0
+        )
+        faulty._handlers[fetch] = answer
+        self.cluster.advance(5)
+        self.assertEqual(1, self.node.version)
+        self.assertLess(len(asked), 50)
+
+
 class AgeTest(ControllerTest):
     def test_it_is_infinite_before_the_platforms_first_word(self):
         self.cluster.cut_from_platform("domain-0", "domain-1")
@@ -220,6 +281,15 @@
                 age_s = node.controller.confirmed_age_s()
                 self.assertGreaterEqual(age_s, passed_s - 0.1)
 
+    def test_an_age_below_nothing_counts_as_nothing(self):
+        peer = self.cluster.wires.peers[self.cluster.all[1].address]
+        digest = kinds.MessageKind.CONFIGURATION_DIGEST
+        peer._handlers[digest] = lambda request: ttypes.DigestReply(
+            version=0, ready=True, confirmed_age_ms=-(2**31)
+        )
+        self.cluster.advance(10)
+        self.assertGreaterEqual(self.node.controller.confirmed_age_s(), 0)
+
 
 class TrafficTest(ControllerTest):
     """What travels, and how often the platform is asked."""
@@ -254,6 +324,38 @@
             names = [change.file for change in reply.changes]
             self.assertEqual(["f7", "f8"], names)
 
+    def test_a_poller_reads_only_what_changed(self):
+        files = {f"f{i:03}": b"%d" % i * 400 for i in range(200)}
+        self.settle(self.publish(0, files))
+        self.cluster.wires.lose = lambda *_: True
+        read = []
+        get = self.platform.objects.get
+        self.platform.objects.get = lambda d: read.append(d) or get(d)
+        for version in (1, 2):
+            self.publish(version, {"f007": b"%d" % version}, {f"f1{version}0"})
+            read.clear()
+            self.cluster.advance(3)
+            versions = {node.version for node in self.cluster.all}
+            self.assertIn(version + 1, versions)
+            changed = documents.digest_of(b"%d" % version)
+            self.assertEqual({changed}, set(read))
+
+    def test_version_rows_that_mislead_cost_only_a_manifest(self):
+        self.settle(self.publish(0, {"a": b"1"}))
+        first = documents.version_key(1)
+        misleading = self.platform.rows.read(first).value
+        for version, value in ((1, None), (2, misleading), (3, b"{}")):
+            self.publish(version, {"a": b"%d" % (version + 1)})
+            write = table.Write(
+                documents.version_key(version + 1), 1, value, value is None
+            )
+            self.platform.rows.transact([write])
+            took_s = self.settle(version + 1)
+            self.assertLess(took_s, SPREAD_TARGET_S)
+            snapshot = self.node.controller._in_force.snapshot
+            manifest = documents.encode(snapshot.folder.manifest)
+            self.assertEqual(snapshot.digest, documents.digest_of(manifest))
+
     def test_a_digest_is_tiny(self):
         self.settle(self.publish(0, {"a": b"1"}))
         self.cluster.advance(3)
