--- a/src/cyclamendale/membership/protocol.py
+++ b/src/cyclamendale/membership/protocol.py
@@ -20,6 +20,7 @@
 from cyclamendale.membership import link
 from cyclamendale.membership import local_health
 from cyclamendale.membership import member_list
+from cyclamendale.membership import own_upstream
 from cyclamendale.membership import probe_targets
 from cyclamendale.membership import prober
 from cyclamendale.membership import recent_updates
@@ -103,6 +104,7 @@
             self._unreachable,
             now_s + rng.random() * prober.PROBE_PERIOD_S,
         )
+        self._upstream = own_upstream.OwnUpstream(own.upstream, now_s)
         self._recent = recent_updates.RecentUpdates()
         self._ticked_s = now_s
         self._retry_dead_s = now_s + rng.random() * DEAD_RETRY_S
@@ -118,6 +120,7 @@
         self._gossip()
         if self.members.own().state is directory.MemberState.LEFT:
             return
+        self._follow_upstream(now_s)
         self._prober.tick(now_s)
         for address in self._suspicions.expired(now_s):
             self._rules.declare_dead(address, now_s)
@@ -157,8 +160,8 @@
 
     def set_upstream(self, upstream: directory.Announcement | None) -> None:
         """Changes what the own entry says of the upstream."""
-        if self.members.own().upstream != upstream:
-            self._rules.change_own(self._clock.now_s(), upstream=upstream)
+        self._upstream.announced = upstream
+        self._follow_upstream(self._clock.now_s())
 
     def set_leaving(self) -> None:
         """Says in the own entry that the node takes no new work."""
@@ -181,20 +184,9 @@
                 continue
             self._rules.apply(decoded.ok, update_rules.Origin.SYNC, now_s)
 
-    def apply_joined(self, encoded: bytes) -> ids.PeerAddress | None:
-        """Applies the own entry of a node that joins, and spreads it.
-
-        Returns:
-            The address of that node, or None for a malformed entry.
-        """
-        decoded = wire.decode_update(encoded)
-        if decoded.is_error():
-            self.undecodable += 1
-            return None
-        self._rules.apply(
-            decoded.ok, update_rules.Origin.NEWS, self._clock.now_s()
-        )
-        return decoded.ok.member.address
+    def apply_joined(self, encoded: bytes) -> None:
+        """Applies the own entry of a node that joins, and spreads it."""
+        self._take_update(encoded, self._clock.now_s())
 
     def _take_update(self, encoded: bytes, now_s: float) -> bool:
         if encoded in self._recent:
@@ -221,6 +213,10 @@
             self._suspicions.extend(late_s)
             self.health.weakened()
 
+    def _follow_upstream(self, now_s: float) -> None:
+        if self._upstream.is_due(self.members.own().upstream, now_s):
+            self._rules.change_own(now_s, upstream=self._upstream.announced)
+
     def _gossip(self) -> None:
         if not self._writer.may_gossip():
             return
--- a/src/cyclamendale/membership/state_sync.py
+++ b/src/cyclamendale/membership/state_sync.py
@@ -64,14 +64,14 @@
 
     def answer(self, request: Any) -> Any:
         """Returns the reply to a `MembershipSyncRequest`."""
-        requester = self._protocol.apply_joined(request.own)
+        self._protocol.apply_joined(request.own)
         self._protocol.apply_synced(request.pushed or ())
         known = set(_unpack(request.known or b""))
         page: list[bytes] = []
         last = request.after
         more = False
         for record in self._records_after(request.after):
-            if not _is_wanted(record, known, requester):
+            if not _is_wanted(record, known):
                 continue
             if len(page) == PAGE_ENTRIES:
                 more = True
@@ -194,19 +194,11 @@
         self.bytes_sent += len(fingerprints) + sum(map(len, entries))
 
 
-def _is_wanted(
-    record: member_list.Record,
-    known: set[int],
-    requester: ids.PeerAddress | None,
-) -> bool:
+def _is_wanted(record: member_list.Record, known: set[int]) -> bool:
     if record.fingerprint in known:
         return False
-    # Old deaths do not concern a newcomer, but for its own address's.
-    return (
-        bool(known)
-        or member_list.is_live(record.member)
-        or record.member.address == requester
-    )
+    # Old deaths do not concern a newcomer.
+    return bool(known) or member_list.is_live(record.member)
 
 
 def _pack(fingerprints: Iterable[int]) -> bytes:
--- a/src/cyclamendale/membership/update_rules.py
+++ b/src/cyclamendale/membership/update_rules.py
@@ -34,8 +34,7 @@
     """Applies entries to the member list and queues what is news.
 
     Attributes:
-        contacts: Members to be told what is held of them, because two
-            nodes disagree on whether they are dead.
+        contacts: Members to be told that another node holds them dead.
     """
 
     def __init__(
@@ -79,8 +78,6 @@
             self._newer(update, held, origin, now_s)
         elif member.state is _State.SUSPECT and held == member:
             self._accuse(member, update.accuser, origin, now_s)
-        elif origin is Origin.SYNC and held is not None:
-            self._note_dispute(member, held)
         return comparison
 
     def change_own(self, now_s: float, **changes: object) -> None:
@@ -124,7 +121,9 @@
                 self.contacts[member.address] = None
             return
         self._suspicions.end(member.address)
-        self._take(member, None, origin is Origin.NEWS, now_s)
+        # What corrects an entry here may correct others' as well.
+        spread = origin is Origin.NEWS or held is not None
+        self._take(member, None, spread, now_s)
 
     def _may_refute(
         self,
@@ -173,20 +172,6 @@
             self._health.weakened()
         self.change_own(now_s, incarnation=member.incarnation + 1)
 
-    def _note_dispute(
-        self, member: directory.Member, held: directory.Member
-    ) -> None:
-        is_same = (member.node, member.incarnation) == (
-            held.node,
-            held.incarnation,
-        )
-        if (
-            is_same
-            and held.state is _State.DEAD
-            and member_list.is_live(member)
-        ):
-            self.contacts[member.address] = None
-
     def _take(
         self,
         member: directory.Member,
--- a/tests/test_announcements.py
+++ b/tests/test_announcements.py
@@ -72,110 +72,32 @@
 
 class RefusedAnnouncementTest(testscenarios.WithScenarios, AnnouncementsCase):
     scenarios = [
-        ("empty", {"body": b"", "status": 400, "kind": "malformed"}),
-        ("garbage", {"body": b"\xff\x00{", "status": 400, "kind": "malformed"}),
-        (
-            "not utf-8",
-            {
-                "body": b'{"service": "\xff"}',
-                "status": 400,
-                "kind": "malformed",
-            },
-        ),
-        ("list", {"body": b"[1]", "status": 400, "kind": "malformed"}),
-        (
-            "oversized",
-            {"body": b" " * 4097, "status": 413, "kind": "too-large"},
-        ),
-        ("deep", {"body": b"[" * 4000, "status": 400, "kind": "malformed"}),
-        (
-            "field missing",
-            {"body": {"service": "orders"}, "status": 400, "kind": "malformed"},
-        ),
-        (
-            "unknown state",
-            {
-                "body": GOOD | {"state": "busy"},
-                "status": 400,
-                "kind": "malformed",
-            },
-        ),
-        (
-            "text as number",
-            {"body": GOOD | {"slots": "8"}, "status": 400, "kind": "malformed"},
-        ),
-        (
-            "no slots",
-            {
-                "body": GOOD | {"slots": 0},
-                "status": 400,
-                "kind": "out-of-range",
-            },
-        ),
-        (
-            "too many slots",
-            {
-                "body": GOOD | {"slots": 10**9},
-                "status": 400,
-                "kind": "out-of-range",
-            },
-        ),
-        (
-            "negative connections",
-            {
-                "body": GOOD | {"connections": -1},
-                "status": 400,
-                "kind": "out-of-range",
-            },
-        ),
-        (
-            "no service",
-            {
-                "body": GOOD | {"service": ""},
-                "status": 400,
-                "kind": "out-of-range",
-            },
-        ),
-        (
-            "long service",
-            {
-                "body": GOOD | {"service": "x" * 65},
-                "status": 400,
-                "kind": "out-of-range",
-            },
-        ),
-        (
-            "host name",
-            {
-                "body": GOOD | {"address": "example:80"},
-                "status": 400,
-                "kind": "out-of-range",
-            },
-        ),
-        (
-            "no port",
-            {
-                "body": GOOD | {"address": "127.0.0.1"},
-                "status": 400,
-                "kind": "out-of-range",
-            },
-        ),
-        (
-            "port too high",
-            {
-                "body": GOOD | {"address": "127.0.0.1:70000"},
-                "status": 400,
-                "kind": "out-of-range",
-            },
-        ),
-        (
-            "other digits",
-            {
-                "body": GOOD | {"address": "127.0.0.1:٨"},
-                "status": 400,
-                "kind": "out-of-range",
-            },
-        ),
+        (name, {"body": body, "status": status, "kind": kind})
+        for name, body, status, kind in (
+            ("empty", b"", 400, "malformed"),
+            ("garbage", b"\xff\x00{", 400, "malformed"),
+            ("not utf-8", b'{"service": "\xff"}', 400, "malformed"),
+            ("list", b"[1]", 400, "malformed"),
+            ("oversized", b" " * 4097, 413, "too-large"),
+            ("deep", b"[" * 4000, 400, "malformed"),
+            ("field missing", {"service": "orders"}, 400, "malformed"),
+            ("unknown state", GOOD | {"state": "x"}, 400, "malformed"),
+            ("text as number", GOOD | {"slots": "8"}, 400, "malformed"),
+            ("no slots", GOOD | {"slots": 0}, 400, "out-of-range"),
+            ("many slots", GOOD | {"slots": 10**9}, 400, "out-of-range"),
+            ("negative", GOOD | {"connections": -1}, 400, "out-of-range"),
+            ("no service", GOOD | {"service": ""}, 400, "out-of-range"),
+            ("long name", GOOD | {"service": "x" * 65}, 400, "out-of-range"),
+            ("host name", GOOD | {"address": "a.b:80"}, 400, "out-of-range"),
+            ("no port", GOOD | {"address": "127.0.0.1"}, 400, "out-of-range"),
+            ("high port", GOOD | {"address": "::1:70000"}, 400, "out-of-range"),
+            (
+                "odd digit",
+                GOOD | {"address": "127.0.0.1:٨"},
+                400,
+                "out-of-range",
+            ),
+        )
     ]
 
     def test_bad_input_gets_a_typed_error_and_changes_nothing(self):
--- a/tests/test_membership_controller.py
+++ b/tests/test_membership_controller.py
@@ -208,6 +208,25 @@
         left = {key.rpartition("/")[2] for key in self.table.rows}
         self.assertEqual({"10.0.0.1:700", "newer:1", "bad:1"}, left)
 
+    def test_the_row_of_an_unreachable_node_that_writes_is_left(self):
+        self.start(1)
+        key = contact_rows.row_key("a", "far:1")
+        for minute in range(30):
+            self.table.rows[key] = tables.Row(
+                key, b'{"format": 1, "node": "x"}', minute + 1
+            )
+            self.reactor.advance(60)
+            self.assertIn(key, self.table.rows)
+
+    def test_known_members_are_not_contacted_again(self):
+        self.start(1)
+        self.start(2)
+        self.reactor.advance(30)
+        peers = self.network.peers.values()
+        before = [peer.requests_sent for peer in peers]
+        self.reactor.advance(3_600)
+        self.assertEqual(before, [peer.requests_sent for peer in peers])
+
     def test_the_row_of_a_cut_off_node_is_written_anew(self):
         self.start(1)
         self.reactor.advance(10)
--- a/tests/test_membership_protocol.py
+++ b/tests/test_membership_protocol.py
@@ -4,10 +4,12 @@
 
 import collections
 
+import msgspec
 import testscenarios
 import testtools
 
 from cyclamendale.membership import directory
+from cyclamendale.membership import dissemination
 from cyclamendale.membership import member_list
 from cyclamendale.membership import wire
 from tests.support import fake_members
@@ -15,6 +17,8 @@
 LEAVING_BOUND_S = 3.0
 CRASH_BOUND_S = 30.0
 AGREEMENT_BOUND_S = 60.0
+CONTROL_BYTES_PER_S = 6_000
+"""Bytes a second that a node may spend on control, both ways."""
 State = directory.MemberState
 
 
@@ -36,6 +40,14 @@
     def count_targets(self, member):
         return len(member.members.targets("orders"))
 
+    def fewest_targets(self, duration_s):
+        """Runs on; the fewest targets that any member had meanwhile."""
+        fewest = len(self.all)
+        for _ in range(duration_s * 10):
+            self.cluster.run(0.1)
+            fewest = min(fewest, *map(self.count_targets, self.all))
+        return fewest
+
     def all_targets(self, count, excluded=()):
         return lambda: all(
             self.count_targets(member) == count
@@ -79,8 +91,12 @@
 
     def test_a_paused_member_blames_nobody_and_is_not_lost(self):
         self.start(loss=0)
+        self.cluster.max_delay_s = 0.15
         paused = self.all[4]
         for _ in range(5):
+            self.cluster.run_until(
+                lambda: paused.protocol._prober._probe is not None, 60, 0.05
+            )
             paused.paused = True
             self.cluster.run(self.pause_s)
             paused.resume()
@@ -91,6 +107,27 @@
 
 
 class FaultsTest(ClusterCase):
+    def test_a_pause_makes_no_death_of_a_suspicion(self):
+        self.start(loss=0)
+        paused, suspect = self.all[4:6]
+        paused.protocol._rules.accuse(
+            suspect.address, self.cluster.clock.now_s()
+        )
+        paused.paused = True
+        self.cluster.run(45)
+        paused.resume()
+        self.cluster.run(45)
+        self.assertNotIn(suspect.address, self.seen[State.DEAD])
+
+    def test_old_news_is_not_passed_on(self):
+        queue = dissemination.UpdateQueue()
+        queue.put("a", b"old", 0.0, urgent=True)
+        queue.put("b", b"new", 1.0)
+        self.assertEqual(
+            [b"new"], queue.take(1_000, 10, dissemination.MAX_AGE_S + 0.5)
+        )
+        self.assertFalse(queue.has_urgent())
+
     def test_loss_alone_costs_nobody_its_place(self):
         self.start(loss=0.05)
         self.cluster.run(180)
@@ -130,6 +167,21 @@
                 )
             )
 
+    def test_a_new_process_is_found_while_the_table_is_down(self):
+        self.start(loss=0)
+        self.cluster.table_up = False
+        self.cluster.crash(self.all[3])
+        self.cluster.restart(self.all[3].address)
+        reached = self.cluster.run_until(self.cluster.agrees, AGREEMENT_BOUND_S)
+        self.assertIsNotNone(reached)
+
+    def test_a_joining_node_hands_over_whom_it_knows(self):
+        self.start(loss=0)
+        lone = self.cluster.add("10.9.9.9:700", "a")
+        self.all[0].sync.run(lone.address)
+        self.cluster.run(0.05)
+        self.assertEqual(13, len(lone.view()))
+
     def test_a_new_process_follows_one_that_left(self):
         self.start(loss=0)
         self.all[3].protocol.leave()
@@ -140,11 +192,11 @@
         reached = self.cluster.run_until(self.cluster.agrees, 20)
         self.assertIsNotNone(reached)
 
-    def test_a_cut_that_a_third_domain_bridges_kills_nobody(self):
-        self.start()
+    def test_a_cut_that_a_third_domain_bridges_raises_no_suspicion(self):
+        self.start(loss=0)
         self.cluster.cuts = {("a", "b")}
         self.cluster.run(120)
-        self.assertEqual(set(), self.seen[State.DEAD])
+        self.assertEqual(set(), self.seen[State.SUSPECT])
 
     def test_a_healed_partition_rejoins_without_the_table(self):
         self.start()
@@ -191,18 +243,19 @@
 
     def test_a_false_report_of_death_takes_nobody_out(self):
         self.start(loss=0)
-        victim = self.all[2].members.own()
-        dead = member_list.with_state(victim, State.DEAD)
+        dead = member_list.with_state(self.all[2].members.own(), State.DEAD)
         self.all[7].protocol._take_update(
             wire.encode_update(wire.Update(dead)), self.cluster.clock.now_s()
         )
-        lowest = 12
-        for _ in range(200):
-            self.cluster.run(0.1)
-            counts = map(self.count_targets, self.all)
-            lowest = min(lowest, *counts)
-        self.assertEqual(12, lowest)
-        self.assertTrue(self.cluster.agrees())
+        self.assertEqual(12, self.fewest_targets(20))
+
+    def test_a_false_death_in_a_whole_state_takes_nobody_out(self):
+        self.start(loss=0)
+        dead = member_list.with_state(self.all[2].members.own(), State.DEAD)
+        self.all[7].protocol.apply_synced(
+            [wire.encode_update(wire.Update(dead))]
+        )
+        self.assertEqual(12, self.fewest_targets(20))
 
     def test_an_older_incarnation_changes_nothing(self):
         self.start(loss=0)
@@ -222,3 +275,63 @@
         self.cluster.loss = 0.0
         reached = self.cluster.run_until(self.all_targets(11), 30)
         self.assertIsNotNone(reached)
+
+    def test_a_missed_update_is_made_up_for_while_others_change(self):
+        self.start(loss=0)
+        self.cluster.loss = 1.0
+        self.all[2].protocol.set_leaving()
+        self.cluster.run(1)
+        self.all[2].protocol._queue.remove(self.all[2].address)
+        self.cluster.loss = 0.0
+        reached = self.cluster.run_until(self.changing_targets(11), 40, 1)
+        self.assertIsNotNone(reached)
+
+    def changing_targets(self, count):
+        """Like `all_targets`, with a change of some entry each time."""
+
+        def reached():
+            self.all[5].protocol._rules.change_own(self.cluster.clock.now_s())
+            return self.all_targets(count)()
+
+        return reached
+
+    def test_leaving_overtakes_a_flood_that_stays_within_the_bytes(self):
+        self.start(loss=0)
+        sent_before = [m.link.counters.sent_bytes for m in self.all]
+        for member in self.all:
+            for number in range(500):
+                self.flood(member, f"10.8.{member.domain}.{number}:700")
+        self.cluster.run(0.5)
+        self.all[2].protocol.set_leaving()
+        reached = self.cluster.run_until(self.all_targets(11), LEAVING_BOUND_S)
+        self.assertIsNotNone(reached)
+        self.cluster.run(60)
+        for member, before in zip(self.all, sent_before, strict=True):
+            sent_bytes = member.link.counters.sent_bytes - before
+            self.assertLess(sent_bytes, 60 * CONTROL_BYTES_PER_S / 2)
+
+    def flood(self, member, address):
+        news = directory.Member(
+            f"{address}#aa", address, member.domain, 1, State.LEFT
+        )
+        member.protocol._queue.put(
+            address,
+            wire.encode_update(wire.Update(news)),
+            self.cluster.clock.now_s(),
+        )
+
+    def test_an_upstream_that_changes_all_the_time_is_held_back(self):
+        self.start(loss=0)
+        own = self.all[2].members.own
+        before = own().incarnation
+        for second in range(300):
+            slots = msgspec.structs.replace(
+                fake_members.announcement(), slots=8 + second % 7
+            )
+            self.all[2].protocol.set_upstream(slots)
+            self.cluster.run(1)
+        self.assertLessEqual(own().incarnation - before, 5 + 300 / 10)
+        self.all[2].protocol.set_upstream(None)
+        self.assertIsNone(own().upstream)
+        self.cluster.run(20)
+        self.assertTrue(self.cluster.agrees())
