--- a/measure/_call_graph_model.py
+++ b/measure/_call_graph_model.py
@@ -642,7 +642,12 @@
 
 
 class PoissonClients:
-    """Open-loop callers of one route, which may retry failures."""
+    """Open-loop callers of one route, which may retry failures.
+
+    Attributes:
+        roots: All requests sent, retries included.
+        first_sent_s: Times of the first attempts.
+    """
 
     def __init__(
         self,
@@ -662,8 +667,13 @@
         self._retries = retries
         self._retry_after_s = retry_after_s
         self.roots: list[Root] = []
+        self.first_sent_s: list[float] = []
         self._arrive_later()
 
+    def scale_rate(self, factor: float) -> None:
+        """Multiplies the rate from the next arrival on."""
+        self._rate_per_s *= factor
+
     def _arrive_later(self) -> None:
         self._graph.clock.call_later(
             self._random.expovariate(self._rate_per_s), self._arrive
@@ -671,6 +681,7 @@
 
     def _arrive(self) -> None:
         self._arrive_later()
+        self.first_sent_s.append(self._graph.clock.now_s())
         self._send(self._retries)
 
     def _send(self, retries: int) -> None:
--- a/measure/_call_graph_model_policies.py
+++ b/measure/_call_graph_model_policies.py
@@ -4,6 +4,7 @@
 
 import collections
 from collections.abc import Callable
+import functools
 import random as random_module
 
 import msgspec
@@ -115,35 +116,44 @@
     retries: bool = True
 
 
-def _gate(limit_type: type[limits.ConcurrencyLimit]) -> Callable:
-    def make(
-        clock: clocks.Clock,
-        random: random_module.Random,
-        service: model.Service,
-    ) -> admission.Admission:
-        return gate_admission.make_admission(
-            clock,
-            random,
-            service,
-            limit=limit_type(clock, service.slow_start_s),
-        )
+def _open(
+    clock: clocks.Clock,
+    random: random_module.Random,
+    service: model.Service,
+) -> admission.Admission:
+    return OpenAdmission()
 
-    return make
 
+def _fifo(
+    clock: clocks.Clock,
+    random: random_module.Random,
+    service: model.Service,
+) -> admission.Admission:
+    return FifoAdmission()
+
+
+def _gate(
+    limit_type: type[limits.ConcurrencyLimit],
+    clock: clocks.Clock,
+    random: random_module.Random,
+    service: model.Service,
+) -> admission.Admission:
+    limit = limit_type(clock, service.slow_start_s)
+    return gate_admission.make_admission(clock, random, service, limit=limit)
+
+
+_aimd = functools.partial(_gate, limits.AimdLimit)
+_gradient = functools.partial(_gate, limits.GradientLimit)
 
 NO_CONTROL = Policy(
     "no control",
-    lambda *_: OpenAdmission(),
+    _open,
     early_shed=False,
     cancels=False,
     retries=False,
 )
-STATIC_FIFO = Policy(
-    "static limit, FIFO", lambda *_: FifoAdmission(), early_shed=False
-)
-AIMD = Policy("AIMD", _gate(limits.AimdLimit))
-GRADIENT = Policy("gradient", _gate(limits.GradientLimit))
-AIMD_GATE_ONLY = Policy(
-    "AIMD, no early shed", _gate(limits.AimdLimit), early_shed=False
-)
+STATIC_FIFO = Policy("static limit, FIFO", _fifo, early_shed=False)
+AIMD = Policy("AIMD", _aimd)
+GRADIENT = Policy("gradient", _gradient)
+AIMD_GATE_ONLY = Policy("AIMD, no early shed", _aimd, early_shed=False)
 ALL = (NO_CONTROL, STATIC_FIFO, AIMD, GRADIENT, AIMD_GATE_ONLY)
--- /dev/null
+++ b/measure/_call_graph_model_runs.py
@@ -0,0 +1,67 @@
+"""Runs the cells of a measurement and prints a table and JSON."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+import gc
+import json
+import multiprocessing
+from typing import Any
+
+PROCESSES = 2
+
+
+def run_cells(
+    function: Callable[[Any], dict[str, Any]], cells: Iterable[Any]
+) -> list[dict[str, Any]]:
+    """Returns the row of every cell; each runs in one of two processes."""
+    with multiprocessing.Pool(PROCESSES, initializer=gc.disable) as pool:
+        return pool.map(function, list(cells), chunksize=1)
+
+
+def print_results(name: str, rows: Sequence[dict[str, Any]]) -> None:
+    """Prints the rows as a table and then as one line of JSON."""
+    columns = list(rows[0])
+    texts = [[_text(row[column]) for column in columns] for row in rows]
+    widths = [
+        max(len(column), *(len(text[index]) for text in texts))
+        for index, column in enumerate(columns)
+    ]
+    for line in [columns, *texts]:
+        print("  ".join(map(str.ljust, line, widths)).rstrip())
+    print(json.dumps({"measurement": name, "rows": list(rows)}))
+
+
+def summarise(
+    rows: Iterable[dict[str, Any]], keys: Sequence[str]
+) -> list[dict[str, Any]]:
+    """Merges the rows of several seeds.
+
+    Args:
+        rows: One row for each cell.
+        keys: Columns that tell the summarised rows apart.
+
+    Returns:
+        Rows with the mean of each other column and its extremes.
+    """
+    groups: dict[tuple[Any, ...], list[dict[str, Any]]] = {}
+    for row in rows:
+        groups.setdefault(tuple(row[key] for key in keys), []).append(row)
+    merged = []
+    for group, members in groups.items():
+        summary = dict(zip(keys, group, strict=True))
+        summary["seeds"] = len(members)
+        for column in members[0]:
+            if column not in keys and column != "seed":
+                values = [member[column] for member in members]
+                mean = sum(values) / len(values)
+                summary[column] = round(mean, 4)
+                summary[f"{column} range"] = (
+                    f"{min(values):.3g}..{max(values):.3g}"
+                )
+        merged.append(summary)
+    return merged
+
+
+def _text(value: Any) -> str:
+    return f"{value:.4g}" if isinstance(value, float) else str(value)
