Measure recovery by what becomes of each first attempt

Comparing answers with arrivals of the same second mixed in the change of what was in flight: a run whose entries shed nothing from 1.8 s on was counted as 4.7 s.

--- a/measure/_call_graph_model.py
+++ b/measure/_call_graph_model.py
@@ -646,7 +646,7 @@
 
     Attributes:
         roots: All requests sent, retries included.
-        first_sent_s: Times of the first attempts.
+        first_roots: The first attempts among them.
     """
 
     def __init__(
@@ -667,7 +667,7 @@
         self._retries = retries
         self._retry_after_s = retry_after_s
         self.roots: list[Root] = []
-        self.first_sent_s: list[float] = []
+        self.first_roots: list[Root] = []
         self._arrive_later()
 
     def scale_rate(self, factor: float) -> None:
@@ -681,8 +681,8 @@
 
     def _arrive(self) -> None:
         self._arrive_later()
-        self.first_sent_s.append(self._graph.clock.now_s())
         self._send(self._retries)
+        self.first_roots.append(self.roots[-1])
 
     def _send(self, retries: int) -> None:
         def ended(root: Root) -> None:
