Let a small refused share pass without lowering the threshold

The lowest tenth of the refused keys was disregarded, which is nothing when few are refused; now it is 3% of the arrivals.

--- a/src/cyclamendale/overload/_threshold_control.py
+++ b/src/cyclamendale/overload/_threshold_control.py
@@ -33,8 +33,8 @@
 GROSS_REFUSED_SHARE = 0.1
 """Refused share from which the admitted rate is set, not moved."""
 
-STRAY_SHARE = 0.1
-"""Share of the lowest refused keys that the threshold disregards."""
+STRAY_SHARE = 0.03
+"""Refused share of the arrivals that does not lower the threshold."""
 
 EMPTY_FILL = 0.05
 """Mean fill of the queue below which the upstream has room."""
@@ -64,6 +64,7 @@
         "_fill_sum",
         "_finished",
         "_offered",
+        "_offered_before",
         "_recent",
         "_refused_keys",
         "_rise",
@@ -91,6 +92,9 @@
         self._refused_keys: collections.deque[list[int]] = collections.deque(
             [[]], maxlen=LAG_WINDOWS
         )
+        self._offered_before: collections.deque[int] = collections.deque(
+            [0], maxlen=LAG_WINDOWS
+        )
         self._fill_sum = 0.0
         self.threshold = shed_keys.MAX_SHED_KEY
 
@@ -99,6 +103,7 @@
         self._demand.arrived(shed_key)
         self._recent.append(shed_key)
         self._offered += 1
+        self._offered_before[-1] += 1
         self._fill_sum += fill
 
     def finished(self) -> None:
@@ -122,6 +127,7 @@
         self._offered = 0
         self._finished = 0
         self._refused_keys.append([])
+        self._offered_before.append(0)
         self._fill_sum = 0.0
 
     def _learn(self, elapsed_s: float) -> None:
@@ -158,7 +164,10 @@
         refused = sorted(itertools.chain.from_iterable(self._refused_keys))
         if not refused:
             return shed_keys.MAX_SHED_KEY
-        return refused[int(STRAY_SHARE * len(refused))]
+        stray = int(STRAY_SHARE * sum(self._offered_before))
+        return (
+            refused[stray] if stray < len(refused) else shed_keys.MAX_SHED_KEY
+        )
 
     def _move(self, fill: float, windows: float, refused: int) -> None:
         if fill < EMPTY_FILL and not refused:
