Count a request against the limit only while it is worked on

Admission learns of onward calls now (pause, resume); the limit bounds what is worked on, the slots what is held.

--- a/measure/_call_graph_model.py
+++ b/measure/_call_graph_model.py
@@ -263,6 +263,8 @@
         self.live = False
         if self.child is not None:
             self.child.cancel()
+            self.node.admission.resume(self.ticket)
+            self.onward_s = self.graph.clock.now_s() - self.onward_began_s
         if self.started_s is None:
             self.node.admission.withdraw(self.ticket)
         else:
@@ -282,6 +284,7 @@
             self._answer(True)
             return
         self.onward_began_s = self.graph.clock.now_s()
+        self.node.admission.pause(self.ticket)
         self.child = Call(
             self.graph,
             self.call.root,
@@ -310,6 +313,7 @@
         onward_feedback: feedbacks.Feedback | None,
     ) -> None:
         self.child = None
+        self.node.admission.resume(self.ticket)
         self.onward_s = self.graph.clock.now_s() - self.onward_began_s
         if onward_feedback is not None:
             self.met.append(onward_feedback)
--- a/measure/_call_graph_model_policies.py
+++ b/measure/_call_graph_model_policies.py
@@ -25,6 +25,12 @@
         """See base class."""
         ticket.start()
 
+    def pause(self, ticket: admission.Ticket) -> None:
+        """See base class."""
+
+    def resume(self, ticket: admission.Ticket) -> None:
+        """See base class."""
+
     def finish(
         self,
         ticket: admission.Ticket,
--- a/src/cyclamendale/overload/admission.py
+++ b/src/cyclamendale/overload/admission.py
@@ -67,6 +67,14 @@
     def submit(self, ticket: Ticket) -> None:
         """Takes a request; calls its `start` or `refuse`, now or later."""
 
+    @abc.abstractmethod
+    def pause(self, ticket: Ticket) -> None:
+        """Notes that a started request only waits for onward calls."""
+
+    @abc.abstractmethod
+    def resume(self, ticket: Ticket) -> None:
+        """Notes that a paused request goes on; also before `finish`."""
+
     @abc.abstractmethod
     def finish(
         self, ticket: Ticket, own_time_s: float, completion: Completion
--- a/src/cyclamendale/overload/gate_admission.py
+++ b/src/cyclamendale/overload/gate_admission.py
@@ -65,6 +65,7 @@
         self._control = _threshold_control.ThresholdControl(clock)
         self._queue = _wait_queue.WaitQueue()
         self._in_service = 0
+        self._paused = 0
         self._closed = False
         self._expiry: clocks.DelayedCall | None = None
         self._expiry_s = math.inf
@@ -85,11 +86,20 @@
             return
         self._control.offered(ticket.shed_key, self._fill(now_s))
         self._control.update()
-        if not len(self._queue) and self._in_service < self._limit.current:
+        if not len(self._queue) and self._has_slot():
             self._start(ticket, now_s)
             return
         self._enqueue(ticket, latest_start_s, now_s)
 
+    def pause(self, ticket: admission.Ticket) -> None:
+        """See base class."""
+        self._paused += 1
+        self._run_waiting()
+
+    def resume(self, ticket: admission.Ticket) -> None:
+        """See base class."""
+        self._paused -= 1
+
     def finish(
         self,
         ticket: admission.Ticket,
@@ -97,7 +107,8 @@
         completion: admission.Completion,
     ) -> None:
         """See base class."""
-        self._limit.observe(own_time_s, self._in_service, completion)
+        working = self._in_service - self._paused
+        self._limit.observe(own_time_s, working, completion)
         self._in_service -= 1
         self._finished += 1
         if completion is not admission.Completion.CANCELLED:
@@ -129,11 +140,18 @@
 
     def feedback(self) -> feedback.Feedback:
         """See base class."""
-        limit = self._limit.current
-        waiting = len(self._queue)
         self._control.update()
-        return feedback.Feedback(
-            self._control.threshold, (self._in_service + waiting) / limit
+        wanted = self._in_service - self._paused + len(self._queue)
+        load = max(
+            wanted / self._limit.current, self._in_service / self._limit.slots
+        )
+        return feedback.Feedback(self._control.threshold, load)
+
+    def _has_slot(self) -> bool:
+        limit = self._limit
+        return (
+            self._in_service - self._paused < limit.current
+            and self._in_service < limit.slots
         )
 
     def _key(self, ticket: admission.Ticket) -> int:
@@ -205,7 +223,7 @@
             return
         now_s = self._clock.now_s()
         self._expire(now_s)
-        while len(queue) and self._in_service < self._limit.current:
+        while len(queue) and self._has_slot():
             self._start(queue.take_lowest(), now_s)
 
     def _start(self, ticket: admission.Ticket, now_s: float) -> None:
--- a/src/cyclamendale/overload/limit.py
+++ b/src/cyclamendale/overload/limit.py
@@ -42,7 +42,7 @@
 
 
 class ConcurrencyLimit(abc.ABC):
-    """How many requests an upstream may have in service at once."""
+    """How many requests an upstream may work on at once."""
 
     def __init__(self, clock: clocks.Clock, slow_start_s: float) -> None:
         self._clock = clock
@@ -59,6 +59,11 @@
             limit = min(limit, self._ramp(self._cold_since_s))
         return max(1, int(limit))
 
+    @property
+    def slots(self) -> int:
+        """Returns how many it may hold, waiting for onward calls too."""
+        return self._ceiling
+
     @property
     def expected_own_time_s(self) -> float:
         """Returns the own time of a request without congestion."""
@@ -79,14 +84,14 @@
     def observe(
         self,
         own_time_s: float,
-        in_service: int,
+        working: int,
         completion: admission.Completion,
     ) -> None:
         """Learns from the end of a request.
 
         Args:
             own_time_s: Its time on the upstream, less onward calls.
-            in_service: Requests that were in service, it included.
+            working: Requests that were worked on, it included.
             completion: How it ended.
         """
 
@@ -105,7 +110,7 @@
     def observe(
         self,
         own_time_s: float,
-        in_service: int,
+        working: int,
         completion: admission.Completion,
     ) -> None:
         """See base class."""
@@ -120,7 +125,7 @@
         self._window_began_s = clock.now_s()
         self._sum_s = 0.0
         self._samples = 0
-        self._most_in_service = 0
+        self._most_working = 0
 
     @property
     def expected_own_time_s(self) -> float:
@@ -130,7 +135,7 @@
     def observe(
         self,
         own_time_s: float,
-        in_service: int,
+        working: int,
         completion: admission.Completion,
     ) -> None:
         """See base class."""
@@ -138,8 +143,8 @@
             return
         self._sum_s += own_time_s
         self._samples += 1
-        if in_service > self._most_in_service:
-            self._most_in_service = in_service
+        if working > self._most_working:
+            self._most_working = working
         if self._samples >= WINDOW_SAMPLES:
             now_s = self._clock.now_s()
             if now_s - self._window_began_s >= WINDOW_S:
@@ -159,14 +164,14 @@
     def _end_window(self, now_s: float) -> None:
         mean_s = self._sum_s / self._samples
         self._follow_baseline(mean_s, now_s - self._window_began_s)
-        grown = self._most_in_service >= USED_SHARE * self.current
+        grown = self._most_working >= USED_SHARE * self.current
         self._estimate = min(
             float(self._ceiling), max(1.0, self._adjust(mean_s, grown))
         )
         self._window_began_s = now_s
         self._sum_s = 0.0
         self._samples = 0
-        self._most_in_service = 0
+        self._most_working = 0
 
     def _follow_baseline(self, mean_s: float, elapsed_s: float) -> None:
         if self._baseline_s == math.inf:
@@ -197,12 +202,14 @@
 class AimdLimit(_WindowedLimit):
     """Additive increase, multiplicative decrease."""
 
-    _DECREASE = 0.85
+    _STRONGEST_DECREASE = 0.5
     _INCREASE_SHARE = 0.05
 
     def _adjust(self, mean_s: float, used: bool) -> float:
-        if mean_s > TOLERANCE * self._baseline_s:
-            return max(self._floor(), self._estimate * self._DECREASE)
+        wanted = TOLERANCE * self._baseline_s / mean_s
+        if wanted < 1.0:
+            decrease = max(self._STRONGEST_DECREASE, wanted)
+            return max(self._floor(), self._estimate * decrease)
         if not used:
             return self._estimate
         return self._estimate + max(1.0, self._ceiling * self._INCREASE_SHARE)
