--- a/measure/_call_graph_model.py
+++ b/measure/_call_graph_model.py
@@ -263,6 +263,8 @@
         self.live = False
         if self.child is not None:
             self.child.cancel()
+            self.node.admission.resume(self.ticket)
+            self.onward_s = self.graph.clock.now_s() - self.onward_began_s
         if self.started_s is None:
             self.node.admission.withdraw(self.ticket)
         else:
@@ -282,6 +284,7 @@
             self._answer(True)
             return
         self.onward_began_s = self.graph.clock.now_s()
+        self.node.admission.pause(self.ticket)
         self.child = Call(
             self.graph,
             self.call.root,
@@ -310,6 +313,7 @@
         onward_feedback: feedbacks.Feedback | None,
     ) -> None:
         self.child = None
+        self.node.admission.resume(self.ticket)
         self.onward_s = self.graph.clock.now_s() - self.onward_began_s
         if onward_feedback is not None:
             self.met.append(onward_feedback)
@@ -642,7 +646,12 @@
 
 
 class PoissonClients:
-    """Open-loop callers of one route, which may retry failures."""
+    """Open-loop callers of one route, which may retry failures.
+
+    Attributes:
+        roots: All requests sent, retries included.
+        first_roots: The first attempts among them.
+    """
 
     def __init__(
         self,
@@ -662,8 +671,13 @@
         self._retries = retries
         self._retry_after_s = retry_after_s
         self.roots: list[Root] = []
+        self.first_roots: list[Root] = []
         self._arrive_later()
 
+    def scale_rate(self, factor: float) -> None:
+        """Multiplies the rate from the next arrival on."""
+        self._rate_per_s *= factor
+
     def _arrive_later(self) -> None:
         self._graph.clock.call_later(
             self._random.expovariate(self._rate_per_s), self._arrive
@@ -672,6 +686,7 @@
     def _arrive(self) -> None:
         self._arrive_later()
         self._send(self._retries)
+        self.first_roots.append(self.roots[-1])
 
     def _send(self, retries: int) -> None:
         def ended(root: Root) -> None:
--- /dev/null
+++ b/measure/recovery.py
@@ -0,0 +1,110 @@
+"""Time until goodput is back after a deep service was slow for 30 s.
+
+Clients retry hard: each failed request is sent again up to four times
+after about 50 ms, whatever Retry-After says.
+"""
+
+from __future__ import annotations
+
+import bisect
+from typing import Any
+
+from measure import _call_graph_model
+from measure import _call_graph_model_policies as policies
+from measure import _call_graph_model_runs as runs
+
+DEPTH = 3
+LOAD = 0.75
+SLOWNESS = 5.0
+CALM_S = 3.0
+SLOW_S = 30.0
+OBSERVED_S = 14.0
+WINDOW_S = 1.0
+STEP_S = 0.1
+SUSTAINED_S = 3.0
+RECOVERED_SHARE = 0.95
+CLIENT_RETRIES = 4
+SEEDS = (1, 2, 3)
+POLICIES = (
+    policies.NO_CONTROL,
+    policies.STATIC_FIFO,
+    policies.GRADIENT,
+    policies.AIMD,
+)
+
+
+def measure_cell(cell: tuple[policies.Policy, int]) -> dict[str, Any]:
+    """Runs one policy with one seed."""
+    policy, seed = cell
+    services = _call_graph_model.chain(DEPTH, targets=2)
+    capacity_per_s = _call_graph_model.capacity_per_s(services[-1])
+    routes = [_call_graph_model.RouteSpec("route", services[0].name)]
+    graph = _call_graph_model.Graph(services, routes, policy, seed)
+    clients = [
+        _call_graph_model.PoissonClients(
+            graph,
+            "route",
+            f"customer-{customer}",
+            capacity_per_s * LOAD / 4,
+            seed=100 * seed + customer,
+            retries=CLIENT_RETRIES,
+        )
+        for customer in range(4)
+    ]
+    end_s = CALM_S + SLOW_S
+    graph.clock.run_until(CALM_S)
+    graph.slow(services[-1].name, SLOWNESS)
+    graph.clock.run_until(end_s)
+    graph.slow(services[-1].name, 1.0)
+    graph.clock.run_until(end_s + OBSERVED_S)
+    first_roots = sorted(
+        (root for client in clients for root in client.first_roots),
+        key=lambda root: root.arrived_s,
+    )
+    during = _served_share(first_roots, CALM_S + 5.0, end_s)
+    return {
+        "policy": policy.name,
+        "seed": seed,
+        "recovery s": _recovery_s(first_roots, end_s),
+        "first attempts served while slow": during,
+    }
+
+
+def _recovery_s(
+    first_roots: list[_call_graph_model.Root], end_s: float
+) -> float:
+    """Returns when goodput came back for good, after the cause ended."""
+    sustained = int(SUSTAINED_S / STEP_S)
+    good = 0
+    for step in range(int((OBSERVED_S - 2 * WINDOW_S) / STEP_S)):
+        start_s = end_s + step * STEP_S
+        share = _served_share(first_roots, start_s, start_s + WINDOW_S)
+        good = good + 1 if share >= RECOVERED_SHARE else 0
+        if good > sustained:
+            return (step - sustained) * STEP_S
+    return float("inf")
+
+
+def _served_share(
+    first_roots: list[_call_graph_model.Root], start_s: float, end_s: float
+) -> float:
+    """Returns the share served of the requests first sent in a window."""
+    begin = bisect.bisect_left(first_roots, start_s, key=_arrived_s)
+    end = bisect.bisect_left(first_roots, end_s, key=_arrived_s)
+    served = sum(root.succeeded for root in first_roots[begin:end])
+    return served / max(1, end - begin)
+
+
+def _arrived_s(root: _call_graph_model.Root) -> float:
+    return root.arrived_s
+
+
+def main() -> None:
+    """Measures all cells and prints them."""
+    cells = [(policy, seed) for policy in POLICIES for seed in SEEDS]
+    rows = runs.run_cells(measure_cell, cells)
+    runs.print_results("recovery", runs.summarise(rows, ("policy",)))
+
+
+if __name__ == "__main__":
+    main()
