Lend for waiting requests first; give unused loans back; add the refusal rig

Cause: loans that nobody spent were lost, and a lender kept its reserve back even when requests abroad were waiting. Ruled out: the age of tokens (expired ones are credited at their holder).

--- /dev/null
+++ b/measure/quota_refusals.py
@@ -0,0 +1,312 @@
+"""Refusals of customers that stay within their rate and burst.
+
+Virtual clock; run with `python -m measure.quota_refusals`. All policies
+see the same requests, which conform to each customer's rate and burst.
+"""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Callable, Iterator
+import json
+import random
+import sys
+
+import msgspec
+
+from cyclamendale import refusals
+from cyclamendale.quotas import shard_row
+from cyclamendale.quotas import token_bucket
+from tests.support import quota_fleet
+
+STEP_S = 0.004
+DOMAINS = ("north", "south", "west")
+NODES_PER_DOMAIN = 4
+SHARDS = 4
+RATE_AND_BURST = (
+    ("c0", 120.0, 120.0),
+    ("c1", 60.0, 60.0),
+    ("c2", 30.0, 45.0),
+    ("c3", 20.0, 20.0),
+    ("c4", 10.0, 20.0),
+    ("c5", 5.0, 10.0),
+    ("c6", 2.0, 4.0),
+    ("c7", 1.0, 5.0),
+)
+"""Eight customers, a few of them large: name, rate and burst."""
+
+
+class Arrival(msgspec.Struct, frozen=True, order=True):
+    """One request of a customer at one node."""
+
+    at_s: float
+    customer: str
+    node: int
+
+
+class Outcome(msgspec.Struct):
+    """Requests and refusals of one policy."""
+
+    requests: int = 0
+    refused: int = 0
+    worst_customer: float = 0.0
+
+    @property
+    def refused_share(self) -> float:
+        """Returns refused requests over all."""
+        return self.refused / max(1, self.requests)
+
+
+class Scenario(msgspec.Struct, frozen=True):
+    """A load and a fault.
+
+    Attributes:
+        name: Printed name.
+        load: Requests offered, as part of each customer's rate.
+        fault: "none", "crash" or "outage".
+        begin_s: When counting begins, after the fault.
+        end_s: When counting ends.
+        kept: The retained share.
+    """
+
+    name: str
+    load: float
+    fault: str = "none"
+    begin_s: float = 10.0
+    end_s: float = 70.0
+    kept: float = 0.75
+
+
+def arrivals(load: float, seconds: float, rng: random.Random) -> list[Arrival]:
+    """Returns Poisson requests, without those beyond rate and burst.
+
+    Each customer prefers one failure domain for half of its requests,
+    and sends the others evenly.
+    """
+    nodes = len(DOMAINS) * NODES_PER_DOMAIN
+    found = []
+    for index, (name, rate_per_s, burst) in enumerate(RATE_AND_BURST):
+        level, at_s, last_s = burst, 0.0, 0.0
+        while True:
+            at_s += rng.expovariate(rate_per_s * load)
+            if at_s >= seconds:
+                break
+            level = min(burst, level + (at_s - last_s) * rate_per_s)
+            last_s = at_s
+            if level < 1:
+                continue
+            level -= 1
+            node = rng.randrange(nodes)
+            if rng.random() < 0.5:
+                place = index % len(DOMAINS)
+                node = node % NODES_PER_DOMAIN * len(DOMAINS) + place
+            found.append(Arrival(at_s, name, node))
+    return sorted(found)
+
+
+def configuration_for(kept: float) -> quota_fleet.model.Configuration:
+    """Returns the configuration of the measured fleet."""
+    return quota_fleet.make_configuration(
+        customers=RATE_AND_BURST,
+        domains=[(name, 1.0) for name in DOMAINS],
+        quota_shards=SHARDS,
+        retained_share=kept,
+    )
+
+
+def run_fleet(scenario: Scenario, requests: list[Arrival]) -> Outcome:
+    """Measures the project's own policy."""
+    fleet = quota_fleet.QuotaFleet(
+        configuration_for(scenario.kept), seed=7, delay_s=0.0005
+    )
+    for index in range(len(DOMAINS) * NODES_PER_DOMAIN):
+        fleet.add(DOMAINS[index % len(DOMAINS)])
+    fleet.run(5.0, STEP_S)
+    start_s = fleet.reactor.seconds()
+    _apply_fault(fleet, scenario.fault)
+    if scenario.begin_s > 60:
+        fleet.run(scenario.begin_s - 30.0, 0.1)
+        skipped_s = scenario.begin_s - 30.0
+    else:
+        skipped_s = 0.0
+    nodes = list(fleet.nodes)
+    counted: dict[str, list[int]] = {}
+    for arrival in requests:
+        if arrival.at_s < skipped_s:
+            continue
+        while fleet.reactor.seconds() - start_s < arrival.at_s:
+            fleet.reactor.advance(STEP_S)
+        node = nodes[arrival.node]
+        if node.clock.dead:
+            node = nodes[(arrival.node + len(DOMAINS)) % len(nodes)]
+        counts = arrival.at_s >= scenario.begin_s
+        _ask(node, arrival.customer, counts, counted)
+    fleet.run(2.0, STEP_S)
+    return _outcome(counted)
+
+
+def _ask(
+    node: quota_fleet.FleetNode,
+    customer: str,
+    counts: bool,
+    counted: dict[str, list[int]],
+) -> None:
+    def ended(refusal: refusals.Refusal | None) -> None:
+        if counts:
+            entry = counted.setdefault(customer, [0, 0])
+            entry[0] += 1
+            entry[1] += refusal is not None
+
+    result = node.quotas.admit(customer, node.clock.now_s() + 1.0)
+    if result is None or isinstance(result, refusals.Refusal):
+        ended(result)
+    else:
+        result.addCallback(ended)
+
+
+def _outcome(counted: dict[str, list[int]]) -> Outcome:
+    return Outcome(
+        sum(total for total, _ in counted.values()),
+        sum(refused for _, refused in counted.values()),
+        max(
+            (refused / total for total, refused in counted.values()),
+            default=0.0,
+        ),
+    )
+
+
+def _apply_fault(fleet: quota_fleet.QuotaFleet, fault: str) -> None:
+    if fault == "outage":
+        fleet.table.down = True
+    elif fault == "crash":
+        held: dict[str, int] = {}
+        for key, row in fleet.table.rows.items():
+            if key.startswith(shard_row.LEASE_PREFIX):
+                holder = shard_row.decode_row(row.value).ok.holder
+                held[holder] = held.get(holder, 0) + 1
+        victim = max(held, key=lambda holder: held[holder])
+        for node in fleet.nodes:
+            if node.member.node == victim:
+                node.crash()
+
+
+def run_static(scenario: Scenario, requests: list[Arrival]) -> Outcome:
+    """Measures an equal division among nodes, without any sharing."""
+    nodes = len(DOMAINS) * NODES_PER_DOMAIN
+    limits = {
+        name: token_bucket.BucketLimits(rate_per_s / nodes, burst / nodes)
+        for name, rate_per_s, burst in RATE_AND_BURST
+    }
+    return _run_buckets(
+        requests, scenario, limits, lambda arrival: arrival.node
+    )
+
+
+def run_central(scenario: Scenario, requests: list[Arrival]) -> Outcome:
+    """Measures one holder of all; it stops when its lease lapses."""
+    limits = {
+        name: token_bucket.BucketLimits(
+            rate_per_s / (1 + token_bucket.ALLOWED_DRIFT), burst
+        )
+        for name, rate_per_s, burst in RATE_AND_BURST
+    }
+    lapsed = scenario.fault == "outage"
+    return _run_buckets(
+        requests, scenario, limits, lambda arrival: 0, lapsed=lapsed
+    )
+
+
+def _run_buckets(
+    requests: list[Arrival],
+    scenario: Scenario,
+    limits: dict[str, token_bucket.BucketLimits],
+    place: Callable[[Arrival], int],
+    lapsed: bool = False,
+) -> Outcome:
+    buckets: dict[tuple[str, int], token_bucket.TokenBucket] = {}
+    counted: dict[str, list[int]] = {}
+    for arrival in requests:
+        key = (arrival.customer, place(arrival))
+        if key not in buckets:
+            limit = limits[arrival.customer]
+            buckets[key] = token_bucket.TokenBucket(limit, limit.capacity, 0.0)
+        taken = not lapsed and buckets[key].take(1, arrival.at_s) is not None
+        if arrival.at_s >= scenario.begin_s:
+            entry = counted.setdefault(arrival.customer, [0, 0])
+            entry[0] += 1
+            entry[1] += not taken
+    return _outcome(counted)
+
+
+POLICIES = {
+    "shared": run_fleet,
+    "static": run_static,
+    "central": run_central,
+}
+
+
+def scenarios(quick: bool) -> Iterator[Scenario]:
+    """Yields what is measured."""
+    for load in (0.5, 0.7, 0.9):
+        yield Scenario(f"calm, load {load}", load)
+    for load in (0.5, 0.7):
+        yield Scenario(
+            f"holder crashed, load {load}", load, "crash", 20.0, 60.0
+        )
+    if quick:
+        return
+    for kept in (0.5, 0.625, 0.75, 0.875):
+        for fault, begin_s, end_s in (
+            ("outage", 570.0, 600.0),
+            ("crash", 20.0, 60.0),
+        ):
+            for load in (0.5, 0.7, 0.9):
+                yield Scenario(
+                    f"kept {kept}, {fault}, load {load}",
+                    load,
+                    fault,
+                    begin_s,
+                    end_s,
+                    kept,
+                )
+
+
+def main() -> int:
+    """Runs all scenarios; prints a table and JSON."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--only", default="")
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    results = []
+    print(f"{'scenario':34}" + "".join(f"{name:>20}" for name in POLICIES))
+    print(f"{'':34}" + f"{'refused %, worst %':>20}" * len(POLICIES))
+    for scenario in scenarios(options.quick):
+        if options.only not in scenario.name:
+            continue
+        rng = random.Random(options.seed)
+        requests = arrivals(scenario.load, scenario.end_s, rng)
+        line = f"{scenario.name:34}"
+        for name, run in POLICIES.items():
+            outcome = run(scenario, requests)
+            line += (
+                f"{100 * outcome.refused_share:10.3f}"
+                f"{100 * outcome.worst_customer:10.2f}"
+            )
+            results.append(
+                {
+                    "scenario": scenario.name,
+                    "policy": name,
+                    "requests": outcome.requests,
+                    "refused": outcome.refused,
+                    "refused_share": outcome.refused_share,
+                    "worst_customer": outcome.worst_customer,
+                }
+            )
+        print(line, flush=True)
+    print(json.dumps(results))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/cyclamendale/controllers/_quota_borrowing.py
+++ b/src/cyclamendale/controllers/_quota_borrowing.py
@@ -15,6 +15,7 @@
 from cyclamendale.peer import kinds
 from cyclamendale.peer import network
 from cyclamendale.peer.generated.quota import ttypes
+from cyclamendale.quotas import holder
 
 BORROW_TIMEOUT_S = 0.2
 """Longest wait for a lender's answer."""
@@ -22,18 +23,22 @@
 LENDER_DRY_S = 0.1
 """How long a lender that gave too little is not asked again."""
 
+GIVE_BACK_S = 0.1
+"""Shortest interval at which unused loans are given back."""
+
 _MAX_DRY_ENTRIES = 10_000
 
 
 class _Need:
     """Tokens that are missing for one customer, for all who wait."""
 
-    __slots__ = ("customer", "done", "shard", "tokens")
+    __slots__ = ("awaited", "customer", "done", "shard", "tokens")
 
     def __init__(self, want: ttypes.QuotaWant) -> None:
         self.shard = ids.ShardId(want.shard)
         self.customer = ids.CustomerId(want.customer)
         self.tokens: int = want.tokens
+        self.awaited: int = want.awaited
         self.done: defer.Deferred[None] = defer.Deferred()
 
 
@@ -60,6 +65,7 @@
         ] = {}
         self._queued: dict[ids.CustomerId, _Need] = {}
         self._flush_scheduled = False
+        self._next_give_back_s = 0.0
 
     def may_help(self, customer: ids.CustomerId, now_s: float) -> bool:
         """Returns whether some lender may have tokens."""
@@ -79,6 +85,7 @@
                 need = self._queued[want.customer] = _Need(want)
             else:
                 need.tokens += want.tokens
+                need.awaited += want.awaited
             wait: defer.Deferred[None] = defer.Deferred()
             need.done.addCallback(_fire(wait))
             waits.append(wait)
@@ -90,6 +97,33 @@
         )
         return done
 
+    def give_back(self, now_s: float) -> None:
+        """Gives borrowed tokens back that grew too old unspent."""
+        if now_s < self._next_give_back_s:
+            return
+        self._next_give_back_s = now_s + GIVE_BACK_S
+        by_lender: dict[ids.NodeId, list[ttypes.QuotaReturn]] = {}
+        for shard in self._leases.held_shards():
+            shard_holder = self._leases.holder_of(shard)
+            if shard_holder is None:
+                continue
+            for loan in shard_holder.unused_loans(now_s):
+                entry = ttypes.QuotaReturn(
+                    loan.grant.shard,
+                    loan.grant.epoch,
+                    loan.grant.grant_id,
+                    loan.tokens,
+                )
+                by_lender.setdefault(loan.lender, []).append(entry)
+        for lender, entries in by_lender.items():
+            self._peers.request(
+                ids.address_of(lender),
+                kinds.MessageKind.QUOTA_RETURN,
+                ttypes.QuotaReturnRequest(entries),
+                ttypes.QuotaReturnReply,
+                BORROW_TIMEOUT_S,
+            )
+
     def _flush(self) -> None:
         self._flush_scheduled = False
         needs, self._queued = self._queued, {}
@@ -109,7 +143,9 @@
                 batches.setdefault(lender, []).append(need)
         for (domain, node), batch in batches.items():
             wants = [
-                ttypes.QuotaWant(need.shard, need.customer, need.tokens)
+                ttypes.QuotaWant(
+                    need.shard, need.customer, need.tokens, need.awaited
+                )
                 for need in batch
             ]
             asking = self._peers.request(
@@ -155,7 +191,7 @@
                 shard = ids.ShardId(hint.shard)
                 self._locator.not_holder(domain, shard, node)
             self._locator.take_hints(result.ok.hints)
-            self._deposit(result.ok.grants, batch, sent_s)
+            self._deposit(node, result.ok.grants, batch, sent_s)
         for need in batch:
             if need.tokens > 0:
                 self._note_dry(need.customer, domain, now_s)
@@ -163,6 +199,7 @@
 
     def _deposit(
         self,
+        lender: ids.NodeId,
         grants: list[ttypes.QuotaGrant],
         batch: list[_Need],
         sent_s: float,
@@ -174,14 +211,17 @@
             if need is None:
                 continue
             need.tokens -= grant.tokens
+            need.awaited = max(0, need.awaited - grant.tokens)
             shard_holder = self._leases.holder_of(need.shard)
             if shard_holder is not None:
-                shard_holder.deposit(
-                    need.customer,
+                loan = holder.Loan(
                     grant.tokens,
                     grant.age_limit_s,
                     sent_s - grant.age_s,
+                    lender,
+                    grant,
                 )
+                shard_holder.deposit(need.customer, loan)
 
     def _note_dry(
         self,
--- a/src/cyclamendale/controllers/_quota_draws.py
+++ b/src/cyclamendale/controllers/_quota_draws.py
@@ -199,7 +199,10 @@
         for tokens, wanted in draw.wants:
             tokens.in_flight += wanted
             shard = shares.shard_of(tokens.customer, division.shard_count)
-            wants.append(ttypes.QuotaWant(shard, tokens.customer, wanted))
+            awaited = min(wanted, len(tokens.waiting))
+            wants.append(
+                ttypes.QuotaWant(shard, tokens.customer, wanted, awaited)
+            )
         returns = self._returns.pop(draw.holder, [])
         request = ttypes.QuotaDrawRequest(self._node, wants, returns)
         self._unanswered[draw.holder] = self._unanswered.get(draw.holder, 0) + 1
--- a/src/cyclamendale/controllers/_quota_locator.py
+++ b/src/cyclamendale/controllers/_quota_locator.py
@@ -129,7 +129,7 @@
             self._rng.choice(members).address,
             kinds.MessageKind.QUOTA_DRAW,
             ttypes.QuotaDrawRequest(
-                self._node, [ttypes.QuotaWant(shard, "", 0)], []
+                self._node, [ttypes.QuotaWant(shard, "", 0, 0)], []
             ),
             ttypes.QuotaDrawReply,
             _ASK_TIMEOUT_S,
--- a/src/cyclamendale/controllers/quota_holder.py
+++ b/src/cyclamendale/controllers/quota_holder.py
@@ -74,8 +74,10 @@
         for want in request.wants:
             short = self._grant(want, reply, now_s)
             if short > 0 and self._borrower.may_help(want.customer, now_s):
+                granted = want.tokens - short
+                awaited = max(0, want.awaited - granted)
                 missing.append(
-                    ttypes.QuotaWant(want.shard, want.customer, short)
+                    ttypes.QuotaWant(want.shard, want.customer, short, awaited)
                 )
         if not missing:
             return reply
@@ -115,7 +117,12 @@
         if want.tokens <= 0:
             reply.hints.append(self._hint(shard))
         customer = ids.CustomerId(want.customer)
-        grants = shard_holder.draw(customer, want.tokens, now_s, lending)
+        if lending:
+            grants = shard_holder.lend(
+                customer, want.tokens, want.awaited, now_s
+            )
+        else:
+            grants = shard_holder.draw(customer, want.tokens, now_s)
         reply.grants.extend(grants)
         return want.tokens - sum(grant.tokens for grant in grants)
 
@@ -138,6 +145,7 @@
                 credited += shard_holder.take_back(
                     entry.grant_id, entry.tokens, now_s
                 )
+        self._borrower.give_back(now_s)
         return credited
 
     def _hint(self, shard: ids.ShardId) -> ttypes.QuotaHolderHint:
--- a/src/cyclamendale/peer/idl/quota.thrift
+++ b/src/cyclamendale/peer/idl/quota.thrift
@@ -1,10 +1,11 @@
 // Messages between nodes and the holders of quota shards.
 
-// Tokens wanted for one customer.
+// Tokens wanted for one customer; requests wait for some of them.
 struct QuotaWant {
   1: i32 shard
   2: string customer
   3: i32 tokens
+  4: i32 awaited
 }
 
 // Tokens granted by one holder; they keep the age that they had there.
--- a/src/cyclamendale/quotas/holder.py
+++ b/src/cyclamendale/quotas/holder.py
@@ -25,12 +25,27 @@
 _MAX_RESERVED = 0.5
 
 
-class _Borrowed(msgspec.Struct):
-    """Tokens of another failure domain; they keep their age."""
+class Loan(msgspec.Struct):
+    """Tokens of another failure domain; they keep their age.
+
+    Attributes:
+        tokens: How many.
+        age_limit_s: Their greatest age.
+        born_s: Time from which their age counts.
+        lender: Who granted them.
+        grant: The lender's grant.
+    """
 
     tokens: int
     age_limit_s: float
     born_s: float
+    lender: ids.NodeId
+    grant: ttypes.QuotaGrant
+
+    @property
+    def expires_s(self) -> float:
+        """Returns the time from which they must not be granted."""
+        return self.born_s + self.age_limit_s
 
 
 class _Granted(msgspec.Struct):
@@ -38,7 +53,7 @@
 
     customer: ids.CustomerId
     granted_s: float
-    source: token_bucket.Lot | _Borrowed
+    source: token_bucket.Lot | Loan
 
 
 class _Account:
@@ -55,7 +70,7 @@
 
     def __init__(self, bucket: token_bucket.TokenBucket) -> None:
         self.bucket = bucket
-        self.borrowed: collections.deque[_Borrowed] = collections.deque()
+        self.borrowed: collections.deque[Loan] = collections.deque()
         self.customer: model.Customer | None = None
         self.share = 0.0
         self.demand = 0.0
@@ -112,6 +127,7 @@
             collections.OrderedDict()
         )
         self._last_grant_id = 0
+        self._unused: list[Loan] = []
 
     def set_plan(
         self,
@@ -146,42 +162,60 @@
                 account.bucket.set_limits(limits, change.at_s)
 
     def draw(
-        self,
-        customer: ids.CustomerId,
-        wanted: int,
-        now_s: float,
-        lending: bool = False,
+        self, customer: ids.CustomerId, wanted: int, now_s: float
     ) -> list[ttypes.QuotaGrant]:
-        """Grants up to `wanted` tokens; they are deducted at once.
-
-        Args:
-            customer: Whose tokens.
-            wanted: How many.
-            now_s: The time.
-            lending: Whether they are for another failure domain; it
-                gets neither borrowed tokens nor the local reserve.
+        """Grants up to `wanted` tokens, borrowed ones first.
 
-        Returns:
-            No more than two grants: borrowed tokens, and own ones.
+        All are deducted at once.
         """
         account = self._accounts.get(customer)
         if account is None or wanted <= 0:
             return []
-        if lending:
-            reserve = account.reserve(now_s)
-            lot = account.bucket.take(wanted, now_s, reserve)
-            return list(self._grant(customer, account, lot, now_s))
         account.note_demand(wanted, now_s)
         grants: list[ttypes.QuotaGrant] = []
         while account.borrowed and wanted:
             part = _split(account.borrowed, wanted)
-            if part.born_s + part.age_limit_s > now_s:
+            if part.expires_s > now_s:
                 wanted -= part.tokens
                 grants += self._grant(customer, account, part, now_s)
+            else:
+                self._unused.append(part)
         lot = account.bucket.take(wanted, now_s)
         grants += self._grant(customer, account, lot, now_s)
         return grants
 
+    def lend(
+        self,
+        customer: ids.CustomerId,
+        wanted: int,
+        awaited: int,
+        now_s: float,
+    ) -> list[ttypes.QuotaGrant]:
+        """Grants own tokens to another failure domain.
+
+        Args:
+            customer: Whose tokens.
+            wanted: How many.
+            awaited: How many of them requests wait for; for the others
+                the demand of the own failure domain is kept back.
+            now_s: The time.
+        """
+        account = self._accounts.get(customer)
+        if account is None or wanted <= 0:
+            return []
+        available = account.bucket.available(now_s, account.reserve(now_s))
+        tokens = min(wanted, max(awaited, available))
+        lot = account.bucket.take(tokens, now_s)
+        return list(self._grant(customer, account, lot, now_s))
+
+    def unused_loans(self, now_s: float) -> list[Loan]:
+        """Takes out borrowed tokens that grew too old unspent."""
+        for account in self._accounts.values():
+            while account.borrowed and account.borrowed[0].expires_s <= now_s:
+                self._unused.append(account.borrowed.popleft())
+        unused, self._unused = self._unused, []
+        return unused
+
     def take_back(self, grant_id: int, tokens: int, now_s: float) -> float:
         """Credits unspent tokens of a grant; only the first time.
 
@@ -200,24 +234,11 @@
             account.borrowed.append(lot)
         return tokens
 
-    def deposit(
-        self,
-        customer: ids.CustomerId,
-        tokens: int,
-        age_limit_s: float,
-        born_s: float,
-    ) -> None:
-        """Adds borrowed tokens.
-
-        Args:
-            customer: Whose tokens.
-            tokens: How many.
-            age_limit_s: Their greatest age, on this host's clock.
-            born_s: Time from which their age counts.
-        """
+    def deposit(self, customer: ids.CustomerId, loan: Loan) -> None:
+        """Adds borrowed tokens."""
         account = self._accounts.get(customer)
-        if account is not None and tokens > 0:
-            account.borrowed.append(_Borrowed(tokens, age_limit_s, born_s))
+        if account is not None and loan.tokens > 0:
+            account.borrowed.append(loan)
 
     def level(self, customer: ids.CustomerId, now_s: float) -> float:
         """Returns the tokens in a customer's bucket."""
@@ -231,7 +252,7 @@
         self,
         customer: ids.CustomerId,
         account: _Account,
-        source: token_bucket.Lot | _Borrowed | None,
+        source: token_bucket.Lot | Loan | None,
         now_s: float,
     ) -> Iterable[ttypes.QuotaGrant]:
         if source is None or account.customer is None:
@@ -308,7 +329,7 @@
         )
 
 
-def _split(lots: collections.deque[_Borrowed], wanted: int) -> _Borrowed:
+def _split(lots: collections.deque[Loan], wanted: int) -> Loan:
     """Takes up to `wanted` tokens off the oldest lot."""
     lot = lots[0]
     if lot.tokens <= wanted:
--- a/src/cyclamendale/quotas/token_bucket.py
+++ b/src/cyclamendale/quotas/token_bucket.py
@@ -122,13 +122,14 @@
         self.limits = limits
         self._clamp()
 
-    def take(
-        self, wanted: int, now_s: float, reserve: float = 0.0
-    ) -> Lot | None:
-        """Takes up to `wanted` whole tokens and leaves the reserve."""
+    def available(self, now_s: float, reserve: float = 0.0) -> int:
+        """Returns the whole tokens above the reserve."""
         self.refill(now_s)
-        available = math.floor(self.level - reserve + _ROUNDING_TOKENS)
-        taken = min(wanted, available)
+        return math.floor(self.level - reserve + _ROUNDING_TOKENS)
+
+    def take(self, wanted: int, now_s: float) -> Lot | None:
+        """Takes up to `wanted` whole tokens."""
+        taken = min(wanted, self.available(now_s))
         if taken <= 0:
             return None
         while self._lots and self._lots[0].creditable <= 0:
--- a/tests/test_quota_faults.py
+++ b/tests/test_quota_faults.py
@@ -288,6 +288,25 @@
         settle(fleet, 30.0)
         self.assertEqual(value, fleet.table.rows[key].value)
 
+    def test_loans_at_the_same_time_never_exceed_the_bucket(self):
+        fleet = make_fleet("east west", TWO_DOMAINS)
+        east, west = fleet.nodes
+        want = ttypes.QuotaWant(0, CUSTOMER, 40, 40)
+        answers = []
+        for _ in range(3):
+            west.peer.request(
+                east.member.address,
+                kinds.MessageKind.QUOTA_BORROW,
+                ttypes.QuotaDrawRequest(west.member.node, [want], []),
+                ttypes.QuotaDrawReply,
+                1.0,
+            ).addCallback(answers.append)
+        fleet.run(0.1)
+        lent = sum(
+            grant.tokens for answer in answers for grant in answer.ok.grants
+        )
+        self.assertLessEqual(lent, BURST / 2)
+
     def test_return_to_another_epoch_is_not_credited(self):
         fleet = make_fleet("east east", ONE_DOMAIN)
         holder = holder_of(fleet)
--- a/tests/test_quota_rules.py
+++ b/tests/test_quota_rules.py
@@ -63,6 +63,11 @@
     return full
 
 
+def make_loan(tokens, age_limit_s, born_s):
+    grant = ttypes.QuotaGrant(0, 1, 1, "acme", tokens, age_limit_s, 0.0)
+    return holder.Loan(tokens, age_limit_s, born_s, OTHER, grant)
+
+
 class DivisionTest(testtools.TestCase):
     @hypothesis.given(
         weights=strategies.lists(
@@ -227,6 +232,13 @@
         self.assertEqual(0, full.take_back(grant.grant_id, 30, 0.0))
         self.assertEqual(level + 30, full.level("acme", 0.0))
 
+    def test_returned_loan_is_credited_once(self):
+        borrower = make_holder()
+        borrower.deposit("acme", make_loan(5, 9.0, 0.0))
+        grant = borrower.draw("acme", 5, 0.0)[0]
+        self.assertEqual(5, borrower.take_back(grant.grant_id, 5, 0.0))
+        self.assertEqual(0, borrower.take_back(grant.grant_id, 5, 0.0))
+
     def test_return_never_replaces_what_refilled_meanwhile(self):
         full = make_holder()
         capacity = full.level("acme", 0.0)
@@ -241,7 +253,7 @@
         lent = [
             grant.tokens
             for _ in range(3)
-            for grant in full.draw("acme", 60, 0.0, lending=True)
+            for grant in full.lend("acme", 60, 0, 0.0)
         ]
         self.assertLessEqual(sum(lent), capacity)
 
@@ -249,16 +261,16 @@
         full = make_holder()
         for at_s in range(3):
             full.draw("acme", 10, float(at_s))
-        full.draw("acme", 1000, 3.0, lending=True)
+        full.lend("acme", 1000, 0, 3.0)
         self.assertGreater(full.level("acme", 3.0), 1.0)
 
     def test_borrowed_tokens_keep_their_age(self):
         full = make_holder()
-        full.deposit("acme", 5, 0.5, born_s=1.0)
+        full.deposit("acme", make_loan(5, 0.5, 1.0))
         grant, _ = full.draw("acme", 6, 1.3)
         self.assertEqual(5, grant.tokens)
         self.assertGreaterEqual(grant.age_s, 0.3)
-        full.deposit("acme", 5, 0.5, born_s=1.0)
+        full.deposit("acme", make_loan(5, 0.5, 1.0))
         self.assertEqual(1, len(full.draw("acme", 1, 1.6)))
 
     def test_share_of_an_unknown_division_is_not_spent(self):
