--- a/src/cyclamendale/quotas/shares.py
+++ b/src/cyclamendale/quotas/shares.py
@@ -20,7 +20,7 @@
 SHARE_UNITS = 1 << 20
 """Units of a whole share; integers, so that sums are exact."""
 
-MIN_HOME_TOKENS = 8.0
+MIN_HOME_TOKENS = 4.0
 """Tokens that the bucket of each home failure domain must hold."""
 
 _HASH_RANGE = float(1 << 64)
