Draw less often and in fewer bytes; add the slope rig

The test of a hot customer warmed up in steps of 25 ms, so an answer took 50 ms of virtual time; it now steps by 5 ms and asks for the same.

--- /dev/null
+++ b/measure/quota_slopes.py
@@ -0,0 +1,281 @@
+"""Slopes of what quotas cost: per customer, per shard, per call.
+
+Run with `python -m measure.quota_slopes`. Messages are counted and
+encoded on a virtual clock; processor time is that of this process, with
+the fake network and clock, so it is an upper bound.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import gc
+import json
+import sys
+import time
+import tracemalloc
+from typing import Any
+
+import msgspec
+from thrift import TSerialization
+from thrift.protocol import TBinaryProtocol
+
+from cyclamendale.peer.generated.quota import ttypes
+from cyclamendale.quotas import shares
+from cyclamendale.quotas import token_cache
+from tests.support import quota_fleet
+
+STEP_S = 0.005
+SECONDS = 10.0
+FRAME_BYTES = 16
+"""Allowance for the frame's length, kind and call id."""
+
+_PROTOCOL = TBinaryProtocol.TBinaryProtocolAcceleratedFactory()
+
+
+class Sample(msgspec.Struct, frozen=True):
+    """What was measured at one size."""
+
+    size: int
+    values: dict[str, float]
+
+
+def encoded_bytes(message: Any) -> int:
+    """Returns the bytes of a message on the wire."""
+    return len(TSerialization.serialize(message, _PROTOCOL)) + FRAME_BYTES
+
+
+def slope(samples: list[Sample], name: str) -> tuple[float, float]:
+    """Returns the least-squares slope and intercept over the sizes."""
+    sizes = [sample.size for sample in samples]
+    values = [sample.values[name] for sample in samples]
+    mean_size = sum(sizes) / len(sizes)
+    mean = sum(values) / len(values)
+    spread = sum((size - mean_size) ** 2 for size in sizes)
+    rise = sum(
+        (size - mean_size) * (value - mean)
+        for size, value in zip(sizes, values, strict=True)
+    )
+    return rise / spread, mean - rise / spread * mean_size
+
+
+class Counter:
+    """Counts the messages of one node and their bytes, both ways."""
+
+    def __init__(self, node: quota_fleet.FleetNode) -> None:
+        self.messages = 0
+        self.bytes = 0
+        self._request = node.peer.request
+        node.peer.request = self.request
+
+    def request(self, peer, kind, message, reply_type, timeout_s):  # noqa: ANN001, ANN201
+        """Counts a request and its reply."""
+        self.messages += 1
+        self.bytes += encoded_bytes(message)
+        answer = self._request(peer, kind, message, reply_type, timeout_s)
+        return answer.addCallback(self._answered)
+
+    def _answered(self, result):  # noqa: ANN001, ANN202
+        if result.is_ok():
+            self.bytes += encoded_bytes(result.ok)
+        return result
+
+
+def make_fleet(
+    customers: int, shard_count: int, rate_per_s: float, nodes: int = 2
+) -> quota_fleet.QuotaFleet:
+    """Returns a fleet of one failure domain that holds its leases."""
+    configuration = quota_fleet.make_configuration(
+        customers=[
+            (f"customer-{index}", rate_per_s, rate_per_s)
+            for index in range(customers)
+        ],
+        domains=[("east", 1.0)],
+        quota_shards=shard_count,
+    )
+    fleet = quota_fleet.QuotaFleet(configuration)
+    for _ in range(nodes):
+        fleet.add("east")
+    fleet.run(3.0, STEP_S)
+    return fleet
+
+
+def client_of(fleet: quota_fleet.QuotaFleet) -> quota_fleet.FleetNode:
+    """Adds and returns a node that holds no lease."""
+    node = fleet.add("east")
+    fleet.run(1.0, STEP_S)
+    return node
+
+
+def per_customer(size: int) -> Sample:
+    """A node draws for that many customers, five calls a second each."""
+    fleet = make_fleet(size, 8, 50.0)
+    node = client_of(fleet)
+    counter = Counter(node)
+    calls_per_step = size * 5.0 * STEP_S
+    due = 0.0
+    asked = 0
+    began_s = time.process_time()
+    for _ in range(round(SECONDS / STEP_S)):
+        due += calls_per_step
+        while asked < due:
+            node.ask(f"customer-{asked % size}")
+            asked += 1
+        fleet.reactor.advance(STEP_S)
+    used_s = time.process_time() - began_s
+    return Sample(
+        size,
+        {
+            "messages_per_s": counter.messages / SECONDS,
+            "bytes_per_s": counter.bytes / SECONDS,
+            "processor_ms_per_s": 1000 * used_s / SECONDS,
+        },
+    )
+
+
+def per_shard(size: int) -> Sample:
+    """Two idle nodes keep that many leases."""
+    fleet = make_fleet(8, size, 50.0)
+    writes, reads = fleet.table.writes, fleet.table.reads
+    began_s = time.process_time()
+    fleet.run(60.0, 0.02)
+    used_s = time.process_time() - began_s
+    row_bytes = sum(len(row.value) for row in fleet.table.rows.values())
+    return Sample(
+        size,
+        {
+            "table_writes_per_s": (fleet.table.writes - writes) / 60.0,
+            "table_reads_per_s": (fleet.table.reads - reads) / 60.0,
+            "table_bytes": row_bytes,
+            "processor_ms_per_s": 1000 * used_s / 60.0,
+        },
+    )
+
+
+def per_call(size: int) -> Sample:
+    """A node admits that many calls a second of one hot customer."""
+    fleet = make_fleet(1, 1, size * 1.5)
+    node = client_of(fleet)
+    counter = Counter(node)
+    due = 0.0
+    asked = 0
+    began_s = time.process_time()
+    for _ in range(round(SECONDS / STEP_S)):
+        due += size * STEP_S
+        while asked < due:
+            node.ask("customer-0")
+            asked += 1
+        fleet.reactor.advance(STEP_S)
+    used_s = time.process_time() - began_s
+    refused = len(fleet.refused["customer-0"])
+    return Sample(
+        size,
+        {
+            "messages_per_s": counter.messages / SECONDS,
+            "bytes_per_s": counter.bytes / SECONDS,
+            "processor_ms_per_s": 1000 * used_s / SECONDS,
+            "refused": refused,
+        },
+    )
+
+
+def hot_admit(size: int) -> Sample:
+    """Time of one admission while tokens are there, of many customers."""
+    fleet = make_fleet(size, 1, 50.0, nodes=1)
+    node = fleet.nodes[0]
+    names = [f"customer-{index}" for index in range(size)]
+    calls = 100_000
+    for name in names:
+        tokens = node.quotas._drawer.tokens_of(name)
+        grant = ttypes.QuotaGrant(0, 1, 1, name, calls, 1e9, 0.0)
+        tokens.add(node.member.node, grant, 0.0)
+    admit = node.quotas.admit
+    admitted = 0
+    began_s = time.perf_counter()
+    for call in range(calls):
+        admitted += admit(names[call % size], 1.0) is None
+    used_s = time.perf_counter() - began_s
+    assert admitted == calls
+    return Sample(size, {"microseconds_per_call": 1e6 * used_s / calls})
+
+
+def refused_admit(size: int) -> Sample:
+    """Time of one refusal of a customer that has run dry."""
+    fleet = make_fleet(size, 1, 0.001, nodes=1)
+    node = fleet.nodes[0]
+    names = [f"customer-{index}" for index in range(size)]
+    for name in names:
+        for _ in range(3):
+            node.ask(name)
+    fleet.run(0.05, STEP_S)
+    calls = 20_000
+    began_s = time.perf_counter()
+    for call in range(calls):
+        admit = node.quotas.admit(names[call % size], 1.0)
+        assert admit is not None
+    used_s = time.perf_counter() - began_s
+    return Sample(size, {"microseconds_per_call": 1e6 * used_s / calls})
+
+
+def memory(size: int) -> Sample:
+    """Memory of that many customers at their holder, and at a node."""
+    fleet = make_fleet(1, 1, 50.0, nodes=1)
+    configuration = make_configuration(size)
+    gc.collect()
+    tracemalloc.start()
+    fleet.replace(configuration)
+    gc.collect()
+    at_holder = tracemalloc.get_traced_memory()[0]
+    caches = [
+        token_cache.CustomerTokens(name, lambda tokens: None)
+        for name in configuration.customers
+    ]
+    for cache in caches:
+        cache.add("", ttypes.QuotaGrant(0, 1, 1, "", 5, 1.0, 0.0), 0.0)
+    gc.collect()
+    at_node = tracemalloc.get_traced_memory()[0] - at_holder
+    tracemalloc.stop()
+    return Sample(
+        size, {"holder_bytes": float(at_holder), "node_bytes": float(at_node)}
+    )
+
+
+def make_configuration(customers: int) -> quota_fleet.model.Configuration:
+    """Returns a configuration of many customers in one shard."""
+    return quota_fleet.make_configuration(
+        2,
+        [(f"customer-{index}", 50.0, 50.0) for index in range(customers)],
+        [("east", 1.0)],
+        quota_shards=1,
+    )
+
+
+RIGS: dict[str, tuple[Callable[[int], Sample], tuple[int, ...]]] = {
+    "customer": (per_customer, (10, 50, 100, 200)),
+    "shard": (per_shard, (4, 8, 16, 32)),
+    "call": (per_call, (50, 200, 500, 1000)),
+    "hot admit": (hot_admit, (1, 10, 100, 1000)),
+    "refused admit": (refused_admit, (1, 10, 100, 1000)),
+    "memory of a customer": (memory, (100, 500, 1000, 2000)),
+}
+
+
+def main() -> int:
+    """Runs all rigs; prints tables, slopes and JSON."""
+    results: dict[str, Any] = {"share_units": shares.SHARE_UNITS}
+    for title, (rig, sizes) in RIGS.items():
+        samples = [rig(size) for size in sizes]
+        print(f"\nper {title}")
+        for name in samples[0].values:
+            values = "".join(
+                f"{sample.size:>7}: {sample.values[name]:<12.4g}"
+                for sample in samples
+            )
+            per_one, fixed = slope(samples, name)
+            print(f"{name:24}{values} slope {per_one:.4g} + {fixed:.4g}")
+        results[title] = msgspec.to_builtins(samples)
+    print(json.dumps(results))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/cyclamendale/controllers/_quota_borrowing.py
+++ b/src/cyclamendale/controllers/_quota_borrowing.py
@@ -49,14 +49,12 @@
         self,
         clock: clocks.Clock,
         rng: random.Random,
-        node: ids.NodeId,
         peers: network.PeerNetwork,
         leases: quota_leases.QuotaLeases,
         locator: _quota_locator.HolderLocator,
     ) -> None:
         self._clock = clock
         self._rng = rng
-        self._node = node
         self._peers = peers
         self._leases = leases
         self._locator = locator
@@ -151,7 +149,7 @@
             asking = self._peers.request(
                 ids.address_of(node),
                 kinds.MessageKind.QUOTA_BORROW,
-                ttypes.QuotaDrawRequest(self._node, wants, []),
+                ttypes.QuotaDrawRequest(wants),
                 ttypes.QuotaDrawReply,
                 BORROW_TIMEOUT_S,
             )
@@ -187,7 +185,7 @@
         if result.is_error():
             self._locator.no_answer(node, now_s)
         else:
-            for hint in result.ok.hints:
+            for hint in result.ok.hints or ():
                 shard = ids.ShardId(hint.shard)
                 self._locator.not_holder(domain, shard, node)
             self._locator.take_hints(result.ok.hints)
@@ -217,7 +215,7 @@
                 loan = holder.Loan(
                     grant.tokens,
                     grant.age_limit_s,
-                    sent_s - grant.age_s,
+                    sent_s - (grant.age_s or 0.0),
                     lender,
                     grant,
                 )
--- a/src/cyclamendale/controllers/_quota_draws.py
+++ b/src/cyclamendale/controllers/_quota_draws.py
@@ -105,7 +105,7 @@
             tokens.serve_waiting(now_s)
             if tokens.idle:
                 del self.tokens[customer]
-            elif now_s >= tokens.dry_until_s:
+            elif now_s >= tokens.dry_until_s and tokens.low:
                 self._needy[customer] = tokens
         self._flush()
         self._send_returns()
@@ -203,8 +203,8 @@
             wants.append(
                 ttypes.QuotaWant(shard, tokens.customer, wanted, awaited)
             )
-        returns = self._returns.pop(draw.holder, [])
-        request = ttypes.QuotaDrawRequest(self._node, wants, returns)
+        returns = self._returns.pop(draw.holder, None)
+        request = ttypes.QuotaDrawRequest(wants, returns)
         self._unanswered[draw.holder] = self._unanswered.get(draw.holder, 0) + 1
         answer: defer.Deferred[Result[ttypes.QuotaDrawReply, network.PeerError]]
         if draw.holder == self._node:
@@ -237,7 +237,7 @@
             self._again(tokens for tokens, _ in draw.wants)
             return
         reply: ttypes.QuotaDrawReply = result.ok
-        for hint in reply.hints:
+        for hint in reply.hints or ():
             shard = ids.ShardId(hint.shard)
             self._locator.not_holder(draw.domain, shard, draw.holder)
         self._locator.take_hints(reply.hints)
@@ -248,7 +248,7 @@
             )
             tokens = self.tokens_of(ids.CustomerId(grant.customer))
             tokens.add(draw.holder, grant, draw.sent_s)
-        not_held = {hint.shard for hint in reply.hints}
+        not_held = {hint.shard for hint in reply.hints or ()}
         for tokens, wanted in draw.wants:
             tokens.serve_waiting(now_s)
             missing = wanted - granted.get(tokens.customer, 0)
--- a/src/cyclamendale/controllers/_quota_locator.py
+++ b/src/cyclamendale/controllers/_quota_locator.py
@@ -76,9 +76,9 @@
         """Notes that a node turned out not to hold a shard."""
         self._map.forget(domain, shard, node)
 
-    def take_hints(self, hints: list[ttypes.QuotaHolderHint]) -> None:
+    def take_hints(self, hints: list[ttypes.QuotaHolderHint] | None) -> None:
         """Learns holders from another node's answer."""
-        for hint in hints:
+        for hint in hints or ():
             self._map.take_hint(hint)
 
     def _refresh(
@@ -128,9 +128,7 @@
         asking = self._peers.request(
             self._rng.choice(members).address,
             kinds.MessageKind.QUOTA_DRAW,
-            ttypes.QuotaDrawRequest(
-                self._node, [ttypes.QuotaWant(shard, "", 0, 0)], []
-            ),
+            ttypes.QuotaDrawRequest([ttypes.QuotaWant(shard, "", 0, 0)]),
             ttypes.QuotaDrawReply,
             _ASK_TIMEOUT_S,
         )
--- a/src/cyclamendale/controllers/quota_holder.py
+++ b/src/cyclamendale/controllers/quota_holder.py
@@ -69,7 +69,7 @@
         """Grants tokens to a node; borrows when there are too few."""
         now_s = self._clock.now_s()
         self._credit(request.returns, now_s)
-        reply = ttypes.QuotaDrawReply(grants=[], hints=[])
+        reply = ttypes.QuotaDrawReply(grants=[])
         missing = []
         for want in request.wants:
             short = self._grant(want, reply, now_s)
@@ -89,7 +89,7 @@
         """Grants tokens to another failure domain; deducts them first."""
         now_s = self._clock.now_s()
         self._credit(request.returns, now_s)
-        reply = ttypes.QuotaDrawReply(grants=[], hints=[])
+        reply = ttypes.QuotaDrawReply(grants=[])
         for want in request.wants:
             self._grant(want, reply, now_s, lending=True)
         return reply
@@ -112,10 +112,10 @@
         shard = ids.ShardId(want.shard)
         shard_holder = self._leases.holder_of(shard)
         if shard_holder is None:
-            reply.hints.append(self._hint(shard))
+            self._add_hint(reply, shard)
             return 0
         if want.tokens <= 0:
-            reply.hints.append(self._hint(shard))
+            self._add_hint(reply, shard)
         customer = ids.CustomerId(want.customer)
         if lending:
             grants = shard_holder.lend(
@@ -139,7 +139,7 @@
 
     def _credit(self, returns: list[ttypes.QuotaReturn], now_s: float) -> float:
         credited = 0.0
-        for entry in returns:
+        for entry in returns or ():
             shard_holder = self._leases.holder_of(ids.ShardId(entry.shard))
             if shard_holder is not None and shard_holder.epoch == entry.epoch:
                 credited += shard_holder.take_back(
@@ -148,6 +148,11 @@
         self._borrower.give_back(now_s)
         return credited
 
+    def _add_hint(
+        self, reply: ttypes.QuotaDrawReply, shard: ids.ShardId
+    ) -> None:
+        reply.hints = [*(reply.hints or ()), self._hint(shard)]
+
     def _hint(self, shard: ids.ShardId) -> ttypes.QuotaHolderHint:
         hint = self._map.hint(self._leases.domain, shard)
         return hint or ttypes.QuotaHolderHint(
--- a/src/cyclamendale/controllers/quotas.py
+++ b/src/cyclamendale/controllers/quotas.py
@@ -209,9 +209,7 @@
     locator = _quota_locator.HolderLocator(
         clock, rng, own.node, members, platform_table, peers, holders
     )
-    borrower = _quota_borrowing.Borrower(
-        clock, rng, own.node, peers, leases, locator
-    )
+    borrower = _quota_borrowing.Borrower(clock, rng, peers, leases, locator)
     service = quota_holder.QuotaHolders(
         clock, own.node, peers, leases, holders, borrower
     )
--- a/src/cyclamendale/peer/idl/quota.thrift
+++ b/src/cyclamendale/peer/idl/quota.thrift
@@ -8,7 +8,7 @@
   4: i32 awaited
 }
 
-// Tokens granted by one holder; they keep the age that they had there.
+// Tokens granted by one holder; borrowed ones keep the age they had there.
 struct QuotaGrant {
   1: i32 shard
   2: i64 epoch
@@ -16,7 +16,7 @@
   4: string customer
   5: i32 tokens
   6: double age_limit_s
-  7: double age_s
+  7: optional double age_s
 }
 
 // Unspent tokens of a grant, given back to its holder.
@@ -36,14 +36,13 @@
 }
 
 struct QuotaDrawRequest {
-  1: string node
-  2: list<QuotaWant> wants
-  3: list<QuotaReturn> returns
+  1: list<QuotaWant> wants
+  2: optional list<QuotaReturn> returns
 }
 
 struct QuotaDrawReply {
   1: list<QuotaGrant> grants
-  2: list<QuotaHolderHint> hints
+  2: optional list<QuotaHolderHint> hints
 }
 
 struct QuotaReturnRequest {
--- a/src/cyclamendale/quotas/holder.py
+++ b/src/cyclamendale/quotas/holder.py
@@ -261,7 +261,7 @@
         self._last_grant_id += 1
         self._granted[self._last_grant_id] = _Granted(customer, now_s, source)
         if isinstance(source, token_bucket.Lot):
-            age_s = 0.0
+            age_s = None
             limit_s = token_bucket.age_limit_s(
                 account.customer.rate_per_s, account.customer.burst
             )
--- a/src/cyclamendale/quotas/token_cache.py
+++ b/src/cyclamendale/quotas/token_cache.py
@@ -26,6 +26,7 @@
 _STOCK_OF_AGE = 0.8
 _DEMAND_SMOOTHING = 0.3
 _IDLE_TICKS = 5
+_LOW_WATER_PART = 4
 
 
 class Batch:
@@ -140,6 +141,11 @@
         busy = self._batches or self.waiting or self.in_flight
         return not busy and self._idle_ticks >= _IDLE_TICKS
 
+    @property
+    def low(self) -> bool:
+        """Returns whether it is time to ask for more tokens."""
+        return bool(self.waiting) or self.available <= self._low_water
+
     def spend(self, now_s: float) -> bool:
         """Spends a token that is not too old, if there is one."""
         self._asked += 1
@@ -168,7 +174,7 @@
             sent_s: Clock time before the request for it was sent, from
                 which the age of its tokens counts.
         """
-        life_s = (grant.age_limit_s - grant.age_s) * (
+        life_s = (grant.age_limit_s - (grant.age_s or 0.0)) * (
             1.0 - token_bucket.ALLOWED_DRIFT
         )
         self._stock_s = min(STOCK_S, grant.age_limit_s * _STOCK_OF_AGE)
@@ -179,7 +185,9 @@
         """Returns how many tokens to ask for now."""
         stock = math.floor(self._demand_per_s * self._stock_s)
         self._stock = stock
-        self._low_water = stock // 2
+        if self.in_flight and len(self.waiting) <= self.in_flight:
+            return 0
+        self._low_water = math.ceil(stock / _LOW_WATER_PART)
         short = stock + len(self.waiting) - self.available - self.in_flight
         return max(0, short)
 
--- a/tests/test_quota_faults.py
+++ b/tests/test_quota_faults.py
@@ -297,7 +297,7 @@
             west.peer.request(
                 east.member.address,
                 kinds.MessageKind.QUOTA_BORROW,
-                ttypes.QuotaDrawRequest(west.member.node, [want], []),
+                ttypes.QuotaDrawRequest([want]),
                 ttypes.QuotaDrawReply,
                 1.0,
             ).addCallback(answers.append)
--- a/tests/test_quota_fleet.py
+++ b/tests/test_quota_fleet.py
@@ -31,7 +31,7 @@
     """Sends requests at an even rate, to each node in turn."""
     for index in range(round(rate_per_s * seconds)):
         nodes[index % len(nodes)].ask(CUSTOMER)
-        fleet.run(1 / rate_per_s, step_s=1 / rate_per_s)
+        fleet.run(1 / rate_per_s, step_s=min(0.005, 1 / rate_per_s))
 
 
 class ServiceTest(testtools.TestCase):
