Rank claimers and replan holders only when something changed

Ranks are now computed anew only when a member of the own failure domain comes or goes, and holders are planned anew only when customers or the division change. Divisions that no lease refers to are forgotten.

--- a/src/cyclamendale/controllers/_quota_divisions.py
+++ b/src/cyclamendale/controllers/_quota_divisions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from expression import Result
 
@@ -70,6 +70,12 @@
             reading.addCallback(self._fetched, digest)
         return index
 
+    def forget_except(self, digests: Iterable[shares.DivisionDigest]) -> None:
+        """Forgets divisions other than the newest and those named."""
+        keep = {self.digest, *digests}
+        for digest in self._known.keys() - keep:
+            del self._known[digest]
+
     def is_stored(self) -> bool:
         """Returns whether the newest division is in the table.
 
--- a/src/cyclamendale/controllers/quota_leases.py
+++ b/src/cyclamendale/controllers/quota_leases.py
@@ -85,6 +85,8 @@
         self._recorded: dict[ids.ShardId, tuple[ids.Epoch, str]] = {}
         self._busy: set[ids.ShardId] = set()
         self._ranks: dict[ids.ShardId, int | None] = {}
+        self._may_claim: dict[ids.PeerAddress, bool] = {}
+        self._domains_seen = {own.failure_domain}
         self._ticking: clocks.DelayedCall | None = None
         self._leaving = False
         self._stopped: defer.Deferred[None] | None = None
@@ -98,7 +100,7 @@
     def start(self) -> None:
         """See base class."""
         self._configuration.subscribe(self._configured)
-        self._members.subscribe(lambda member: self._ranks.clear())
+        self._members.subscribe(self._member_changed)
         self._configured(self._configuration.current)
         self._tick()
 
@@ -166,6 +168,22 @@
         for shard in list(self._leases):
             self._step(shard)
 
+    def _member_changed(self, member: directory.Member) -> None:
+        """Ranks claimers anew if the change can concern them."""
+        if member.failure_domain not in self._domains_seen:
+            self._domains_seen.add(member.failure_domain)
+            if not self._configuration.current.failure_domains:
+                self._configured(self._configuration.current)
+        if member.failure_domain != self.domain:
+            return
+        claims = not member.leaving and member.state in (
+            directory.MemberState.ALIVE,
+            directory.MemberState.SUSPECT,
+        )
+        if self._may_claim.get(member.address) != claims:
+            self._may_claim[member.address] = claims
+            self._ranks.clear()
+
     def _configured(self, configuration: model.Configuration) -> None:
         """Bounds own shares by the new division at once, then shows it."""
         names = sorted(
@@ -176,6 +194,8 @@
         )
         division = shares.make_division(configuration, names)
         changed = self.divisions.set_current(division)
+        if not changed and configuration.customers == self.divisions.customers:
+            return
         self.divisions.set_customers(configuration.customers)
         if changed:
             self._listed = False
@@ -484,4 +504,9 @@
             self._sync(shard, shard_lease)
             if shard in self._holders:
                 self._replan(shard)
+        self.divisions.forget_except(
+            digest
+            for shard_lease in self._leases.values()
+            for digest in shard_lease.divisions
+        )
         self._check_stopped()
