--- a/measure/quota_slopes.py
+++ b/measure/quota_slopes.py
@@ -186,7 +186,7 @@
     calls = 100_000
     for name in names:
         tokens = node.quotas._drawer.tokens_of(name)
-        grant = ttypes.QuotaGrant(0, 1, 1, name, calls, 1e9, 0.0)
+        grant = ttypes.QuotaGrant(0, 0, 1, 1, calls, 10**12)
         tokens.add(node.member.node, grant, 0.0)
     admit = node.quotas.admit
     admitted = 0
@@ -230,7 +230,7 @@
         for name in configuration.customers
     ]
     for cache in caches:
-        cache.add("", ttypes.QuotaGrant(0, 1, 1, "", 5, 1.0, 0.0), 0.0)
+        cache.add("", ttypes.QuotaGrant(0, 0, 1, 1, 5, 10**6), 0.0)
     gc.collect()
     at_node = tracemalloc.get_traced_memory()[0] - at_holder
     tracemalloc.stop()
--- a/src/cyclamendale/controllers/_quota_borrowing.py
+++ b/src/cyclamendale/controllers/_quota_borrowing.py
@@ -203,22 +203,15 @@
         sent_s: float,
     ) -> None:
         """Takes borrowed tokens; their age counts from the request."""
-        by_customer = {need.customer: need for need in batch}
         for grant in grants:
-            need = by_customer.get(ids.CustomerId(grant.customer))
-            if need is None:
+            if not 0 <= grant.want < len(batch):
                 continue
+            need = batch[grant.want]
             need.tokens -= grant.tokens
             need.awaited = max(0, need.awaited - grant.tokens)
             shard_holder = self._leases.holder_of(need.shard)
             if shard_holder is not None:
-                loan = holder.Loan(
-                    grant.tokens,
-                    grant.age_limit_s,
-                    sent_s - (grant.age_s or 0.0),
-                    lender,
-                    grant,
-                )
+                loan = holder.make_loan(lender, grant, sent_s)
                 shard_holder.deposit(need.customer, loan)
 
     def _note_dry(
--- a/src/cyclamendale/controllers/_quota_draws.py
+++ b/src/cyclamendale/controllers/_quota_draws.py
@@ -199,9 +199,14 @@
         for tokens, wanted in draw.wants:
             tokens.in_flight += wanted
             shard = shares.shard_of(tokens.customer, division.shard_count)
-            awaited = min(wanted, len(tokens.waiting))
+            awaited = len(tokens.waiting)
             wants.append(
-                ttypes.QuotaWant(shard, tokens.customer, wanted, awaited)
+                ttypes.QuotaWant(
+                    shard,
+                    tokens.customer,
+                    wanted,
+                    awaited if awaited < wanted else None,
+                )
             )
         returns = self._returns.pop(draw.holder, None)
         request = ttypes.QuotaDrawRequest(wants, returns)
@@ -241,18 +246,16 @@
             shard = ids.ShardId(hint.shard)
             self._locator.not_holder(draw.domain, shard, draw.holder)
         self._locator.take_hints(reply.hints)
-        granted: dict[str, int] = {}
+        granted = [0] * len(draw.wants)
         for grant in reply.grants:
-            granted[grant.customer] = (
-                granted.get(grant.customer, 0) + grant.tokens
-            )
-            tokens = self.tokens_of(ids.CustomerId(grant.customer))
-            tokens.add(draw.holder, grant, draw.sent_s)
+            if not 0 <= grant.want < len(draw.wants):
+                continue
+            granted[grant.want] += grant.tokens
+            draw.wants[grant.want][0].add(draw.holder, grant, draw.sent_s)
         not_held = {hint.shard for hint in reply.hints or ()}
-        for tokens, wanted in draw.wants:
+        for index, (tokens, wanted) in enumerate(draw.wants):
             tokens.serve_waiting(now_s)
-            missing = wanted - granted.get(tokens.customer, 0)
-            if missing > 0:
+            if granted[index] < wanted:
                 self._missing(draw, tokens, not_held, now_s)
         if self._needy and self._flush_call is None:
             self._flush_call = self._clock.call_later(
--- a/src/cyclamendale/controllers/quota_holder.py
+++ b/src/cyclamendale/controllers/quota_holder.py
@@ -70,18 +70,17 @@
         now_s = self._clock.now_s()
         self._credit(request.returns, now_s)
         reply = ttypes.QuotaDrawReply(grants=[])
-        missing = []
-        for want in request.wants:
-            short = self._grant(want, reply, now_s)
+        missing: dict[int, ttypes.QuotaWant] = {}
+        for index, want in enumerate(request.wants):
+            short = self._grant(index, want, reply, now_s)
             if short > 0 and self._borrower.may_help(want.customer, now_s):
-                granted = want.tokens - short
-                awaited = max(0, want.awaited - granted)
-                missing.append(
-                    ttypes.QuotaWant(want.shard, want.customer, short, awaited)
+                awaited = max(0, _awaited(want) - (want.tokens - short))
+                missing[index] = ttypes.QuotaWant(
+                    want.shard, want.customer, short, awaited
                 )
         if not missing:
             return reply
-        borrowed = self._borrower.borrow(missing)
+        borrowed = self._borrower.borrow(list(missing.values()))
         borrowed.addCallback(self._draw_borrowed, missing, reply)
         return borrowed
 
@@ -90,8 +89,8 @@
         now_s = self._clock.now_s()
         self._credit(request.returns, now_s)
         reply = ttypes.QuotaDrawReply(grants=[])
-        for want in request.wants:
-            self._grant(want, reply, now_s, lending=True)
+        for index, want in enumerate(request.wants):
+            self._grant(index, want, reply, now_s, lending=True)
         return reply
 
     def take_back(
@@ -103,6 +102,7 @@
 
     def _grant(
         self,
+        index: int,
         want: ttypes.QuotaWant,
         reply: ttypes.QuotaDrawReply,
         now_s: float,
@@ -119,22 +119,24 @@
         customer = ids.CustomerId(want.customer)
         if lending:
             grants = shard_holder.lend(
-                customer, want.tokens, want.awaited, now_s
+                customer, want.tokens, _awaited(want), now_s
             )
         else:
             grants = shard_holder.draw(customer, want.tokens, now_s)
+        for grant in grants:
+            grant.want = index
         reply.grants.extend(grants)
         return want.tokens - sum(grant.tokens for grant in grants)
 
     def _draw_borrowed(
         self,
         _: None,
-        missing: list[ttypes.QuotaWant],
+        missing: dict[int, ttypes.QuotaWant],
         reply: ttypes.QuotaDrawReply,
     ) -> ttypes.QuotaDrawReply:
         now_s = self._clock.now_s()
-        for want in missing:
-            self._grant(want, reply, now_s)
+        for index, want in missing.items():
+            self._grant(index, want, reply, now_s)
         return reply
 
     def _credit(self, returns: list[ttypes.QuotaReturn], now_s: float) -> float:
@@ -183,3 +185,10 @@
                 ttypes.QuotaReleaseReply,
                 _RELEASE_TIMEOUT_S,
             )
+
+
+def _awaited(want: ttypes.QuotaWant) -> int:
+    """Returns how many of the wanted tokens requests wait for."""
+    if want.awaited is None:
+        return want.tokens
+    return min(want.awaited, want.tokens)
--- a/src/cyclamendale/peer/idl/quota.thrift
+++ b/src/cyclamendale/peer/idl/quota.thrift
@@ -1,37 +1,39 @@
 // Messages between nodes and the holders of quota shards.
 
-// Tokens wanted for one customer; requests wait for some of them.
+// Tokens wanted for one customer; requests wait for some of them, for
+// all if `awaited` is not set.
 struct QuotaWant {
-  1: i32 shard
+  1: i16 shard
   2: string customer
   3: i32 tokens
-  4: i32 awaited
+  4: optional i32 awaited
 }
 
-// Tokens granted by one holder; borrowed ones keep the age they had there.
+// Tokens granted by one holder, for the want at an index of the request.
+// Borrowed ones keep the age that they had there.
 struct QuotaGrant {
-  1: i32 shard
-  2: i64 epoch
-  3: i64 grant_id
-  4: string customer
+  1: i16 want
+  2: i16 shard
+  3: i32 epoch
+  4: i32 grant_id
   5: i32 tokens
-  6: double age_limit_s
-  7: optional double age_s
+  6: i32 age_limit_us
+  7: optional i32 age_us
 }
 
 // Unspent tokens of a grant, given back to its holder.
 struct QuotaReturn {
-  1: i32 shard
-  2: i64 epoch
-  3: i64 grant_id
+  1: i16 shard
+  2: i32 epoch
+  3: i32 grant_id
   4: i32 tokens
 }
 
 // Who holds a shard, as far as the sender knows.
 struct QuotaHolderHint {
   1: string failure_domain
-  2: i32 shard
-  3: i64 epoch
+  2: i16 shard
+  3: i32 epoch
   4: string holder
 }
 
--- a/src/cyclamendale/quotas/holder.py
+++ b/src/cyclamendale/quotas/holder.py
@@ -21,6 +21,7 @@
 RESERVE_S = 0.2
 """Local demand that a lender keeps back."""
 
+_US_PER_S = 1_000_000
 _DEMAND_WINDOW_S = 1.0
 _MAX_RESERVED = 0.5
 
@@ -48,6 +49,15 @@
         return self.born_s + self.age_limit_s
 
 
+def make_loan(
+    lender: ids.NodeId, grant: ttypes.QuotaGrant, sent_s: float
+) -> Loan:
+    """Returns a loan whose age counts from before the request was sent."""
+    age_s = (grant.age_us or 0) / _US_PER_S
+    limit_s = grant.age_limit_us / _US_PER_S
+    return Loan(grant.tokens, limit_s, sent_s - age_s, lender, grant)
+
+
 class _Granted(msgspec.Struct):
     """A grant that may still come back, in part or whole."""
 
@@ -261,22 +271,22 @@
         self._last_grant_id += 1
         self._granted[self._last_grant_id] = _Granted(customer, now_s, source)
         if isinstance(source, token_bucket.Lot):
-            age_s = None
+            age_us = None
             limit_s = token_bucket.age_limit_s(
                 account.customer.rate_per_s, account.customer.burst
             )
         else:
             age_s = now_s - source.born_s
             age_s /= 1.0 - token_bucket.ALLOWED_DRIFT
+            age_us = math.ceil(age_s * _US_PER_S)
             limit_s = source.age_limit_s
         yield ttypes.QuotaGrant(
             shard=self.shard,
             epoch=self.epoch,
             grant_id=self._last_grant_id,
-            customer=customer,
             tokens=source.tokens,
-            age_limit_s=limit_s,
-            age_s=age_s,
+            age_limit_us=math.floor(limit_s * _US_PER_S),
+            age_us=age_us,
         )
 
     def _forget_old_grants(self, now_s: float) -> None:
--- a/src/cyclamendale/quotas/token_cache.py
+++ b/src/cyclamendale/quotas/token_cache.py
@@ -23,6 +23,7 @@
 PATIENCE_S = 0.3
 """How long a request waits for refill once its holder had no token."""
 
+_US_PER_S = 1_000_000
 _STOCK_OF_AGE = 0.8
 _DEMAND_SMOOTHING = 0.3
 _IDLE_TICKS = 5
@@ -174,10 +175,10 @@
             sent_s: Clock time before the request for it was sent, from
                 which the age of its tokens counts.
         """
-        life_s = (grant.age_limit_s - (grant.age_s or 0.0)) * (
-            1.0 - token_bucket.ALLOWED_DRIFT
-        )
-        self._stock_s = min(STOCK_S, grant.age_limit_s * _STOCK_OF_AGE)
+        age_limit_s = grant.age_limit_us / _US_PER_S
+        age_s = (grant.age_us or 0) / _US_PER_S
+        life_s = (age_limit_s - age_s) * (1.0 - token_bucket.ALLOWED_DRIFT)
+        self._stock_s = min(STOCK_S, age_limit_s * _STOCK_OF_AGE)
         self._batches.append(Batch(holder, grant, sent_s + life_s))
         self.available += grant.tokens
 
--- a/tests/test_quota_rules.py
+++ b/tests/test_quota_rules.py
@@ -64,8 +64,11 @@
 
 
 def make_loan(tokens, age_limit_s, born_s):
-    grant = ttypes.QuotaGrant(0, 1, 1, "acme", tokens, age_limit_s, 0.0)
-    return holder.Loan(tokens, age_limit_s, born_s, OTHER, grant)
+    return holder.make_loan(OTHER, make_grant(tokens, age_limit_s), born_s)
+
+
+def make_grant(tokens, age_limit_s):
+    return ttypes.QuotaGrant(0, 0, 1, 1, tokens, int(age_limit_s * 1e6))
 
 
 class DivisionTest(testtools.TestCase):
@@ -269,7 +272,7 @@
         full.deposit("acme", make_loan(5, 0.5, 1.0))
         grant, _ = full.draw("acme", 6, 1.3)
         self.assertEqual(5, grant.tokens)
-        self.assertGreaterEqual(grant.age_s, 0.3)
+        self.assertGreaterEqual(grant.age_us, 300_000)
         full.deposit("acme", make_loan(5, 0.5, 1.0))
         self.assertEqual(1, len(full.draw("acme", 1, 1.6)))
 
@@ -284,7 +287,7 @@
 class TokenAgeTest(testtools.TestCase):
     def test_token_is_not_spent_past_its_age_on_a_slow_clock(self):
         tokens = token_cache.CustomerTokens("acme", lambda tokens: None)
-        grant = ttypes.QuotaGrant(0, 1, 1, "acme", 5, 1.0, 0.0)
+        grant = make_grant(5, 1.0)
         tokens.add(OTHER, grant, sent_s=0.0)
         self.assertTrue(tokens.spend(0.97))
         slow_s = 1.0 * (1.0 - token_bucket.ALLOWED_DRIFT)
@@ -294,7 +297,7 @@
 
     def test_unspent_tokens_are_given_back_when_demand_ends(self):
         tokens = token_cache.CustomerTokens("acme", lambda tokens: None)
-        grant = ttypes.QuotaGrant(0, 1, 1, "acme", 5, 100.0, 0.0)
+        grant = make_grant(5, 100.0)
         tokens.add(OTHER, grant, sent_s=0.0)
         given_back = []
         for tick in range(10):
