--- a/tests/test_quota_rules.py
+++ b/tests/test_quota_rules.py
@@ -9,6 +9,7 @@
 import testtools
 
 from cyclamendale import ids
+from cyclamendale.controllers import _quota_layout
 from cyclamendale.intents import model
 from cyclamendale.peer.generated.quota import ttypes
 from cyclamendale.platform import table
@@ -138,6 +139,41 @@
             self.assertEqual(self.error, decoded.error.kind.name)
 
 
+class LayoutTest(testtools.TestCase):
+    key = shard_row.lease_key("east", 0)
+    division = shares.Division(2, DIVISION.domains)
+
+    def plan(self, rows):
+        found = _quota_layout.LeaseRows(4 if rows else 0, rows)
+        writes = _quota_layout.plan_creation(
+            found, "east", self.division, 0, random.Random(0)
+        )
+        created = {
+            write.key: shard_row.decode_row(write.value).ok
+            for write in writes[1:]
+            if write.value is not None
+        }
+        return writes, created
+
+    def test_first_node_creates_all_rows_never_spent_from(self):
+        writes, created = self.plan({})
+        self.assertEqual(shard_row.LAYOUT_KEY, writes[0].key)
+        self.assertEqual([0, 0], [row.epoch for row in created.values()])
+
+    def test_rows_that_come_later_start_empty_and_bounded_like_others(self):
+        writes, created = self.plan({self.key: (9, make_row())})
+        checked = [write.expected_version for write in writes]
+        self.assertEqual([4, 9, 0], checked)
+        (row,) = created.values()
+        self.assertEqual(1, row.epoch)
+        self.assertEqual((DIVISION.digest,), row.divisions)
+
+    def test_no_row_is_created_while_no_division_bounds_all(self):
+        other = make_row(divisions=(self.division.digest,))
+        rows = {self.key: (9, make_row()), "quota/lease/west/0": (9, other)}
+        self.assertEqual([], self.plan(rows)[0])
+
+
 class LeaseTest(testtools.TestCase):
     def test_lapse_counts_from_before_the_send(self):
         held = make_lease()
