--- a/src/cyclamendale/controllers/_quota_draws.py
+++ b/src/cyclamendale/controllers/_quota_draws.py
@@ -105,7 +105,7 @@
             tokens.serve_waiting(now_s)
             if tokens.idle:
                 del self.tokens[customer]
-            elif now_s >= tokens.dry_until_s:
+            elif now_s >= tokens.dry_until_s and tokens.low:
                 self._needy[customer] = tokens
         self._flush()
         self._send_returns()
@@ -199,9 +199,17 @@
         for tokens, wanted in draw.wants:
             tokens.in_flight += wanted
             shard = shares.shard_of(tokens.customer, division.shard_count)
-            wants.append(ttypes.QuotaWant(shard, tokens.customer, wanted))
-        returns = self._returns.pop(draw.holder, [])
-        request = ttypes.QuotaDrawRequest(self._node, wants, returns)
+            awaited = len(tokens.waiting)
+            wants.append(
+                ttypes.QuotaWant(
+                    shard,
+                    tokens.customer,
+                    wanted,
+                    awaited if awaited < wanted else None,
+                )
+            )
+        returns = self._returns.pop(draw.holder, None)
+        request = ttypes.QuotaDrawRequest(wants, returns)
         self._unanswered[draw.holder] = self._unanswered.get(draw.holder, 0) + 1
         answer: defer.Deferred[Result[ttypes.QuotaDrawReply, network.PeerError]]
         if draw.holder == self._node:
@@ -234,22 +242,20 @@
             self._again(tokens for tokens, _ in draw.wants)
             return
         reply: ttypes.QuotaDrawReply = result.ok
-        for hint in reply.hints:
+        for hint in reply.hints or ():
             shard = ids.ShardId(hint.shard)
             self._locator.not_holder(draw.domain, shard, draw.holder)
         self._locator.take_hints(reply.hints)
-        granted: dict[str, int] = {}
+        granted = [0] * len(draw.wants)
         for grant in reply.grants:
-            granted[grant.customer] = (
-                granted.get(grant.customer, 0) + grant.tokens
-            )
-            tokens = self.tokens_of(ids.CustomerId(grant.customer))
-            tokens.add(draw.holder, grant, draw.sent_s)
-        not_held = {hint.shard for hint in reply.hints}
-        for tokens, wanted in draw.wants:
+            if not 0 <= grant.want < len(draw.wants):
+                continue
+            granted[grant.want] += grant.tokens
+            draw.wants[grant.want][0].add(draw.holder, grant, draw.sent_s)
+        not_held = {hint.shard for hint in reply.hints or ()}
+        for index, (tokens, wanted) in enumerate(draw.wants):
             tokens.serve_waiting(now_s)
-            missing = wanted - granted.get(tokens.customer, 0)
-            if missing > 0:
+            if granted[index] < wanted:
                 self._missing(draw, tokens, not_held, now_s)
         if self._needy and self._flush_call is None:
             self._flush_call = self._clock.call_later(
--- a/src/cyclamendale/controllers/quota_holder.py
+++ b/src/cyclamendale/controllers/quota_holder.py
@@ -73,17 +73,18 @@
         """Grants tokens to a node; borrows when there are too few."""
         now_s = self._clock.now_s()
         self._credit(request.returns, now_s)
-        reply = ttypes.QuotaDrawReply(grants=[], hints=[])
-        missing = []
-        for want in request.wants:
-            short = self._grant(want, reply, now_s)
+        reply = ttypes.QuotaDrawReply(grants=[])
+        missing: dict[int, ttypes.QuotaWant] = {}
+        for index, want in enumerate(request.wants):
+            short = self._grant(index, want, reply, now_s)
             if short > 0 and self._borrower.may_help(want.customer, now_s):
-                missing.append(
-                    ttypes.QuotaWant(want.shard, want.customer, short)
+                awaited = max(0, _awaited(want) - (want.tokens - short))
+                missing[index] = ttypes.QuotaWant(
+                    want.shard, want.customer, short, awaited
                 )
         if not missing:
             return reply
-        borrowed = self._borrower.borrow(missing)
+        borrowed = self._borrower.borrow(list(missing.values()))
         borrowed.addCallback(self._draw_borrowed, missing, reply)
         return borrowed
 
@@ -91,9 +92,9 @@
         """Grants tokens to another failure domain; deducts them first."""
         now_s = self._clock.now_s()
         self._credit(request.returns, now_s)
-        reply = ttypes.QuotaDrawReply(grants=[], hints=[])
-        for want in request.wants:
-            self._grant(want, reply, now_s, lending=True)
+        reply = ttypes.QuotaDrawReply(grants=[])
+        for index, want in enumerate(request.wants):
+            self._grant(index, want, reply, now_s, lending=True)
         return reply
 
     def take_back(
@@ -105,6 +106,7 @@
 
     def _grant(
         self,
+        index: int,
         want: ttypes.QuotaWant,
         reply: ttypes.QuotaDrawReply,
         now_s: float,
@@ -114,36 +116,49 @@
         shard = ids.ShardId(want.shard)
         shard_holder = self._leases.holder_of(shard)
         if shard_holder is None:
-            reply.hints.append(self._hint(shard))
+            self._add_hint(reply, shard)
             return 0
         if want.tokens <= 0:
-            reply.hints.append(self._hint(shard))
+            self._add_hint(reply, shard)
         customer = ids.CustomerId(want.customer)
-        grants = shard_holder.draw(customer, want.tokens, now_s, lending)
+        if lending:
+            grants = shard_holder.lend(
+                customer, want.tokens, _awaited(want), now_s
+            )
+        else:
+            grants = shard_holder.draw(customer, want.tokens, now_s)
+        for grant in grants:
+            grant.want = index
         reply.grants.extend(grants)
         return want.tokens - sum(grant.tokens for grant in grants)
 
     def _draw_borrowed(
         self,
         _: None,
-        missing: list[ttypes.QuotaWant],
+        missing: dict[int, ttypes.QuotaWant],
         reply: ttypes.QuotaDrawReply,
     ) -> ttypes.QuotaDrawReply:
         now_s = self._clock.now_s()
-        for want in missing:
-            self._grant(want, reply, now_s)
+        for index, want in missing.items():
+            self._grant(index, want, reply, now_s)
         return reply
 
     def _credit(self, returns: list[ttypes.QuotaReturn], now_s: float) -> float:
         credited = 0.0
-        for entry in returns:
+        for entry in returns or ():
             shard_holder = self._leases.holder_of(ids.ShardId(entry.shard))
             if shard_holder is not None and shard_holder.epoch == entry.epoch:
                 credited += shard_holder.take_back(
                     entry.grant_id, entry.tokens, now_s
                 )
+        self._borrower.give_back(now_s)
         return credited
 
+    def _add_hint(
+        self, reply: ttypes.QuotaDrawReply, shard: ids.ShardId
+    ) -> None:
+        reply.hints = [*(reply.hints or ()), self._hint(shard)]
+
     def _hint(self, shard: ids.ShardId) -> ttypes.QuotaHolderHint:
         hint = self._map.hint(self._leases.domain, shard)
         return hint or ttypes.QuotaHolderHint(
@@ -174,3 +189,10 @@
                 ttypes.QuotaReleaseReply,
                 _RELEASE_TIMEOUT_S,
             )
+
+
+def _awaited(want: ttypes.QuotaWant) -> int:
+    """Returns how many of the wanted tokens requests wait for."""
+    if want.awaited is None:
+        return want.tokens
+    return min(want.awaited, want.tokens)
