--- a/src/cyclamendale/upstream/contexts.py
+++ b/src/cyclamendale/upstream/contexts.py
@@ -32,6 +32,8 @@
         repeats: Digests of the onward calls made so far, to recognise
             an upstream's own retries.
         cancel_onward: Cancels each onward call in flight.
+        on_waiting: Called with True when the first onward call begins,
+            and with False when the last one in flight ends.
     """
 
     __slots__ = (
@@ -44,6 +46,7 @@
         "depth",
         "importance",
         "met",
+        "on_waiting",
         "onward_s",
         "repeats",
         "request",
@@ -76,13 +79,21 @@
         self.met: list[feedback.Feedback] = []
         self.repeats: set[int] = set()
         self.cancel_onward: set[Callable[[], None]] = set()
+        self.on_waiting: Callable[[bool], None] | None = None
         self._onward_calls = 0
         self._onward_since_s = 0.0
 
+    @property
+    def is_waiting(self) -> bool:
+        """Returns whether an onward call is in flight."""
+        return self._onward_calls > 0
+
     def onward_began(self, now_s: float) -> None:
         """Notes that an onward call was sent."""
         if self._onward_calls == 0:
             self._onward_since_s = now_s
+            if self.on_waiting is not None:
+                self.on_waiting(True)
         self._onward_calls += 1
 
     def onward_ended(self, now_s: float) -> None:
@@ -90,6 +101,8 @@
         self._onward_calls -= 1
         if self._onward_calls == 0:
             self.onward_s += now_s - self._onward_since_s
+            if self.on_waiting is not None:
+                self.on_waiting(False)
 
 
 class ContextTable:
--- a/src/cyclamendale/upstream/gate.py
+++ b/src/cyclamendale/upstream/gate.py
@@ -285,6 +285,7 @@
             envelope.shed_key,
             retry_budget.RetryBudget(envelope.budget),
         )
+        context.on_waiting = self._waiting_changed
         self._context = context
         self._gate.contexts.add(context)
         self._connection = connection
@@ -301,6 +302,14 @@
         if envelope.more:
             connection.when_writable(self._writable)
 
+    def _waiting_changed(self, waiting: bool) -> None:
+        """Frees the limit, not the slot, while only onward calls run."""
+        assert self._ticket is not None and self._admission is not None
+        if waiting:
+            self._admission.pause(self._ticket)
+        else:
+            self._admission.resume(self._ticket)
+
     # The upstream's response.
 
     def head_received(self, head: http_connection.ResponseHead) -> None:
@@ -451,6 +460,9 @@
             if completion is not admissions.Completion.ANSWERED:
                 for cancel in tuple(self._context.cancel_onward):
                     cancel()
+            if self._context.is_waiting:
+                self._admission.resume(self._ticket)
+            self._context.on_waiting = None
             started_s = self._ticket.started_s or 0.0
             total_s = self._gate.clock.now_s() - started_s
             own_time_s = max(0.0, total_s - self._context.onward_s)
--- a/tests/support/path_node.py
+++ b/tests/support/path_node.py
@@ -61,6 +61,7 @@
 
     def __init__(self):
         self.finished = []
+        self.paused = []
         self.closed = False
 
     def submit(self, ticket):
@@ -70,6 +71,12 @@
     def finish(self, ticket, own_time_s, completion):
         self.finished.append(completion)
 
+    def pause(self, ticket):
+        self.paused.append(ticket)
+
+    def resume(self, ticket):
+        self.paused.remove(ticket)
+
     def withdraw(self, ticket):
         return False
 
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -126,9 +126,12 @@
         )
         root_request = self.request
         yield self.arrived
+        gate = self.nodes[0].admissions[0]
+        self.assertEqual(1, len(gate.paused))
         self.request.finish()
         received = yield onward
         self.assertIn(b"HTTP/1.1 200", received)
+        self.assertEqual([], gate.paused)
         root_request.finish()
         yield root
         received = yield self.exchange(
