Test restarts and missed updates while other entries change

Two mechanisms had no test that failed without them: telling a new process that another is held at its address, and exchanging whole states while digests never settle. Both are only missed shortly after another exchange, so the tests set that up.

--- a/tests/test_membership_protocol.py
+++ b/tests/test_membership_protocol.py
@@ -175,6 +175,17 @@
         reached = self.cluster.run_until(self.cluster.agrees, AGREEMENT_BOUND_S)
         self.assertIsNotNone(reached)
 
+    def test_a_new_process_is_found_at_once_while_others_change(self):
+        self.start(loss=0)
+        self.cluster.table_up = False
+        self.say_just_synchronised()
+        self.cluster.crash(self.all[3])
+        new = self.cluster.restart(self.all[3].address)
+        self.all.remove(self.all[3])
+        reached = self.cluster.run_until(self.changing_targets(11), 10, 1)
+        self.assertIsNotNone(reached)
+        self.assertIn(new.members.own(), self.all[0].members.members())
+
     def test_a_joining_node_hands_over_whom_it_knows(self):
         self.start(loss=0)
         lone = self.cluster.add("10.9.9.9:700", "a")
@@ -283,9 +294,14 @@
         self.cluster.run(1)
         self.all[2].protocol._queue.remove(self.all[2].address)
         self.cluster.loss = 0.0
+        self.say_just_synchronised()
         reached = self.cluster.run_until(self.changing_targets(11), 40, 1)
         self.assertIsNotNone(reached)
 
+    def say_just_synchronised(self):
+        for member in self.all:
+            member.protocol._synced_s = self.cluster.clock.now_s()
+
     def changing_targets(self, count):
         """Like `all_targets`, with a change of some entry each time."""
 
