--- a/src/cyclamendale/controllers/quota_leases.py
+++ b/src/cyclamendale/controllers/quota_leases.py
@@ -5,8 +5,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-import functools
 import random
 
 from expression import Result
@@ -16,7 +14,9 @@
 from cyclamendale import events
 from cyclamendale import ids
 from cyclamendale.configuration import source
+from cyclamendale.controllers import _quota_claimers
 from cyclamendale.controllers import _quota_divisions
+from cyclamendale.controllers import _quota_fleet_steps
 from cyclamendale.controllers import _quota_layout
 from cyclamendale.controllers import base
 from cyclamendale.intents import model
@@ -25,26 +25,16 @@
 from cyclamendale.quotas import holder
 from cyclamendale.quotas import holder_map
 from cyclamendale.quotas import lease
+from cyclamendale.quotas import lease_rows
 from cyclamendale.quotas import shard_row
 from cyclamendale.quotas import shares
 
 TICK_S = 0.25
 """Interval at which due reads and writes are looked for."""
 
-CLAIMERS = 2
-"""Nodes of a failure domain that watch each of its shards."""
-
 STOP_TIMEOUT_S = 2.0
 """Longest time that a shutdown waits for leases to be given back."""
 
-MAX_ROWS = 65536
-"""Most lease rows read at once."""
-
-_LIST_RETRY_S = 1.0
-_CREATE_RETRY_S = 0.05
-_NARROW_RETRY_S = 1.0
-_MAX_NARROW_RETRY_S = 8.0
-
 
 class QuotaLeases(base.Controller):
     """Keeps the leases of this node's failure domain.
@@ -68,7 +58,6 @@
     ) -> None:
         self.domain = own.failure_domain
         self._node = own.node
-        self._address = own.address
         self._clock = clock
         self._rng = rng
         self._members = members
@@ -84,18 +73,24 @@
         self._holders: dict[ids.ShardId, holder.ShardHolder] = {}
         self._recorded: dict[ids.ShardId, tuple[ids.Epoch, str]] = {}
         self._busy: set[ids.ShardId] = set()
-        self._ranks: dict[ids.ShardId, int | None] = {}
-        self._may_claim: dict[ids.PeerAddress, bool] = {}
         self._domains_seen = {own.failure_domain}
         self._ticking: clocks.DelayedCall | None = None
         self._leaving = False
         self._stopped: defer.Deferred[None] | None = None
         self._stop_timeout: clocks.DelayedCall | None = None
-        self._listed = False
-        self._fleet_busy = False
-        self._next_list_s = 0.0
-        self._next_narrow_s = 0.0
-        self._narrow_wait_s = _NARROW_RETRY_S
+        self._claimers = _quota_claimers.Claimers(own, members)
+        self._fleet_steps = _quota_fleet_steps.FleetSteps(
+            clock,
+            rng,
+            self.domain,
+            platform_table,
+            self.divisions,
+            self._leases,
+            self._busy,
+            self._wish,
+            self._found,
+            self._narrowed,
+        )
 
     def start(self) -> None:
         """See base class."""
@@ -142,20 +137,7 @@
 
     def claimers(self, shard: ids.ShardId) -> list[directory.Member]:
         """Returns the members that watch a shard, in order of rank."""
-        own = self._members.own()
-        members = {
-            member.address: member
-            for member in (*self._members.members(), own)
-            if member.failure_domain == self.domain
-            and (not member.leaving or member.address == own.address)
-        }
-        key = shard_row.lease_key(self.domain, shard)
-        ranked = sorted(
-            members.values(),
-            key=lambda member: shares.rendezvous_score(key, member.address),
-            reverse=True,
-        )
-        return ranked[:CLAIMERS]
+        return self._claimers.of(shard)
 
     def _tick(self) -> None:
         wait_s = TICK_S * self._rng.uniform(0.8, 1.2)
@@ -163,26 +145,17 @@
         self._step_all()
 
     def _step_all(self) -> None:
-        if self.divisions.customers:
-            self._fleet_step()
+        if self.divisions.customers and not self._leaving:
+            self._fleet_steps.step()
         for shard in list(self._leases):
             self._step(shard)
 
     def _member_changed(self, member: directory.Member) -> None:
-        """Ranks claimers anew if the change can concern them."""
+        self._claimers.member_changed(member)
         if member.failure_domain not in self._domains_seen:
             self._domains_seen.add(member.failure_domain)
             if not self._configuration.current.failure_domains:
                 self._configured(self._configuration.current)
-        if member.failure_domain != self.domain:
-            return
-        claims = not member.leaving and member.state in (
-            directory.MemberState.ALIVE,
-            directory.MemberState.SUSPECT,
-        )
-        if self._may_claim.get(member.address) != claims:
-            self._may_claim[member.address] = claims
-            self._ranks.clear()
 
     def _configured(self, configuration: model.Configuration) -> None:
         """Bounds own shares by the new division at once, then shows it."""
@@ -198,9 +171,7 @@
             return
         self.divisions.set_customers(configuration.customers)
         if changed:
-            self._listed = False
-            self._next_narrow_s = 0.0
-            self._narrow_wait_s = _NARROW_RETRY_S
+            self._fleet_steps.division_changed()
             for shard_lease in self._leases.values():
                 shard_lease.renew_soon()
         self._replan_all()
@@ -257,18 +228,11 @@
                 events.LeaseChanged(shard=shard, epoch=state[0], state=state[1])
             )
 
-    def _wish(self, shard: ids.ShardId) -> lease.Wish:
+    def _wish(self, shard: ids.ShardId) -> lease_rows.Wish:
         configuration = self._configuration.current
-        if shard not in self._ranks:
-            addresses = [member.address for member in self.claimers(shard)]
-            self._ranks[shard] = (
-                addresses.index(self._address)
-                if self._address in addresses
-                else None
-            )
         kept = configuration.defaults.retained_share * shares.SHARE_UNITS
-        return lease.Wish(
-            rank=self._ranks[shard],
+        return lease_rows.Wish(
+            rank=self._claimers.rank(shard),
             digest=self.divisions.digest,
             kept_units=max(0, min(shares.SHARE_UNITS, int(kept))),
             gone=frozenset(configuration.gone),
@@ -321,7 +285,7 @@
         now_s: float,
     ) -> None:
         if row is None:
-            self._listed = False
+            self._fleet_steps.row_missing()
             shard_lease.saw(table.ABSENT_VERSION, None, now_s)
             return
         decoded = shard_row.decode_row(row.value)
@@ -362,57 +326,8 @@
             stopped, self._stopped = self._stopped, None
             stopped.callback(None)
 
-    def _fleet_step(self) -> None:
-        """Lists all lease rows when rows are missing or a change ends."""
-        now_s = self._clock.now_s()
-        if self._fleet_busy or self._leaving:
-            return
-        if not self.divisions.is_stored():
-            return
-        if not self._listed and now_s >= self._next_list_s:
-            self._next_list_s = now_s + _LIST_RETRY_S * self._rng.uniform(
-                0.5, 1.0
-            )
-            self._list(self._on_listed)
-        elif now_s >= self._next_narrow_s and self._to_narrow():
-            wait_s = self._narrow_wait_s
-            self._narrow_wait_s = min(2 * wait_s, _MAX_NARROW_RETRY_S)
-            self._next_narrow_s = now_s + wait_s * self._rng.uniform(0.5, 1.0)
-            self._list(self._narrow)
-
-    def _list(
-        self, use: Callable[[_quota_layout.LeaseRows | None], None]
-    ) -> None:
-        """Reads the layout row, then all lease rows, in this order."""
-        self._fleet_busy = True
-        reading = self._table.read(shard_row.LAYOUT_KEY)
-        reading.addCallback(self._list_rows, use)
-
-    def _list_rows(
-        self,
-        layout: Result[table.Row | None, table.TableError],
-        use: Callable[[_quota_layout.LeaseRows | None], None],
-    ) -> None:
-        if layout.is_error():
-            self._fleet_busy = False
-            return
-        listing = self._table.list_rows(shard_row.LEASE_PREFIX, MAX_ROWS)
-        listing.addCallback(self._listed_rows, layout.ok, use)
-
-    def _listed_rows(
-        self,
-        result: Result[list[table.Row], table.TableError],
-        layout: table.Row | None,
-        use: Callable[[_quota_layout.LeaseRows | None], None],
-    ) -> None:
-        self._fleet_busy = False
-        if result.is_ok():
-            use(_quota_layout.decode_rows(layout, result.ok))
-
-    def _on_listed(self, found: _quota_layout.LeaseRows | None) -> None:
-        if found is None:
-            return
-        now_s = self._clock.now_s()
+    def _found(self, found: _quota_layout.LeaseRows) -> None:
+        """Learns all holders, and the leases of the own domain."""
         for key, (version, row) in found.rows.items():
             place = shard_row.parse_lease_key(key)
             if place is None:
@@ -421,92 +336,12 @@
             if place[0] == self.domain and place[1] not in self._leases:
                 new = lease.ShardLease(self._node, self._settings, self._rng)
                 self._leases[place[1]] = new
-                new.saw(version, row, now_s)
+                new.saw(version, row, self._clock.now_s())
                 self._step(place[1])
-        writes = _quota_layout.plan_creation(
-            found,
-            self.domain,
-            self.divisions.current.division,
-            self._wish(ids.ShardId(0)).kept_units,
-            self._rng,
-        )
-        if not writes:
-            self._listed = True
-            return
-        self._fleet_busy = True
-        self._table.transact(writes).addCallback(self._created)
-
-    def _created(
-        self, result: Result[list[table.Row], table.TableError]
-    ) -> None:
-        self._fleet_busy = False
-        self._next_list_s = 0.0
-        wait_s = self._rng.uniform(0.0, _CREATE_RETRY_S)
-        self._clock.call_later(wait_s, self._fleet_step)
-
-    def _to_narrow(self) -> list[ids.ShardId]:
-        digest = self.divisions.digest
-        return [
-            shard
-            for shard, shard_lease in self._leases.items()
-            if shard_lease.state is lease.LeaseState.HELD
-            and shard not in self._busy
-            and shard_lease.divisions != (digest,)
-            and shard_lease.row is not None
-            and digest in shard_lease.row.divisions
-        ]
-
-    def _narrow(self, found: _quota_layout.LeaseRows | None) -> None:
-        """Ends a change of division once all rows show the newest."""
-        if found is None:
-            return
-        now_s = self._clock.now_s()
-        digest = self.divisions.digest
-        planned = {
-            shard: self._leases[shard].plan_renewal(
-                lease.Purpose.NARROW, self._wish(shard), now_s
-            )
-            for shard in self._to_narrow()
-        }
-        by_key = {
-            shard_row.lease_key(self.domain, shard): write
-            for shard, write in planned.items()
-        }
-        gone = frozenset(self._configuration.current.gone)
-        writes = _quota_layout.plan_narrowing(
-            found, by_key, digest, gone, self._rng
-        )
-        if writes is None or not planned:
-            return
-        self._fleet_busy = True
-        self._busy.update(planned)
-        narrowing = self._table.transact(writes)
-        narrowing.addCallback(functools.partial(self._narrowed, planned))
 
-    def _narrowed(
-        self,
-        planned: dict[ids.ShardId, lease.PlannedWrite],
-        result: Result[list[table.Row], table.TableError],
-    ) -> None:
-        self._fleet_busy = False
-        now_s = self._clock.now_s()
-        versions: dict[str, int] = {}
-        if result.is_ok():
-            versions = {row.key: row.version for row in result.ok}
-        for shard, write in planned.items():
-            self._busy.discard(shard)
-            shard_lease = self._leases[shard]
-            key = shard_row.lease_key(self.domain, shard)
-            if result.is_ok():
-                shard_lease.took_effect(write, versions[key], now_s)
-            else:
-                shard_lease.failed(write, result.error.kind, now_s)
-            self._sync(shard, shard_lease)
-            if shard in self._holders:
-                self._replan(shard)
-        self.divisions.forget_except(
-            digest
-            for shard_lease in self._leases.values()
-            for digest in shard_lease.divisions
-        )
+    def _narrowed(self, shard: ids.ShardId) -> None:
+        """Applies the end of a change of division."""
+        self._sync(shard, self._leases[shard])
+        if shard in self._holders:
+            self._replan(shard)
         self._check_stopped()
--- a/src/cyclamendale/quotas/lease.py
+++ b/src/cyclamendale/quotas/lease.py
@@ -15,6 +15,7 @@
 
 from cyclamendale import ids
 from cyclamendale.platform import table
+from cyclamendale.quotas import lease_rows
 from cyclamendale.quotas import shard_row
 from cyclamendale.quotas import shares
 
@@ -68,24 +69,6 @@
     retained_s: float = 24 * 3600.0
 
 
-class Wish(msgspec.Struct, frozen=True):
-    """What the node wants of a lease at the moment.
-
-    Attributes:
-        rank: This node's place among the claimers; None for no claimer.
-        digest: The newest division.
-        kept_units: Part kept at a lapse, in `shares.SHARE_UNITS`.
-        gone: Nodes that an operator declared gone.
-        leaving: Whether this node is shutting down.
-    """
-
-    rank: int | None
-    digest: shares.DivisionDigest
-    kept_units: int
-    gone: frozenset[ids.NodeId] = frozenset()
-    leaving: bool = False
-
-
 class PlannedWrite(msgspec.Struct, frozen=True):
     """A compare-and-set to be done.
 
@@ -181,7 +164,7 @@
         if digest not in self.divisions:
             self.divisions = (*self.divisions, digest)
 
-    def read_due(self, now_s: float, wish: Wish) -> bool:
+    def read_due(self, now_s: float, wish: lease_rows.Wish) -> bool:
         """Returns whether the row should be read now."""
         if now_s < self._next_read_s:
             return False
@@ -223,7 +206,9 @@
         """Makes the next renewal due, to show a new division."""
         self._next_write_s = 0.0
 
-    def write_due(self, wish: Wish, now_s: float) -> PlannedWrite | None:
+    def write_due(
+        self, wish: lease_rows.Wish, now_s: float
+    ) -> PlannedWrite | None:
         """Returns the write that is due now, if any."""
         if wish.leaving and self.spends:
             self._stop_spending(LeaseState.RELEASING, now_s)
@@ -231,43 +216,38 @@
         row = self.row
         if not settled or row is None or now_s < self._next_write_s:
             return None
+        given_back = lease_rows.give_back(row, self._node)
         if self.state is LeaseState.SUPERSEDED:
-            return self._give_back(row, Purpose.ACKNOWLEDGE, now_s)
+            return self._plan(Purpose.ACKNOWLEDGE, given_back, now_s)
         if self.state is LeaseState.RELEASING:
-            return self._release(row, now_s)
+            released = lease_rows.release(row)
+            return self._plan(Purpose.RELEASE, released, now_s)
         if self.spends:
             return self.plan_renewal(Purpose.RENEW, wish, now_s)
-        if self._retained_here(row):
-            return self._give_back(row, Purpose.RECLAIM, now_s)
+        if given_back != row:
+            return self._plan(Purpose.RECLAIM, given_back, now_s)
         if wish.leaving or not self._may_claim(row, wish, now_s):
             return None
-        return self._claim(row, wish, now_s)
+        claimed = lease_rows.claim(row, self._node, wish)
+        return self._plan(Purpose.CLAIM, claimed, now_s, row.epoch == 0)
 
     def plan_renewal(
-        self, purpose: Purpose, wish: Wish, now_s: float
+        self, purpose: Purpose, wish: lease_rows.Wish, now_s: float
     ) -> PlannedWrite:
         """Returns a write that renews, or that also ends a change."""
         assert self.row is not None
         self.add_division(wish.digest)
         self._kept_units = min(self._kept_units, wish.kept_units)
-        narrow = purpose is Purpose.NARROW
-        returned = self._returned(self.row, wish, now_s)
-        row = msgspec.structs.replace(
-            self.row,
-            write_id=self._write_id(),
-            kept_units=wish.kept_units,
-            divisions=(wish.digest,) if narrow else self.divisions,
-            units=self.row.units + sum(entry.units for entry in returned),
-            retained=tuple(
-                entry for entry in self.row.retained if entry not in returned
-            ),
-        )
-        dropped = tuple(
-            digest
-            for digest in self.divisions
-            if narrow and digest != wish.digest
-        )
-        return PlannedWrite(purpose, self.version, row, now_s, dropped=dropped)
+        returned = self._expired(self.row, now_s)
+        divisions = self.divisions
+        dropped: tuple[shares.DivisionDigest, ...] = ()
+        if purpose is Purpose.NARROW:
+            divisions = (wish.digest,)
+            dropped = tuple(
+                digest for digest in self.divisions if digest != wish.digest
+            )
+        row = lease_rows.renew(self.row, self._node, wish, divisions, returned)
+        return self._plan(purpose, row, now_s, dropped=dropped)
 
     def took_effect(
         self, write: PlannedWrite, version: int, now_s: float
@@ -338,46 +318,15 @@
             self._units = units
             self._changes.append(ShareChange(at_s, units))
 
-    def _retained_here(self, row: shard_row.ShardRow) -> bool:
-        return any(self._is_own(entry.owner) for entry in row.retained)
-
-    def _is_own(self, node: ids.NodeId) -> bool:
-        """Returns whether a node is this process or one it replaced.
-
-        Only called for shares that this process does not spend.
-        """
-        address = ids.address_of(node)
-        return node != shard_row.NO_HOLDER and address == ids.address_of(
-            self._node
-        )
-
-    def _give_back(
-        self, row: shard_row.ShardRow, purpose: Purpose, now_s: float
-    ) -> PlannedWrite:
-        own = [entry for entry in row.retained if self._is_own(entry.owner)]
-        given_back = msgspec.structs.replace(
-            row,
-            write_id=self._write_id(),
-            units=row.units + sum(entry.units for entry in own),
-            retained=tuple(entry for entry in row.retained if entry not in own),
-        )
-        return PlannedWrite(purpose, self.version, given_back, now_s)
-
-    def _release(self, row: shard_row.ShardRow, now_s: float) -> PlannedWrite:
-        released = msgspec.structs.replace(
-            row, write_id=self._write_id(), holder=shard_row.NO_HOLDER
-        )
-        return PlannedWrite(Purpose.RELEASE, self.version, released, now_s)
-
     def _may_claim(
-        self, row: shard_row.ShardRow, wish: Wish, now_s: float
+        self, row: shard_row.ShardRow, wish: lease_rows.Wish, now_s: float
     ) -> bool:
-        if self._is_own(row.holder):
+        if lease_rows.is_own(row.holder, self._node):
             return True
         if wish.rank is None or self._unchanged_since_s is None:
             return False
         unchanged_s = now_s - self._unchanged_since_s
-        unspent = self._is_unspent(row, wish)
+        unspent = lease_rows.is_unspent(row, self._node, wish.gone)
         if unspent and self._invited:
             return True
         wait_s = wish.rank * self._settings.rank_delay_s
@@ -385,57 +334,35 @@
             wait_s += self._settings.lease_s * self._settings.watch_factor
         return unchanged_s >= wait_s
 
-    def _is_unspent(self, row: shard_row.ShardRow, wish: Wish) -> bool:
-        released = row.holder == shard_row.NO_HOLDER
-        return released or row.holder in wish.gone or self._is_own(row.holder)
-
-    def _claim(
-        self, row: shard_row.ShardRow, wish: Wish, now_s: float
+    def _plan(
+        self,
+        purpose: Purpose,
+        row: shard_row.ShardRow,
+        now_s: float,
+        starts_full: bool = False,
+        dropped: tuple[shares.DivisionDigest, ...] = (),
     ) -> PlannedWrite:
-        units = row.units
-        retained = row.retained
-        if not self._is_unspent(row, wish):
-            kept = shard_row.RetainedShare(
-                row.epoch, row.holder, row.kept_at_lapse, row.divisions
-            )
-            retained = (*retained, kept)
-            units -= kept.units
-        gone = [entry for entry in retained if entry.owner in wish.gone]
-        divisions = row.divisions
-        if wish.digest not in divisions:
-            divisions = (*divisions, wish.digest)
-        claimed = shard_row.ShardRow(
-            write_id=self._write_id(),
-            epoch=ids.Epoch(row.epoch + 1),
-            holder=self._node,
-            units=units + sum(entry.units for entry in gone),
-            kept_units=wish.kept_units,
-            divisions=divisions,
-            retained=tuple(entry for entry in retained if entry not in gone),
-        )
+        write_id = self._rng.getrandbits(_WRITE_ID_BITS)
+        row = msgspec.structs.replace(row, write_id=write_id)
         return PlannedWrite(
-            Purpose.CLAIM, self.version, claimed, now_s, row.epoch == 0
+            purpose, self.version, row, now_s, starts_full, dropped
         )
 
-    def _returned(
-        self, row: shard_row.ShardRow, wish: Wish, now_s: float
+    def _expired(
+        self, row: shard_row.ShardRow, now_s: float
     ) -> list[shard_row.RetainedShare]:
-        """Returns retained shares that nobody can spend any more."""
+        """Returns retained shares that their owners have dropped by now."""
         hold_s = self._settings.retained_s * self._settings.watch_factor
-        returned = []
-        for entry in row.retained:
-            since_s = self._retained_since_s.setdefault(entry.epoch, now_s)
-            expired = now_s - since_s >= hold_s
-            if expired or entry.owner in wish.gone or self._is_own(entry.owner):
-                returned.append(entry)
-        return returned
+        return [
+            entry
+            for entry in row.retained
+            if now_s - self._retained_since_s.setdefault(entry.epoch, now_s)
+            >= hold_s
+        ]
 
     def _retry_wait_s(self) -> float:
         return self._settings.retry_s * self._rng.uniform(0.5, 1.0)
 
-    def _write_id(self) -> int:
-        return self._rng.getrandbits(_WRITE_ID_BITS)
-
 
 def _is_result_of(write: PlannedWrite, row: shard_row.ShardRow | None) -> bool:
     """Returns whether a row shows that a write took effect."""
--- /dev/null
+++ b/src/cyclamendale/quotas/lease_rows.py
@@ -0,0 +1,124 @@
+"""How a lease row changes when it is claimed, renewed or given back."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+
+from cyclamendale import ids
+from cyclamendale.quotas import shard_row
+from cyclamendale.quotas import shares
+
+
+class Wish(msgspec.Struct, frozen=True):
+    """What the node wants of a lease at the moment.
+
+    Attributes:
+        rank: This node's place among the claimers; None for no claimer.
+        digest: The newest division.
+        kept_units: Part kept at a lapse, in `shares.SHARE_UNITS`.
+        gone: Nodes that an operator declared gone.
+        leaving: Whether this node is shutting down.
+    """
+
+    rank: int | None
+    digest: shares.DivisionDigest
+    kept_units: int
+    gone: frozenset[ids.NodeId] = frozenset()
+    leaving: bool = False
+
+
+def is_own(node: ids.NodeId, own: ids.NodeId) -> bool:
+    """Returns whether a node is `own` or a process that it replaced.
+
+    The address proves it, since only one process can listen there. The
+    caller must not be spending the share in question.
+    """
+    if node == shard_row.NO_HOLDER:
+        return False
+    return ids.address_of(node) == ids.address_of(own)
+
+
+def is_unspent(
+    row: shard_row.ShardRow, own: ids.NodeId, gone: frozenset[ids.NodeId]
+) -> bool:
+    """Returns whether nobody spends the share of the row's holder."""
+    released = row.holder == shard_row.NO_HOLDER
+    return released or row.holder in gone or is_own(row.holder, own)
+
+
+def claim(
+    row: shard_row.ShardRow, own: ids.NodeId, wish: Wish
+) -> shard_row.ShardRow:
+    """Returns the row with `own` as holder of the next epoch.
+
+    A holder that may still be there retains what it keeps at its lapse.
+    """
+    units = row.units
+    retained = row.retained
+    if not is_unspent(row, own, wish.gone):
+        kept = shard_row.RetainedShare(
+            row.epoch, row.holder, row.kept_at_lapse, row.divisions
+        )
+        retained = (*retained, kept)
+        units -= kept.units
+    divisions = row.divisions
+    if wish.digest not in divisions:
+        divisions = (*divisions, wish.digest)
+    claimed = msgspec.structs.replace(
+        row,
+        epoch=ids.Epoch(row.epoch + 1),
+        holder=own,
+        units=units,
+        kept_units=wish.kept_units,
+        divisions=divisions,
+        retained=retained,
+    )
+    gone = [entry for entry in retained if entry.owner in wish.gone]
+    return _without(claimed, gone)
+
+
+def renew(
+    row: shard_row.ShardRow,
+    own: ids.NodeId,
+    wish: Wish,
+    divisions: tuple[shares.DivisionDigest, ...],
+    expired: Sequence[shard_row.RetainedShare],
+) -> shard_row.ShardRow:
+    """Returns the renewed row, with the retained shares that came back."""
+    returned = [
+        entry
+        for entry in row.retained
+        if entry in expired
+        or entry.owner in wish.gone
+        or is_own(entry.owner, own)
+    ]
+    renewed = msgspec.structs.replace(
+        row, kept_units=wish.kept_units, divisions=divisions
+    )
+    return _without(renewed, returned)
+
+
+def release(row: shard_row.ShardRow) -> shard_row.ShardRow:
+    """Returns the row without a holder, to be claimed at once."""
+    return msgspec.structs.replace(row, holder=shard_row.NO_HOLDER)
+
+
+def give_back(row: shard_row.ShardRow, own: ids.NodeId) -> shard_row.ShardRow:
+    """Returns the row with this address's retained shares given back."""
+    returned = [entry for entry in row.retained if is_own(entry.owner, own)]
+    return _without(row, returned)
+
+
+def _without(
+    row: shard_row.ShardRow, returned: Sequence[shard_row.RetainedShare]
+) -> shard_row.ShardRow:
+    """Returns the row with retained shares added to the holder's."""
+    return msgspec.structs.replace(
+        row,
+        units=row.units + sum(entry.units for entry in returned),
+        retained=tuple(
+            entry for entry in row.retained if entry not in returned
+        ),
+    )
--- a/tests/test_quota_rules.py
+++ b/tests/test_quota_rules.py
@@ -15,6 +15,7 @@
 from cyclamendale.platform import table
 from cyclamendale.quotas import holder
 from cyclamendale.quotas import lease
+from cyclamendale.quotas import lease_rows
 from cyclamendale.quotas import shard_row
 from cyclamendale.quotas import shares
 from cyclamendale.quotas import token_bucket
@@ -25,7 +26,7 @@
 DAY_S = 24 * 3600.0
 ME = "10.0.0.1:7000#me"
 OTHER = "10.0.0.2:7000#other"
-WISH = lease.Wish(0, DIVISION.digest, shares.SHARE_UNITS * 3 // 4)
+WISH = lease_rows.Wish(0, DIVISION.digest, shares.SHARE_UNITS * 3 // 4)
 
 
 def make_row(**changes):
