Wait 0.5 s for refill

The price: a customer over its rate waits up to 0.5 s before it is refused, with no more requests waiting at a node than the rate refills in that time.

--- a/src/cyclamendale/quotas/token_cache.py
+++ b/src/cyclamendale/quotas/token_cache.py
@@ -20,7 +20,7 @@
 DRY_S = 0.05
 """How long a node does not ask after its holder had no token."""
 
-PATIENCE_S = 0.3
+PATIENCE_S = 0.5
 """How long a request waits for refill once its holder had no token."""
 
 _US_PER_S = 1_000_000
