Touch the table only when a row is due to change

Every node inserted the division row and listed all lease rows at each change of division: 1,100 inserts and 2,200 reads at once at the design size, more than the table takes. Now only nodes that are about to write a lease row store the division, and only nodes whose domain lacks rows list them.

--- a/src/cyclamendale/controllers/_quota_fleet_steps.py
+++ b/src/cyclamendale/controllers/_quota_fleet_steps.py
@@ -67,7 +67,10 @@
 
     def division_changed(self) -> None:
         """Looks for missing rows, and for the end of the change, soon."""
-        self._listed = False
+        division = self._divisions.current.division
+        own = any(entry.name == self._domain for entry in division.domains)
+        if own and not self._leases.keys() >= set(range(division.shard_count)):
+            self._listed = False
         self._next_narrow_s = 0.0
         self._narrow_wait_s = _NARROW_RETRY_S
 
@@ -78,7 +81,7 @@
     def step(self) -> None:
         """Starts the step that is due."""
         now_s = self._clock.now_s()
-        if self._running or not self._divisions.is_stored():
+        if self._running:
             return
         if not self._listed and now_s >= self._next_list_s:
             wait_s = _LIST_RETRY_S * self._rng.uniform(0.5, 1.0)
@@ -130,9 +133,11 @@
         )
         if not writes:
             self._listed = True
-            return
-        self._running = True
-        self._table.transact(writes).addCallback(self._created)
+        elif self._divisions.is_stored():
+            self._running = True
+            self._table.transact(writes).addCallback(self._created)
+        else:
+            self._next_list_s = 0.0
 
     def _created(
         self, result: Result[list[table.Row], table.TableError]
--- a/src/cyclamendale/controllers/quota_leases.py
+++ b/src/cyclamendale/controllers/quota_leases.py
@@ -252,11 +252,9 @@
             self._busy.add(shard)
             self._table.read(key).addCallback(self._on_read, shard)
             return
-        if not self.divisions.is_stored() and not self._leaving:
-            return
         write = shard_lease.write_due(wish, now_s)
         self._sync(shard, shard_lease)
-        if write is not None:
+        if write is not None and (self._leaving or self.divisions.is_stored()):
             self._busy.add(shard)
             writing = self._table.compare_and_set(
                 key, write.expected_version, shard_row.encode_row(write.row)
