--- a/src/cyclamendale/forwarding/exchange.py
+++ b/src/cyclamendale/forwarding/exchange.py
@@ -175,8 +175,12 @@
         """Sends the next chunk of the request's body."""
 
     @abc.abstractmethod
-    def cancel(self) -> None:
-        """Abandons the attempt; the receiver hears no more of it."""
+    def cancel(self) -> bool:
+        """Abandons the attempt; the receiver hears no more of it.
+
+        Returns:
+            Whether the request certainly was not and will not be run.
+        """
 
 
 class CallTransport(abc.ABC):
--- a/src/cyclamendale/peer/calls.py
+++ b/src/cyclamendale/peer/calls.py
@@ -102,18 +102,21 @@
             None if last else self._push_taken,
         )
 
-    def cancel(self) -> None:
+    def cancel(self) -> bool:
         """See base class."""
         if self._ended:
-            return
+            return False
         self._ended = True
         connection = self._connection
-        if connection is not None and connection.is_open:
-            for kind in _REPLIED_KINDS:
-                connection.forget(kind, self._call_id)
+        if connection is None:
+            return True
+        for kind in _REPLIED_KINDS:
+            connection.forget(kind, self._call_id)
+        if connection.is_open:
             connection.request(
                 kinds.MessageKind.CANCEL, self._call_id, _SIGNAL, None
             )
+        return False
 
     def _request(
         self,
--- a/src/cyclamendale/upstream/connection_pool.py
+++ b/src/cyclamendale/upstream/connection_pool.py
@@ -30,14 +30,18 @@
         self._port = int(port)
         self._idle: list[http_connection.UpstreamConnection] = []
         self._open: set[http_connection.UpstreamConnection] = set()
+        self._is_closed = False
         self.failed_connects = 0
 
     def acquire(self, user: ConnectionUser) -> None:
         """Calls `user` with a connection, at once when one is idle."""
-        if self._idle:
-            user(self._idle.pop())
-            return
-        factory = _Factory(self._released, self._closed, self._opened, user)
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_reusable:
+                user(connection)
+                return
+            connection.abort()
+        factory = _Factory(self.release, self._closed, self._opened, user)
         factory.failed = self._connect_failed
         self._reactor.connectTCP(
             self._host, self._port, factory, timeout=CONNECT_TIMEOUT_S
@@ -45,10 +49,18 @@
 
     def close(self) -> None:
         """Closes idle connections; those in use close when they end."""
+        self._is_closed = True
         for connection in self._idle:
             connection.transport.loseConnection()
         self._idle.clear()
 
+    def release(self, connection: http_connection.UpstreamConnection) -> None:
+        """Takes a connection back that carries no request."""
+        if self._is_closed or len(self._idle) >= MAX_IDLE_CONNECTIONS:
+            connection.transport.loseConnection()
+        else:
+            self._idle.append(connection)
+
     def _opened(self, connection: http_connection.UpstreamConnection) -> None:
         self.failed_connects = 0
         self._open.add(connection)
@@ -57,12 +69,6 @@
         self.failed_connects += 1
         user(None)
 
-    def _released(self, connection: http_connection.UpstreamConnection) -> None:
-        if len(self._idle) < MAX_IDLE_CONNECTIONS:
-            self._idle.append(connection)
-        else:
-            connection.transport.loseConnection()
-
     def _closed(self, connection: http_connection.UpstreamConnection) -> None:
         self._open.discard(connection)
         if connection in self._idle:
--- a/src/cyclamendale/upstream/contexts.py
+++ b/src/cyclamendale/upstream/contexts.py
@@ -32,6 +32,7 @@
         repeats: Digests of the onward calls made so far, to recognise
             an upstream's own retries.
         cancel_onward: Cancels each onward call in flight.
+        ended: Whether it runs no more, so that its token is invalid.
     """
 
     __slots__ = (
@@ -42,6 +43,7 @@
         "customer",
         "deadline_s",
         "depth",
+        "ended",
         "importance",
         "met",
         "onward_s",
@@ -76,6 +78,7 @@
         self.met: list[feedback.Feedback] = []
         self.repeats: set[int] = set()
         self.cancel_onward: set[Callable[[], None]] = set()
+        self.ended = False
         self._onward_calls = 0
         self._onward_since_s = 0.0
 
@@ -104,6 +107,7 @@
 
     def end(self, context: Context) -> None:
         """Makes a context's token invalid; repeats are harmless."""
+        context.ended = True
         self._live.pop(context.token, None)
 
     def find(self, token: str) -> Context | None:
--- a/src/cyclamendale/upstream/gate.py
+++ b/src/cyclamendale/upstream/gate.py
@@ -38,7 +38,7 @@
 
     Attributes:
         contexts: The requests that run on the upstream now.
-        running: Requests handed over and not ended.
+        running: Requests handed over whose answer is not yet sent whole.
     """
 
     def __init__(
@@ -136,7 +136,7 @@
         )
 
     def ended(self, handle: _GateExchange) -> None:
-        """Notes that a handed-over request ended."""
+        """Notes that nothing of a request is left at the gate."""
         self.running.discard(handle)
         self._check_drained()
 
@@ -184,10 +184,12 @@
         "_phase",
         "_pool",
         "_pull_waiting",
+        "_push_awaited",
         "_receiver",
         "_response_complete",
         "_ticket",
         "_timer",
+        "_upload_left",
     )
 
     def __init__(
@@ -211,6 +213,8 @@
         self._pull_waiting = False
         self._response_complete = False
         self._timer: clocks.DelayedCall | None = None
+        self._push_awaited = False
+        self._upload_left = envelope.body_bytes - len(envelope.body)
 
     # Arrival and hand-over.
 
@@ -257,17 +261,36 @@
     ) -> None:
         if self._phase is not _Phase.CONNECTING:
             if connection is not None:
-                connection.abort()
-            return
-        if connection is None:
-            self._finish(admissions.Completion.FAILED)
-            self._receiver.refused(
-                refusals.Refusal(refusals.RefusalReason.NO_TARGET),
-                self._gate.feedback,
-                self._envelope.budget,
+                self._return_unused(connection)
+        elif connection is None:
+            self._refuse_not_run(
+                refusals.RefusalReason.NO_TARGET, admissions.Completion.FAILED
             )
-            return
-        self._hand_over(connection)
+        elif self._envelope.deadline_s <= self._gate.clock.now_s():
+            self._return_unused(connection)
+            self._refuse_not_run(
+                refusals.RefusalReason.DEADLINE, admissions.Completion.CANCELLED
+            )
+        else:
+            self._hand_over(connection)
+
+    def _return_unused(
+        self, connection: http_connection.UpstreamConnection
+    ) -> None:
+        assert self._pool is not None
+        self._pool.release(connection)
+
+    def _refuse_not_run(
+        self,
+        reason: refusals.RefusalReason,
+        completion: admissions.Completion,
+    ) -> None:
+        self._finish(completion)
+        self._receiver.refused(
+            refusals.Refusal(reason),
+            self._gate.feedback,
+            self._envelope.budget,
+        )
 
     def _hand_over(
         self, connection: http_connection.UpstreamConnection
@@ -323,14 +346,14 @@
     def response_ended(self) -> None:
         """See base class."""
         self._response_complete = True
-        answering = self._phase
-        self._finish(admissions.Completion.ANSWERED)
-        if answering is _Phase.HANDED_OVER:
+        self._release(admissions.Completion.ANSWERED)
+        if self._phase is _Phase.HANDED_OVER:
+            self._phase = _Phase.ENDED
             self._answer(more=False)
-        else:
-            self._phase = _Phase.ANSWERING
-            if self._pull_waiting:
-                self._send_chunk()
+            self._close()
+        elif self._pull_waiting:
+            # The rest still waits to be pulled, until the deadline.
+            self._send_chunk()
 
     def response_failed(self) -> None:
         """See base class."""
@@ -371,9 +394,9 @@
         last = self._response_complete and not self._buffer
         unused = 0
         if last:
-            self._phase = _Phase.ENDED
             assert self._context is not None
             unused = self._context.budget.drain()
+            self._close()
         elif self._paused and len(self._buffer) < exchange.CHUNK_BYTES:
             self._paused = False
             if self._connection is not None:
@@ -395,32 +418,66 @@
         connection = self._connection
         if connection is None:
             return
+        if not self._accepts_push(data, last):
+            self._cut_upload()
+            return
         if self._envelope.body_bytes == exchange.UNKNOWN_LENGTH:
             data = _chunk_encoded(data, last)
         connection.send(data, last)
         if not last:
             connection.when_writable(self._writable)
 
-    def cancel(self) -> None:
+    def cancel(self) -> bool:
         """See base class."""
-        if self._phase is _Phase.WAITING:
+        phase = self._phase
+        if phase is _Phase.WAITING:
             assert self._admission is not None and self._ticket is not None
+            self._phase = _Phase.ENDED
             self._admission.withdraw(self._ticket)
-        elif self._phase is not _Phase.ENDED and not self._response_complete:
+        elif self._response_complete:
+            self._close()
+        elif phase is not _Phase.ENDED:
             self._abort_connection()
             self._finish(admissions.Completion.CANCELLED)
-        self._phase = _Phase.ENDED
+        return phase in (_Phase.WAITING, _Phase.CONNECTING)
 
     def _writable(self) -> None:
-        if self._phase is _Phase.HANDED_OVER:
+        if self._connection is not None:
+            self._push_awaited = True
             self._receiver.pushed()
 
-    # The end.
+    def _accepts_push(self, data: bytes, last: bool) -> bool:
+        """Returns whether a part was asked for and has its place.
 
-    def _deadline_passed(self) -> None:
+        A body of another length than announced would run into the next
+        request on the upstream's connection.
+        """
+        awaited, self._push_awaited = self._push_awaited, False
+        if self._envelope.body_bytes == exchange.UNKNOWN_LENGTH:
+            return awaited
+        self._upload_left -= len(data)
+        return awaited and (
+            self._upload_left == 0 if last else self._upload_left >= 0
+        )
+
+    def _cut_upload(self) -> None:
         answering = self._phase is _Phase.ANSWERING
         self._abort_connection()
         self._finish(admissions.Completion.CANCELLED)
+        if answering:
+            self._receiver.lost(sent=True)
+        else:
+            self._refuse_unknown(refusals.RefusalReason.LOST)
+
+    # The end.
+
+    def _deadline_passed(self) -> None:
+        answering = self._phase is _Phase.ANSWERING
+        if self._response_complete:
+            self._close()
+        else:
+            self._abort_connection()
+            self._finish(admissions.Completion.CANCELLED)
         if answering:
             self._receiver.lost(sent=True)
         else:
@@ -439,10 +496,13 @@
             self._connection.abort()
 
     def _finish(self, completion: admissions.Completion) -> None:
-        """Ends the context and gives the slot back."""
+        """Ends a request of whose answer nothing more is sent."""
         self._phase = _Phase.ENDED
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
+        self._release(completion)
+        self._close()
+
+    def _release(self, completion: admissions.Completion) -> None:
+        """Ends the context and gives the slot back."""
         self._connection = None
         own_time_s = 0.0
         assert self._ticket is not None and self._admission is not None
@@ -455,6 +515,13 @@
             total_s = self._gate.clock.now_s() - started_s
             own_time_s = max(0.0, total_s - self._context.onward_s)
         self._admission.finish(self._ticket, own_time_s, completion)
+
+    def _close(self) -> None:
+        """Ends the exchange once its answer was sent or abandoned."""
+        self._phase = _Phase.ENDED
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._buffer.clear()
         self._gate.ended(self)
 
 
--- a/src/cyclamendale/upstream/http_connection.py
+++ b/src/cyclamendale/upstream/http_connection.py
@@ -37,6 +37,7 @@
     }
 )
 _OWN_HEADER_PREFIX = b"x-cyclamendale-"
+_VERSIONS = frozenset({b"HTTP/1.0", b"HTTP/1.1"})
 
 
 class ResponseHead:
@@ -107,9 +108,18 @@
         self._chunked = False
         self._decoder: Any = None
         self._sending = False
+        self._read_paused = False
         self._write_paused = False
         self._on_writable: Callable[[], None] | None = None
 
+    @property
+    def is_reusable(self) -> bool:
+        """Returns whether an idle connection may carry a request.
+
+        Bytes that the upstream sent unasked would be taken for the answer.
+        """
+        return self._phase is _Phase.IDLE and not self._buffer
+
     def connectionMade(self) -> None:
         """Prepares for the first request."""
         self.transport.setTcpNoDelay(True)
@@ -174,11 +184,13 @@
 
     def pause(self) -> None:
         """Stops reading the response."""
+        self._read_paused = True
         self.transport.pauseProducing()
 
     def resume(self) -> None:
         """Reads the response again."""
         if self._phase is not _Phase.CLOSED:
+            self._read_paused = False
             self.transport.resumeProducing()
 
     def lineReceived(self, line: bytes) -> None:
@@ -189,7 +201,7 @@
             self._fail()
             return
         self._head_bytes += len(line)
-        if self._head_bytes > MAX_HEAD_BYTES:
+        if self._head_bytes > MAX_HEAD_BYTES or b"\n" in line or b"\r" in line:
             self._fail()
             return
         try:
@@ -205,6 +217,8 @@
         self, version: bytes, status: bytes, message: bytes
     ) -> None:
         """Notes the status."""
+        if version not in _VERSIONS or not _is_status(status):
+            raise ValueError(status)
         self._status = int(status)
         self._persistent = version == b"HTTP/1.1"
 
@@ -307,19 +321,33 @@
 
     def _response_ended(self) -> None:
         handler, self._handler = self._handler, None
-        reusable = self._persistent and not self._sending
-        self._phase = _Phase.IDLE if reusable else _Phase.CLOSED
         if handler is None:
             return
-        if reusable:
-            self.setLineMode()
-            self._on_idle(self)
+        # What follows a whole response belongs to no request.
+        if self._persistent and not self._sending and not self._buffer:
+            self._become_idle()
         else:
-            self.transport.loseConnection()
+            self._phase = _Phase.CLOSED
+            if self._sending or self._write_paused:
+                # What is still unsent would delay an ordinary close.
+                self.transport.abortConnection()
+            else:
+                self.transport.loseConnection()
         handler.response_ended()
 
+    def _become_idle(self) -> None:
+        self._phase = _Phase.IDLE
+        if self._read_paused:
+            self.resume()
+        self.setLineMode()
+        self._on_idle(self)
+
     def _fail(self) -> None:
         handler = self._handler
         self.abort()
         if handler is not None:
             handler.response_failed()
+
+
+def _is_status(status: bytes) -> bool:
+    return len(status) == 3 and status.isdigit() and status >= b"100"
--- a/tests/support/call_tree.py
+++ b/tests/support/call_tree.py
@@ -74,6 +74,25 @@
 
     def call(self, budget, parent=None, caller=None) -> TreeCaller:
         """Forwards one call; returns what its caller heard."""
+        caller = self.make_call(budget, parent, caller)
+        self.forwarder.forward(caller.call, caller)
+        return caller
+
+    def make_context(self, budget):
+        """Returns the context of a request that runs."""
+        return contexts.Context(
+            ids.RequestId("parent"),
+            ids.CustomerId("masons"),
+            self.route.name,
+            self.route.importance,
+            60.0,
+            0,
+            0,
+            budget,
+        )
+
+    def make_call(self, budget, parent=None, caller=None) -> TreeCaller:
+        """Returns the caller of a call that is not yet forwarded."""
         caller = caller or TreeCaller()
         call = calls.Call(
             b"GET",
@@ -91,7 +110,6 @@
         call.request = ids.RequestId(f"call-{self.calls}")
         self.calls += 1
         caller.call = call
-        self.forwarder.forward(call, caller)
         return caller
 
     def root(self, budget: int) -> TreeCaller:
@@ -129,6 +147,10 @@
     def next_upload(self):
         self._hear("upload")
 
+    def last(self):
+        """Returns reason and execution of the refusal heard last."""
+        return self.heard[-1].reason, self.heard[-1].execution
+
     def _hear(self, what):
         self.heard.append(what)
         self._ended()
@@ -211,6 +233,7 @@
 
     def cancel(self):
         self._outcome = "silence"
+        return False
 
 
 def random_outcomes(seed: int, healthy_share: float):
--- /dev/null
+++ b/tests/support/gate_bench.py
@@ -0,0 +1,118 @@
+"""One gate on a virtual clock, its upstream played by hand."""
+
+from __future__ import annotations
+
+import random
+
+from twisted.internet import error
+from twisted.internet import testing
+from twisted.python import failure
+
+from cyclamendale import clocks
+from cyclamendale import ids
+from cyclamendale.forwarding import exchange
+from cyclamendale.intents import model
+from cyclamendale.membership import directory
+from cyclamendale.overload import shed_key as shed_keys
+from cyclamendale.upstream import gate as gates
+from tests.support import path_node
+
+CLOSED = failure.Failure(error.ConnectionDone())
+
+
+class StringTransport(testing.StringTransport):
+    """Transport that keeps what is written to it."""
+
+    def setTcpNoDelay(self, enabled):
+        """Has no delay."""
+
+
+class HeardReceiver(exchange.Receiver):
+    """Keeps what the gate says, in order."""
+
+    def __init__(self):
+        self.heard = []
+
+    def answered(self, answer):
+        self.heard.append(("answered", answer.status, answer.body))
+        self.answer = answer
+
+    def refused(self, refusal, answer_feedback, unused_budget):
+        self.heard.append(
+            ("refused", refusal.reason.value, refusal.execution.value)
+        )
+
+    def chunk(self, data, last, unused_budget):
+        self.heard.append(("chunk", data, last))
+
+    def pushed(self):
+        self.heard.append(("pushed",))
+
+    def lost(self, sent):
+        self.heard.append(("lost", sent))
+
+
+class GateBench:
+    """A gate whose upstream connections are string transports."""
+
+    def __init__(self):
+        self.reactor = testing.MemoryReactorClock()
+        self.clock = clocks.ReactorClock(self.reactor)
+        self.admission = path_node.OpenAdmission()
+        self.gate = gates.Gate(
+            self.reactor,
+            self.clock,
+            random.Random(1),
+            lambda announced: self.admission,
+            lambda own, context: own,
+        )
+        self.gate.set_upstream(
+            directory.Announcement(
+                ids.ServiceName("shop"),
+                "127.0.0.1:9",
+                10,
+                100,
+                directory.UpstreamState.READY,
+            )
+        )
+
+    def envelope(self, **fields):
+        """Returns a request; `fields` replace its attributes."""
+        envelope = exchange.Envelope(
+            ids.RequestId("r1"),
+            ids.CustomerId("masons"),
+            ids.RouteName("shop"),
+            model.Importance.NORMAL,
+            shed_keys.ShedKey(7),
+            0,
+            3,
+            self.clock.now_s() + 5.0,
+            b"GET /shop HTTP/1.1\r\nHost: x\r\n",
+            b"",
+            False,
+            0,
+        )
+        for name, value in fields.items():
+            setattr(envelope, name, value)
+        return envelope
+
+    def open(self, **fields):
+        """Sends a request to the gate; returns receiver and handle."""
+        receiver = HeardReceiver()
+        return receiver, self.gate.open(self.envelope(**fields), receiver)
+
+    def connect(self):
+        """Accepts the connection that the gate opened last."""
+        connection = self.reactor.tcpClients[-1][2].buildProtocol(None)
+        connection.makeConnection(StringTransport())
+        return connection
+
+    def refuse_connect(self):
+        """Refuses the connection that the gate opened last."""
+        self.reactor.tcpClients[-1][2].clientConnectionFailed(
+            None, failure.Failure(error.ConnectionRefusedError())
+        )
+
+    def is_idle(self):
+        """Returns whether nothing of any request is left."""
+        return not (self.gate.running or self.gate.contexts._live)
--- a/tests/support/path_node.py
+++ b/tests/support/path_node.py
@@ -62,6 +62,7 @@
     def __init__(self):
         self.finished = []
         self.closed = False
+        self.on_finish = lambda: None
 
     def submit(self, ticket):
         ticket.started_s = 0.0
@@ -69,6 +70,8 @@
 
     def finish(self, ticket, own_time_s, completion):
         self.finished.append(completion)
+        notify, self.on_finish = self.on_finish, lambda: None
+        notify()
 
     def withdraw(self, ticket):
         return False
