End calls truthfully from the caller's side

An upload was never retried, even when refused as not run before any of it was asked for; one over its limit could not be stopped; a call that a filter held beyond its deadline, or beyond the end of its parent, was sent nevertheless; a caller that went away could not be told apart from a call that ran, and a deadline always counted as may-have-run.

A forwarding is ended from this side in one place, and says not run only when no attempt may have run.

--- a/src/cyclamendale/entry/call.py
+++ b/src/cyclamendale/entry/call.py
@@ -48,7 +48,8 @@
             `exchange.UNKNOWN_LENGTH`.
         ended: Whether the caller was answered, refused or is gone.
         caller: Who waits for the answer.
-        on_cancel: Set by the forwarder; cancels the work in flight.
+        on_cancel: Set by the forwarder; cancels the work in flight and
+            returns whether the call certainly did not run.
         on_ended: Set by a filter that must know the outcome; called with
             the refusal, or with None after an answer.
     """
@@ -109,7 +110,7 @@
         self.shed_key = shed_keys.MAX_SHED_KEY
         self.budget: retry_budget.RetryBudget | None = None
         self.ended = False
-        self.on_cancel: Callable[[], None] | None = None
+        self.on_cancel: Callable[[], bool] | None = None
         self.on_ended: Callable[[refusals.Refusal | None], None] | None = None
 
     def header(self, name: bytes) -> bytes | None:
--- a/src/cyclamendale/forwarding/forwarder.py
+++ b/src/cyclamendale/forwarding/forwarder.py
@@ -99,6 +99,7 @@
         "_maybe_run",
         "_route",
         "_shared",
+        "_upload_begun",
         "_winner",
     )
 
@@ -114,6 +115,7 @@
         self._excluded: set[ids.NodeId] = set()
         self._winner: _Attempt | None = None
         self._maybe_run = False
+        self._upload_begun = False
         self._deadline_timer: clocks.DelayedCall | None = None
         self._hedge_timer: clocks.DelayedCall | None = None
 
@@ -121,6 +123,12 @@
         """Sends the first attempt."""
         call = self._call
         clock = self._shared.clock
+        reason = self._useless_because()
+        if reason is not None:
+            # A filter took long: nobody waits for the answer any more.
+            call.ended = True
+            self._caller.refuse(refusals.Refusal(reason))
+            return
         call.on_cancel = self.cancel
         if call.parent is not None:
             call.parent.onward_began(clock.now_s())
@@ -146,11 +154,35 @@
             if attempt.exchange is not None:
                 attempt.exchange.push(data, last)
 
-    def cancel(self) -> None:
-        """Abandons the call: the caller is gone."""
+    def cancel(self, timed_out: bool = False) -> bool:
+        """Abandons the call: the caller is gone.
+
+        Args:
+            timed_out: Whether the targets are to blame.
+
+        Returns:
+            Whether the call certainly was not and will not be run.
+        """
         self._end()
         for attempt in self._take_attempts():
-            attempt.cancel()
+            if not attempt.cancel(timed_out):
+                self._maybe_run = True
+        return not self._maybe_run
+
+    def fail(self, refusal: refusals.Refusal, timed_out: bool = False) -> None:
+        """Ends the call from this side.
+
+        Args:
+            refusal: What the caller is told, unless an answer has begun;
+                whether the call ran is added.
+            timed_out: Whether the targets are to blame.
+        """
+        if self._winner is not None:
+            self._winner.cancel()
+            self.broken(self._winner)
+            return
+        self.cancel(timed_out)
+        self._refuse(refusal)
 
     # What attempts report.
 
@@ -206,7 +238,8 @@
 
     def pushed(self, attempt: _Attempt) -> None:
         """Asks the caller for the next part of the request's body."""
-        if self._winner is None and not self._call.ended:
+        if self._winner in (None, attempt) and not self._call.ended:
+            self._upload_begun = True
             self._caller.next_upload()
 
     def broken(self, attempt: _Attempt) -> None:
@@ -276,7 +309,7 @@
         """
         call = self._call
         assert call.budget is not None
-        if call.more or call.deadline_s <= self._shared.clock.now_s():
+        if self._upload_begun or call.deadline_s <= self._shared.clock.now_s():
             return False
         if call.budget.remaining <= 0 or not is_allowed():
             return False
@@ -306,29 +339,19 @@
 
     def _deadline_passed(self) -> None:
         self._deadline_timer = None
-        if self._winner is not None:
-            self._winner.cancel()
-            self.broken(self._winner)
-            return
-        attempts = self._take_attempts()
-        self._maybe_run = self._maybe_run or any(
-            attempt.may_have_run for attempt in attempts
-        )
-        for attempt in attempts:
-            attempt.cancel(timed_out=True)
-        self._refuse(refusals.Refusal(refusals.RefusalReason.DEADLINE))
+        self.fail(refusals.Refusal(refusals.RefusalReason.DEADLINE), True)
 
     def _cancel_and_refuse(self) -> None:
         """Ends an onward call whose parent request was cancelled."""
-        if self._winner is not None:
-            self._winner.cancel()
-            self.broken(self._winner)
-            return
-        attempts = self._take_attempts()
-        self._maybe_run = self._maybe_run or bool(attempts)
-        for attempt in attempts:
-            attempt.cancel()
-        self._refuse(refusals.Refusal(refusals.RefusalReason.CANCELLED))
+        self.fail(refusals.Refusal(refusals.RefusalReason.CANCELLED))
+
+    def _useless_because(self) -> refusals.RefusalReason | None:
+        call = self._call
+        if call.parent is not None and call.parent.ended:
+            return refusals.RefusalReason.CANCELLED
+        if call.deadline_s <= self._shared.clock.now_s():
+            return refusals.RefusalReason.DEADLINE
+        return None
 
     def _end(self) -> None:
         call = self._call
@@ -394,7 +417,6 @@
         "_forwarding",
         "exchange",
         "lent",
-        "may_have_run",
         "started_s",
         "target",
     )
@@ -413,21 +435,27 @@
         self.lent = lent
         self.started_s = started_s
         self.exchange: exchange.Exchange | None = None
-        self.may_have_run = True
 
-    def cancel(self, timed_out: bool = False) -> None:
-        """Abandons the attempt; what it borrowed stays with it.
+    def cancel(self, timed_out: bool = False) -> bool:
+        """Abandons the attempt.
+
+        What it borrowed stays with it, unless it certainly did not run.
 
         Args:
             timed_out: Whether the target is to blame.
+
+        Returns:
+            Whether the request certainly was not and will not be run.
         """
         if self._done:
-            return
+            return False
         self._done = True
-        if self.exchange is not None:
-            self.exchange.cancel()
+        not_run = self.exchange is not None and self.exchange.cancel()
         if not self._answered:
-            self._forwarding.attempt_ended(self, 0, not timed_out, None)
+            self._forwarding.attempt_ended(
+                self, self.lent if not_run else 0, not timed_out, None
+            )
+        return not_run
 
     def answered(self, answer: exchange.Answer) -> None:
         """See base class."""
@@ -453,10 +481,9 @@
         if self._done:
             return
         self._done = True
-        self.may_have_run = refusal.execution is refusals.Execution.UNKNOWN
         # A target that sheds or drains works as it should.
         is_sound = (
-            not self.may_have_run
+            refusal.execution is refusals.Execution.NOT_RUN
             and refusal.reason is not refusals.RefusalReason.NO_TARGET
         )
         self._forwarding.attempt_ended(
@@ -486,7 +513,6 @@
         if self._answered:
             self._forwarding.broken(self)
             return
-        self.may_have_run = sent
         unused_budget = 0 if sent else self.lent
         self._forwarding.attempt_ended(self, unused_budget, False, None)
         reason = (
--- /dev/null
+++ b/tests/test_forwarding_contract.py
@@ -0,0 +1,184 @@
+"""Contract of a forwarding with its attempts and its caller."""
+
+from __future__ import annotations
+
+import testscenarios
+import testtools
+
+from cyclamendale import refusals
+from cyclamendale.entry import retry_budget
+from cyclamendale.forwarding import exchange
+from cyclamendale.overload import feedback
+from tests.support import call_tree
+
+REASONS = refusals.RefusalReason
+NOT_RUN = refusals.Execution.NOT_RUN
+UNKNOWN = refusals.Execution.UNKNOWN
+
+
+class HeldExchange(exchange.Exchange):
+    """An attempt that a test answers by hand."""
+
+    def __init__(self, envelope, receiver, never_sent):
+        self.envelope = envelope
+        self.receiver = receiver
+        self.never_sent = never_sent
+        self.cancelled = False
+        self.pushes = []
+
+    def pull(self):
+        pass
+
+    def push(self, data, last):
+        self.pushes.append((data, last))
+
+    def cancel(self):
+        self.cancelled = True
+        return self.never_sent
+
+    def answer(self, status=200, more=False, unused=0):
+        self.receiver.answered(
+            exchange.Answer(
+                status, b"", b"", more, -1, unused, feedback.Feedback()
+            )
+        )
+
+    def refuse(self, reason=REASONS.LEAVING, execution=NOT_RUN):
+        self.receiver.refused(
+            refusals.Refusal(reason, execution), None, self.envelope.budget
+        )
+
+
+class ForwardingTest(testtools.TestCase):
+    def start(self, more=False, never_sent=False, hedge_s=None, **fields):
+        self.tree = call_tree.Tree(lambda: "answer", **fields)
+        self.tree.policy.hedge_after_s = hedge_s
+        self.attempts = []
+
+        def open_(envelope, receiver):
+            held = HeldExchange(envelope, receiver, never_sent)
+            self.attempts.append(held)
+            return held
+
+        self.tree.forwarder.transport_for = lambda target: type(
+            "Transport", (), {"open": staticmethod(open_)}
+        )
+        self.budget = retry_budget.RetryBudget(3)
+        self.caller = self.tree.make_call(self.budget)
+        self.caller.call.more = more
+        self.forwarding = self.tree.forwarder.forward(
+            self.caller.call, self.caller
+        )
+
+    def refusal(self):
+        """Returns the one thing that the caller heard."""
+        (refusal,) = self.caller.heard
+        return refusal.reason, refusal.execution
+
+    def test_an_upload_not_yet_asked_for_is_retried_when_not_run(self):
+        self.start(more=True, idempotent=False)
+        self.attempts[0].refuse()
+        self.assertEqual(2, len(self.attempts))
+        self.assertEqual([], self.caller.heard)
+
+    def test_an_upload_that_was_begun_is_never_sent_again(self):
+        self.start(more=True)
+        self.attempts[0].receiver.pushed()
+        self.attempts[0].refuse()
+        self.assertEqual(1, len(self.attempts))
+        self.assertEqual((REASONS.LEAVING, NOT_RUN), self.caller.last())
+
+    def test_an_upload_goes_on_while_its_answer_comes(self):
+        self.start(more=True)
+        self.attempts[0].receiver.pushed()
+        self.attempts[0].answer(more=True)
+        self.attempts[0].receiver.pushed()
+        self.assertEqual(2, self.caller.heard.count("upload"))
+        self.forwarding.push(b"rest", True)
+        self.assertEqual([(b"rest", True)], self.attempts[0].pushes)
+
+    def test_a_call_past_its_deadline_is_not_sent(self):
+        self.start(deadline_s=0.0)
+        self.assertEqual([], self.attempts)
+        self.assertEqual((REASONS.DEADLINE, NOT_RUN), self.refusal())
+
+    def test_a_call_whose_parent_ended_is_not_sent(self):
+        self.start()
+        parent = self.tree.make_context(self.budget)
+        parent.ended = True
+        caller = self.tree.make_call(self.budget, parent)
+        self.tree.forwarder.forward(caller.call, caller)
+        self.assertEqual(1, len(self.attempts))
+        self.assertEqual((REASONS.CANCELLED, NOT_RUN), caller.last())
+
+    def test_the_deadline_cuts_a_streamed_answer(self):
+        self.start(deadline_s=2.0)
+        self.attempts[0].answer(more=True)
+        self.tree.reactor.advance(2.1)
+        self.assertTrue(self.attempts[0].cancelled)
+        self.assertEqual("abort", self.caller.heard[-1])
+
+    def test_of_two_answers_to_a_hedge_only_the_first_is_passed_on(self):
+        self.start(hedge_s=1.0, hedge=True)
+        self.tree.reactor.advance(1.0)
+        self.attempts[1].answer(unused=1)
+        self.attempts[0].answer(unused=1)
+        self.assertTrue(self.attempts[0].cancelled)
+        self.assertEqual(1, len(self.caller.heard))
+        # The loser keeps its loan of 2, the hedge cost 1.
+        self.assertEqual(0, self.budget.remaining)
+
+    def test_nothing_is_retried_after_the_answer_began(self):
+        self.start()
+        self.attempts[0].answer(status=503, more=True)
+        self.attempts[0].receiver.lost(sent=True)
+        self.assertEqual(1, len(self.attempts))
+        self.assertEqual("abort", self.caller.heard[-1])
+
+    def test_an_attempt_has_one_outcome(self):
+        self.start(idempotent=False)
+        self.attempts[0].receiver.lost(sent=True)
+        self.attempts[0].refuse()
+        self.attempts[0].answer()
+        self.assertEqual((REASONS.LOST, UNKNOWN), self.refusal())
+
+    def test_an_upload_over_its_limit_cancels_the_attempt(self):
+        self.start(more=True)
+        self.attempts[0].receiver.pushed()
+        self.forwarding.fail(refusals.Refusal(REASONS.TOO_LARGE))
+        self.assertTrue(self.attempts[0].cancelled)
+        self.assertEqual((REASONS.TOO_LARGE, UNKNOWN), self.caller.last())
+
+
+class NotRunTest(testscenarios.TestWithScenarios, testtools.TestCase):
+    """What ends a call says "not run" only when no attempt may have run."""
+
+    scenarios = testscenarios.multiply_scenarios(
+        [
+            ("gone", {"end": lambda self: self.forwarding.cancel()}),
+            (
+                "deadline",
+                {"end": lambda self: self.tree.reactor.advance(9.0)},
+            ),
+        ],
+        [
+            ("never-sent", {"never_sent": True, "first": None, "want": True}),
+            ("sent", {"never_sent": False, "first": None, "want": False}),
+            (
+                "retried",
+                {"never_sent": True, "first": "lost", "want": False},
+            ),
+        ],
+    )
+
+    start = ForwardingTest.start
+
+    def test_it_is_true(self):
+        self.start(never_sent=self.never_sent, deadline_s=8.0)
+        if self.first:
+            self.attempts[0].receiver.lost(sent=True)
+            self.assertEqual(2, len(self.attempts))
+        not_run = self.end(self)
+        if not_run is None:
+            not_run = self.caller.last()[1] is NOT_RUN
+        self.assertEqual(self.want, not_run)
