Give bad input at the entry a typed end, and its rest a bounded one

Within an upload whose answer had begun, the 400 was written into the answer. - A chunked upload without length was not bounded by max_body_bytes. - Uploads could outgrow their bound when twisted resumed reading. - Bearer credentials behind others, or after a tab, reached the upstream. - Another spelling of a path (%73, //) matched a route open to all while the upstream may read it as a keyed one. Routes match the plain path. - A sender of single bytes was bounded by its idle time only; a reader that takes nothing by nothing. - An idle time-out cut long uploads that paused; a graceful stop cut requests that still arrived. - Closing under an upload reset the connection and could destroy the refusal: the rest is read and dropped for a bounded time. - A refused upload was still told to continue. - Streamed answers were noted as 200 whatever their status, and those of callers that went away not at all; a wrong length went unnoticed.

Now the claim is deleted exactly when no attempt may have run.

--- /dev/null
+++ b/measure/_body_content.py
@@ -0,0 +1,24 @@
+"""Content of the long bodies: the same bytes wherever it is made."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import hashlib
+
+BLOCK_BYTES = 64 * 1024
+
+
+def blocks(body_bytes: int) -> Iterator[bytes]:
+    """Yields a body of the given length, block by block, all different."""
+    for start in range(0, body_bytes, BLOCK_BYTES):
+        digest = hashlib.sha256(start.to_bytes(8, "big")).digest()
+        block = digest * (BLOCK_BYTES // len(digest))
+        yield block[: body_bytes - start]
+
+
+def digest_of(body_bytes: int) -> str:
+    """Returns the SHA-256 of a body of the given length."""
+    digest = hashlib.sha256()
+    for block in blocks(body_bytes):
+        digest.update(block)
+    return digest.hexdigest()
--- /dev/null
+++ b/measure/body_memory.py
@@ -0,0 +1,174 @@
+"""Memory of the nodes while long bodies pass through them.
+
+Client, two nodes and an upstream run as separate processes on loopback;
+the caller's node and the upstream's node are different. Growth is a
+node's peak resident memory during the transfers less its resident memory
+before. Exits non-zero when a body did not arrive whole or a node grew
+more than the target.
+"""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+from examples import fleet as fleets
+from measure import _report
+
+BODY_BYTES = 200 * 1000 * 1000
+TARGET_GROWTH_MB = 16.0
+CASES = ("answer", "upload", "slow-reader")
+AT_ONCE = (1, 4)
+LAYOUT = (("north", None, None), ("north", None, None))
+KEY = "masons-key"
+ROUTE = (
+    'kind = "route"\nname = "price"\nservice = "price"\n'
+    'path_prefix = "/price"\ndeadline_s = 120\n'
+)
+KB_PER_MB = 1000
+RESET_PEAK = "5"
+
+
+class NodeMemory:
+    """Resident memory of one node, by its process."""
+
+    def __init__(self, pid: int) -> None:
+        self._folder = pathlib.Path(f"/proc/{pid}")
+        self._before_kb = 0
+
+    def start(self) -> None:
+        """Starts a new peak."""
+        (self._folder / "clear_refs").write_text(RESET_PEAK)
+        self._before_kb = self._read_kb("VmRSS")
+
+    def growth_mb(self) -> float:
+        """Returns by how much the peak lies above the start."""
+        return (self._read_kb("VmHWM") - self._before_kb) / KB_PER_MB
+
+    def resident_mb(self) -> float:
+        """Returns the memory in use."""
+        return self._read_kb("VmRSS") / KB_PER_MB
+
+    def _read_kb(self, name: str) -> int:
+        for line in (self._folder / "status").read_text().splitlines():
+            field, _, value = line.partition(":")
+            if field == name:
+                return int(value.split()[0])
+        raise KeyError(name)
+
+
+class Rig:
+    """Two nodes; the second one's host has the upstream."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._folder = folder
+        self._fleet = fleets.Fleet(folder, LAYOUT)
+        self._upstream: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Starts everything and waits until bodies pass."""
+        self._fleet.start()
+        intents = self._folder / "intents"
+        intents.mkdir()
+        for path in fleets.QUICKSTART.glob("*.toml"):
+            (intents / path.name).write_bytes(path.read_bytes())
+        (intents / "30-route-price.toml").write_text(ROUTE)
+        self._fleet.command(
+            "put", str(intents), f"--platform={self._fleet.platform_url}"
+        )
+        control = self._fleet.hosts[1].control
+        self._upstream = subprocess.Popen(
+            [sys.executable, "-m", "measure._body_upstream", "price", control]
+        )
+        fleets.wait_until(
+            "served",
+            lambda: (
+                fleets.get(self._fleet.hosts[0].http, "/price/0", KEY).status
+                == 200
+            ),
+            20,
+        )
+
+    def stop(self) -> None:
+        """Ends all processes."""
+        if self._upstream is not None:
+            self._upstream.kill()
+            self._upstream.wait()
+        self._fleet.kill()
+
+    def run(self, case: str, at_once: int) -> dict[str, object]:
+        """Moves bodies of one kind; returns a row of the report."""
+        nodes = {
+            name: NodeMemory(host.node.pid)
+            for name, host in zip(
+                ("caller's", "upstream's"), self._fleet.hosts, strict=True
+            )
+            if host.node is not None
+        }
+        for memory in nodes.values():
+            memory.start()
+        moved = self._move(case, at_once)
+        row: dict[str, object] = {
+            "case": case,
+            "at once": at_once,
+            "MB each": BODY_BYTES / 1e6,
+            "whole": sum(done["whole"] for done in moved),
+            "s": max(done["s"] for done in moved),
+        }
+        for name, memory in nodes.items():
+            row[f"{name} node grew MB"] = memory.growth_mb()
+            row[f"{name} node now MB"] = memory.resident_mb()
+        limit_mb = TARGET_GROWTH_MB * at_once
+        row["met"] = row["whole"] == at_once and all(
+            memory.growth_mb() <= limit_mb for memory in nodes.values()
+        )
+        return row
+
+    def _move(self, case: str, at_once: int) -> list[dict]:
+        address = self._fleet.hosts[0].http
+        clients = [
+            subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "measure._body_client",
+                    address,
+                    KEY,
+                    case,
+                    str(BODY_BYTES),
+                ],
+                stdout=subprocess.PIPE,
+            )
+            for _ in range(at_once)
+        ]
+        return [
+            json.loads(client.communicate()[0] or '{"whole": false, "s": 0}')
+            for client in clients
+        ]
+
+
+def main() -> int:
+    """Runs all cases; returns the exit code."""
+    with tempfile.TemporaryDirectory() as folder:
+        rig = Rig(pathlib.Path(folder))
+        try:
+            rig.start()
+            rows = [
+                rig.run(case, at_once) for at_once in AT_ONCE for case in CASES
+            ]
+        finally:
+            rig.stop()
+    _report.print_report(
+        "body_memory",
+        rows,
+        f"Target: whole, and no node grows by more than "
+        f"{TARGET_GROWTH_MB:.0f} MB for each body.",
+    )
+    return 0 if all(row["met"] for row in rows) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/cyclamendale/entry/http_entry.py
+++ b/src/cyclamendale/entry/http_entry.py
@@ -20,6 +20,7 @@
 from cyclamendale.configuration import source
 from cyclamendale.entry import call as calls
 from cyclamendale.filters import base
+from cyclamendale.filters import match_route
 from cyclamendale.forwarding import exchange
 from cyclamendale.forwarding import forwarder
 
@@ -27,6 +28,13 @@
 HEAD_TIMEOUT_S = 10.0
 """Longest time for a caller to send a request's head."""
 
+LINGER_S = 2.0
+"""How long the rest of a refused upload is read and dropped.
+
+Closing at once would reset the connection and could destroy the refusal
+before the caller has read it.
+"""
+
 _HOP_HEADERS = frozenset(
     {
         b"Connection",
@@ -107,7 +115,10 @@
 
     def check_drained(self) -> None:
         """Reports a drained entry to whoever waits for it."""
-        if not self.active:
+        if not self._drained or self.active:
+            return
+        # A request that still arrives is not cut either.
+        if not any(channel.requests for channel in self.channels):
             drained, self._drained = self._drained, []
             for notify in drained:
                 notify()
@@ -134,41 +145,122 @@
         self.timeOut = entry.idle_timeout_s  # type: ignore[assignment]
         self.requestFactory = EntryRequest  # type: ignore[assignment]
         self.is_http_1_1 = True
-        self._head_timer: clocks.DelayedCall | None = None
+        self._arrival_timer: clocks.DelayedCall | None = None
+        self._lingering = False
 
     def connectionMade(self) -> None:
         """Notes the connection."""
         super().connectionMade()
         self.entry.channels.add(self)
 
-    def lineReceived(self, line: bytes) -> None:
-        """Bounds the time that a request's head may take."""
-        if self._head_timer is None and not self._handlingRequest:
-            self._head_timer = self.entry.clock.call_later(
-                self.entry.head_timeout_s, self._head_too_slow
-            )
-        super().lineReceived(line)
+    def dataReceived(self, data: bytes) -> None:
+        """Bounds the time that a request may take to arrive.
+
+        One that arrives in one piece, as most do, costs no timer.
+        """
+        if self._lingering:
+            return
+        super().dataReceived(data)
+        if not self._handlingRequest and self._arrival_timer is None:
+            self._watch_arrival()
+
+    def headerReceived(self, line: bytes) -> bool:
+        """Refuses what twisted fails to parse, such as a huge number."""
+        try:
+            return super().headerReceived(line)
+        except ValueError:
+            self._respondToBadRequestAndDisconnect()
+            return False
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        """Refuses an oversized line."""
+        self._respondToBadRequestAndDisconnect()
+
+    def allContentReceived(self) -> None:
+        """Ends a request unless it was already answered and left."""
+        if not self._lingering:
+            super().allContentReceived()
+
+    def requestDone(self, request: EntryRequest) -> None:
+        """Goes on to the next request, or closes the connection."""
+        if not self.persistent and not self._handlingRequest:
+            self.requests.remove(request)
+            self._linger(request.answer_begun)
+        else:
+            super().requestDone(request)
+            if not self.persistent:
+                # A caller may never read the answer.
+                self.setTimeout(self.entry.idle_timeout_s)
+        self.entry.check_drained()
+
+    def timeoutConnection(self) -> None:
+        """Closes an idle connection; deadlines bound the busy ones."""
+        if any(request.has_begun for request in self.requests):
+            self.setTimeout(self.entry.idle_timeout_s)
+        else:
+            super().timeoutConnection()
+
+    def _respondToBadRequestAndDisconnect(self) -> None:
+        """Refuses a malformed request like any other, typed."""
+        if self._lingering:
+            return
+        if not self.requests:
+            self.requests.append(EntryRequest(self))
+        self.requests[-1].malformed()
+
+    def _send100Continue(self) -> None:
+        """Asks for a body, unless the request was refused already."""
+        if self.requests:
+            super()._send100Continue()
+
+    def _linger(self, answer_begun: bool) -> None:
+        """Closes this side; drops what the caller still sends."""
+        self._lingering = True
+        self._buffer = b""
+        self._stop_arrival_timer()
+        self._networkProducer.unregisterProducer()
+        self.transport.resumeProducing()
+        self.transport.loseWriteConnection()
+        self._arrival_timer = self.entry.clock.call_later(
+            # A long answer may still be on its way to a slow reader.
+            self.entry.idle_timeout_s if answer_begun else LINGER_S,
+            self.transport.abortConnection,
+        )
 
     def allHeadersReceived(self) -> None:
         """Notes the end of the head."""
-        self._stop_head_timer()
+        self._stop_arrival_timer()
         self.is_http_1_1 = self._version == b"HTTP/1.1"
         super().allHeadersReceived()
 
     def connectionLost(self, reason: failure.Failure) -> None:  # type: ignore[override]
         """Tells the requests in progress that their caller is gone."""
-        self._stop_head_timer()
+        self._stop_arrival_timer()
         self.entry.channels.discard(self)
         super().connectionLost(reason)
+        self.entry.check_drained()
+
+    def _watch_arrival(self) -> None:
+        if self.line_mode:
+            if not self._buffer and not self._receivedHeaderSize:
+                return
+            timeout_s = self.entry.head_timeout_s
+        elif self.requests and not self.requests[-1].has_begun:
+            timeout_s = self.entry.idle_timeout_s
+        else:
+            return
+        self._arrival_timer = self.entry.clock.call_later(
+            timeout_s, self._arrives_too_slowly
+        )
 
-    def _stop_head_timer(self) -> None:
-        timer, self._head_timer = self._head_timer, None
+    def _stop_arrival_timer(self) -> None:
+        timer, self._arrival_timer = self._arrival_timer, None
         if timer is not None and timer.active():
             timer.cancel()
 
-    def _head_too_slow(self) -> None:
-        self._head_timer = None
-        self.transport.abortConnection()
+    def _arrives_too_slowly(self) -> None:
+        self._arrival_timer = None
+        self._respondToBadRequestAndDisconnect()
 
 
 class EntryRequest(http.Request, forwarder.Caller):
@@ -183,16 +275,25 @@
         self._forwarding: forwarder.Forwarding | None = None
         self._received = bytearray()
         self._body_bytes = 0
+        self._uploaded_bytes = 0
         self._body_complete = False
         self._upload_wanted = False
         self._reading_paused = False
+        self._filter_timer: clocks.DelayedCall | None = None
+        self._status = 0
+        self._answer_left = exchange.UNKNOWN_LENGTH
         self._answer_chunked = False
         self._bodyless = False
         self._writing_paused = False
         self._chunk_wanted = False
-        self._answer_begun = False
+        self.answer_begun = False
         self._over = False
 
+    @property
+    def has_begun(self) -> bool:
+        """Returns whether the request entered the filter chain."""
+        return self._call is not None
+
     # The request arrives.
 
     def parseCookies(self) -> None:
@@ -209,13 +310,16 @@
         if self._over:
             return
         self._received += data
+        if self._call is None:
+            return
+        if self._body_bytes == exchange.UNKNOWN_LENGTH:
+            self._uploaded_bytes += len(data)
+            if self._check_upload(self._call):
+                return
         if self._upload_wanted:
             self._send_upload()
-        elif (
-            self._call is not None
-            and len(self._received) >= exchange.CHUNK_BYTES
-            and not self._reading_paused
-        ):
+        elif len(self._received) >= exchange.CHUNK_BYTES:
+            # Twisted may have resumed reading for reasons of its own.
             self._reading_paused = True
             self.channel.transport.pauseProducing()
 
@@ -235,19 +339,63 @@
         """Cancels the work for a caller that is gone."""
         call = self._call
         if call is not None and not self._over:
-            self._end(None)
-            if call.on_cancel is not None:
-                call.on_cancel()
+            not_run = call.on_cancel is None or call.on_cancel()
             call.ended = True
+            self._end(
+                refusals.Refusal(
+                    refusals.RefusalReason.CANCELLED,
+                    refusals.Execution.NOT_RUN
+                    if not_run
+                    else refusals.Execution.UNKNOWN,
+                )
+            )
         super().connectionLost(reason)
 
+    def malformed(self) -> None:
+        """Refuses a request that is malformed, maybe halfway."""
+        if self._call is None:
+            self._call = self._make_call(b"", b"", b"", False)
+        self._fail(refusals.Refusal(refusals.RefusalReason.BAD_REQUEST))
+
+    def _check_upload(self, call: calls.Call) -> bool:
+        """Stops an upload that grew over its route's limit."""
+        route = call.route
+        if route is None or self._uploaded_bytes <= route.max_body_bytes:
+            return False
+        self._fail(match_route.too_large(call, route))
+        return True
+
+    def _fail(self, refusal: refusals.Refusal) -> None:
+        """Ends the request for a fault of its caller."""
+        if self._over:
+            self.channel.transport.abortConnection()
+        elif self._forwarding is not None:
+            self._forwarding.fail(refusal)
+        else:
+            self.refuse(refusal)
+
     def _begin(self, method: bytes, path: bytes) -> None:
         entry = self._entry
         body, more = bytes(self._received), not self._body_complete
         self._received.clear()
         if not more:
             self._body_bytes = len(body)
-        call = calls.Call(
+        call = self._make_call(method, path, body, more)
+        self._call = call
+        self._bodyless = method == b"HEAD"
+        entry.active.add(self)
+        assert entry.chain is not None
+        entry.chain.run(call)
+        if self._forwarding is None and not self._over and call.deadline_s:
+            self._filter_timer = entry.clock.call_later(
+                call.deadline_s - entry.clock.now_s(), self._filter_too_slow
+            )
+
+    def _make_call(
+        self, method: bytes, path: bytes, body: bytes, more: bool
+    ) -> calls.Call:
+        entry = self._entry
+        return calls.Call(
             method,
             path,
             self._passed_headers(),
@@ -258,11 +406,10 @@
             more,
             self._body_bytes,
         )
-        self._call = call
-        self._bodyless = method == b"HEAD"
-        entry.active.add(self)
-        assert entry.chain is not None
-        entry.chain.run(call)
+
+    def _filter_too_slow(self) -> None:
+        """Refuses a request whose deadline passed in the filter chain."""
+        self.refuse(refusals.Refusal(refusals.RefusalReason.DEADLINE))
 
     def _passed_headers(self) -> calls.HeaderList:
         return [
@@ -278,6 +425,7 @@
     def passed(self) -> None:
         """Forwards the call once it passed the filter chain."""
         assert self._call is not None
+        self._stop_filter_timer()
         forwarding = forwarder.Forwarding(
             self._entry.forwarder, self._call, self
         )
@@ -309,7 +457,8 @@
         """See base class."""
         if self._over:
             return
-        self._answer_begun = True
+        self.answer_begun = True
+        self._status = answer.status
         head = [
             b"HTTP/1.1 %d %s\r\n"
             % (answer.status, http.RESPONSES.get(answer.status, b"Unknown")),
@@ -330,6 +479,8 @@
                 head.append(b"Content-Length: %d\r\n" % length)
         self._write_head(head, self._framed(answer.body))
         if answer.more:
+            if answer.body_bytes != exchange.UNKNOWN_LENGTH:
+                self._answer_left = answer.body_bytes - len(answer.body)
             self.channel.registerProducer(self, True)
             self._pull()
         else:
@@ -340,13 +491,18 @@
         """See base class."""
         if self._over:
             return
+        if not self._fits(data, last):
+            assert self._forwarding is not None
+            self._forwarding.cancel()
+            self.abort()
+            return
         framed = self._framed(data)
         if last and self._answer_chunked:
             framed += b"0\r\n\r\n"
         self.channel.write(framed)
         if last:
             self.channel.unregisterProducer()
-            self._end(http.OK)
+            self._end(self._status)
             self.finish()
         else:
             self._pull()
@@ -420,6 +576,14 @@
         if not self._writing_paused and self._forwarding is not None:
             self._forwarding.pull()
 
+    def _fits(self, data: bytes, last: bool) -> bool:
+        """Returns whether a part keeps to the announced length."""
+        if self._answer_left == exchange.UNKNOWN_LENGTH:
+            return True
+        left = self._answer_left - len(data)
+        self._answer_left = left
+        return left == 0 if last else left > 0
+
     def _framed(self, data: bytes) -> bytes:
         if not self._answer_chunked:
             return data
@@ -435,18 +599,24 @@
         self.startedWriting = 1
         _immediate_write.write_now(self.channel.transport, b"".join(head))
 
-    def _end(self, outcome: refusals.Refusal | int | None) -> None:
+    def _end(self, outcome: refusals.Refusal | int) -> None:
         self._over = True
+        self._stop_filter_timer()
         self._entry.active.discard(self)
         call = self._call
-        if outcome is not None and call is not None:
-            if call.on_ended is not None:
-                call.on_ended(
-                    outcome if isinstance(outcome, refusals.Refusal) else None
-                )
-            self._entry.observer(call, outcome)
+        assert call is not None
+        if call.on_ended is not None:
+            call.on_ended(
+                outcome if isinstance(outcome, refusals.Refusal) else None
+            )
+        self._entry.observer(call, outcome)
         self._entry.check_drained()
 
+    def _stop_filter_timer(self) -> None:
+        timer, self._filter_timer = self._filter_timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
+
 
 def _refusal_body(call: calls.Call, refusal: refusals.Refusal) -> bytes:
     decider = refusal.decider
--- a/src/cyclamendale/filters/base.py
+++ b/src/cyclamendale/filters/base.py
@@ -4,15 +4,19 @@
 
 import abc
 from collections.abc import Callable, Sequence
+import logging
 from typing import TYPE_CHECKING, TypeAlias
 
 from twisted.internet import defer
+from twisted.python import failure
 
 from cyclamendale import refusals
 
 if TYPE_CHECKING:
     from cyclamendale.entry import call as calls
 
+_LOGGER = logging.getLogger(__name__)
+
 Verdict: TypeAlias = refusals.Refusal | None
 """None lets the request pass on to the next filter."""
 
@@ -50,6 +54,7 @@
                 continue
             if isinstance(verdict, defer.Deferred):
                 verdict.addCallback(self._resume, call, index + 1)
+                verdict.addErrback(self._failed, call)
                 return
             self._refused(call, verdict)
             return
@@ -62,3 +67,14 @@
             self.run(call, start)
         else:
             self._refused(call, verdict)
+
+    def _failed(self, reason: failure.Failure, call: calls.Call) -> None:
+        """Refuses a call whose filter had a defect: nothing else would."""
+        _LOGGER.error(
+            "a filter failed",
+            exc_info=reason.value,
+        )
+        if not call.ended:
+            self._refused(
+                call, refusals.Refusal(refusals.RefusalReason.NOT_READY)
+            )
--- a/src/cyclamendale/filters/deadline.py
+++ b/src/cyclamendale/filters/deadline.py
@@ -11,6 +11,7 @@
 """Milliseconds that the caller is prepared to wait."""
 
 MAX_DEADLINE_MS = 24 * 3600 * 1000
+_MAX_DIGITS = len(str(MAX_DEADLINE_MS))
 
 
 class DeadlineFilter(base.Filter):
@@ -25,7 +26,7 @@
         deadline_s = call.arrived_s + call.route.deadline_s
         stated = call.take_header(DEADLINE_HEADER)
         if stated is not None:
-            if not stated.isdigit() or int(stated) > MAX_DEADLINE_MS:
+            if not _is_valid(stated):
                 return refusals.Refusal(refusals.RefusalReason.BAD_REQUEST)
             deadline_s = min(deadline_s, call.arrived_s + int(stated) / 1000)
         if call.parent is not None:
@@ -34,3 +35,12 @@
         if deadline_s <= self._clock.now_s():
             return refusals.Refusal(refusals.RefusalReason.DEADLINE)
         return None
+
+
+def _is_valid(stated: bytes) -> bool:
+    # The length first: converting thousands of digits is an error.
+    return (
+        stated.isdigit()
+        and len(stated) <= _MAX_DIGITS
+        and int(stated) <= MAX_DEADLINE_MS
+    )
--- a/src/cyclamendale/filters/identify.py
+++ b/src/cyclamendale/filters/identify.py
@@ -16,7 +16,7 @@
 AUTHORIZATION_HEADER = b"Authorization"
 CONTEXT_HEADER = b"X-Cyclamendale-Context"
 
-_BEARER = b"bearer "
+_BEARER = b"bearer"
 
 
 class IdentifyFilter(base.Filter):
@@ -80,12 +80,28 @@
 
 
 def _take_key(call: calls.Call) -> bytes | None:
-    """Removes every form of key from the headers; returns the first."""
+    """Removes every form of key from the headers.
+
+    Returns:
+        The first `X-Api-Key`, else the first bearer credentials.
+    """
     key = call.take_header(KEY_HEADER)
-    authorization = call.header(AUTHORIZATION_HEADER)
-    if authorization is not None:
-        scheme = authorization[: len(_BEARER)].lower()
-        if scheme == _BEARER:
-            call.take_header(AUTHORIZATION_HEADER)
-            key = key or authorization[len(_BEARER) :].strip()
+    if call.header(AUTHORIZATION_HEADER) is None:
+        return key
+    kept = []
+    for pair in call.headers:
+        bearer = _bearer(pair[1]) if pair[0] == AUTHORIZATION_HEADER else None
+        if bearer is None:
+            kept.append(pair)
+        elif key is None:
+            key = bearer
+    call.headers = kept
     return key
+
+
+def _bearer(authorization: bytes) -> bytes | None:
+    """Returns the key in bearer credentials, or None for others."""
+    scheme, *rest = authorization.split(None, 1)[:2] or [b""]
+    if scheme.lower() != _BEARER:
+        return None
+    return rest[0].strip() if rest else b""
--- a/src/cyclamendale/filters/match_route.py
+++ b/src/cyclamendale/filters/match_route.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import re
+import urllib.parse
+
 from cyclamendale import refusals
 from cyclamendale.entry import call as calls
 from cyclamendale.filters import base
 from cyclamendale.intents import model
 
+_SLASHES = re.compile(rb"/{2,}")
+
 
 class RouteIndex:
     """Routes of one configuration, longest path prefix first."""
@@ -50,7 +55,7 @@
         """See base class."""
         if self._index.configuration is not call.configuration:
             self._index = RouteIndex(call.configuration)
-        path = call.path.partition(b"?")[0]
+        path = _plain(call.path.partition(b"?")[0])
         if _has_dot_segment(path):
             return refusals.Refusal(refusals.RefusalReason.BAD_REQUEST)
         route = self._index.find(call.method, path)
@@ -60,22 +65,42 @@
         if call.parent is None and not route.open and call.key_refusal:
             return call.key_refusal
         if call.body_bytes > route.max_body_bytes:
-            return refusals.Refusal(
-                refusals.RefusalReason.TOO_LARGE,
-                decider=call.configuration.decider(
-                    "route", route.name, "max_body_bytes"
-                ),
-            )
+            return too_large(call, route)
         return None
 
 
+def too_large(call: calls.Call, route: model.Route) -> refusals.Refusal:
+    """Returns the refusal of a body over the limit of its route."""
+    return refusals.Refusal(
+        refusals.RefusalReason.TOO_LARGE,
+        decider=call.configuration.decider(
+            "route", route.name, "max_body_bytes"
+        ),
+    )
+
+
 def _allows(route: model.Route, method: bytes) -> bool:
     return not route.methods or method.decode("latin-1") in route.methods
 
 
+def _plain(path: bytes) -> bytes:
+    """Returns the path as an upstream may come to read it.
+
+    Matching must not take another spelling of a path for another path: a
+    route that is open to all would let it pass.
+    """
+    if b"%" in path:
+        path = urllib.parse.unquote_to_bytes(path)
+    if b"//" in path:
+        path = _SLASHES.sub(b"/", path)
+    return path
+
+
 def _has_dot_segment(path: bytes) -> bool:
     """Returns whether an upstream might resolve the path to another."""
-    if b"/." not in path and b"%2" not in path:
+    if b"/." not in path:
         return False
-    plain = path.lower().replace(b"%2e", b".").replace(b"%2f", b"/")
-    return any(part in (b".", b"..") for part in plain.split(b"/"))
+    # Some upstreams cut parameters, as in "..;a", off a segment.
+    return any(
+        part.partition(b";")[0] in (b".", b"..") for part in path.split(b"/")
+    )
--- a/src/cyclamendale/filters/once.py
+++ b/src/cyclamendale/filters/once.py
@@ -95,7 +95,7 @@
             return self._claimed(result.ok)
         kind = result.error.kind
         if kind is tables.TableErrorKind.CONFLICT:
-            return self._occupied(result.error.current)
+            return self._settle(result.error.current)
         if kind is tables.TableErrorKind.OUTCOME_UNKNOWN:
             return self._table.read(self._row_key).addCallback(self._settled)
         return self._unavailable()
@@ -106,15 +106,22 @@
         """Settles a lost answer by reading the row back."""
         if result.is_error() or result.ok is None:
             return self._unavailable()
-        row = result.ok
-        found = _decode(row)
-        if found is not None and found.writer == self._writer:
-            return self._claimed(row)
-        return self._occupied(row)
+        return self._settle(result.ok)
+
+    def _settle(self, row: tables.Row | None) -> base.Verdict:
+        """Tells the own row, whose answer was lost, from another's."""
+        found = _decode(row) if row is not None else None
+        if row is None or found is None or found.writer != self._writer:
+            return self._occupied(row)
+        return self._claimed(row)
 
     def _claimed(self, row: tables.Row) -> base.Verdict:
         self._version = row.version
-        self._call.on_ended = self._ended
+        if self._call.ended:
+            # The caller went away meanwhile, so the request never runs.
+            self._give_up()
+        else:
+            self._call.on_ended = self._ended
         return None
 
     def _occupied(self, row: tables.Row | None) -> base.Verdict:
@@ -158,9 +165,13 @@
                 self._row_key, self._version, self._value(answered=True)
             )
         elif refusal.execution is refusals.Execution.NOT_RUN:
-            self._table.transact(
-                [tables.Write(self._row_key, self._version, delete=True)]
-            )
+            self._give_up()
+
+    def _give_up(self) -> None:
+        """Deletes the row of a request that certainly does not run."""
+        self._table.transact(
+            [tables.Write(self._row_key, self._version, delete=True)]
+        )
 
 
 def _decode(row: tables.Row) -> OnceRow | None:
--- /dev/null
+++ b/tests/support/entry_bench.py
@@ -0,0 +1,137 @@
+"""One entry on a virtual clock; caller and targets are played by hand."""
+
+from __future__ import annotations
+
+import random
+import re
+
+from twisted.internet import task
+
+from cyclamendale import clocks
+from cyclamendale import ids
+from cyclamendale.configuration import source
+from cyclamendale.entry import http_entry
+from cyclamendale.entry import retry_budget
+from cyclamendale.filters import context
+from cyclamendale.filters import deadline
+from cyclamendale.filters import early_shed
+from cyclamendale.filters import identify
+from cyclamendale.filters import match_route
+from cyclamendale.filters import once
+from cyclamendale.forwarding import forwarder
+from cyclamendale.intents import model
+from cyclamendale.membership import directory
+from cyclamendale.upstream import contexts
+from tests.support import gate_bench
+from tests.support import held_exchange
+from tests.support import path_node
+
+CODES = re.compile(
+    rb"HTTP/1.1 (\d+).*?\r\nX-Cyclamendale-Outcome: ([a-z-]+)"
+    rb"(?:\r\nX-Cyclamendale-Reason: ([a-z-]+))?",
+    re.DOTALL,
+)
+
+
+class Connection:
+    """One caller's connection."""
+
+    def __init__(self, bench):
+        self.channel = bench.entry.make_factory().buildProtocol(None)
+        self.channel.callLater = bench.reactor.callLater
+        self.transport = gate_bench.StringTransport()
+        self.transport.loseWriteConnection = self._lose_write
+        self.wrote_end = False
+        self.channel.makeConnection(self.transport)
+
+    def _lose_write(self):
+        self.wrote_end = True
+
+    def send(self, data):
+        self.channel.dataReceived(data)
+
+    def close(self):
+        self.channel.connectionLost(gate_bench.CLOSED)
+
+    @property
+    def received(self):
+        return self.transport.value()
+
+    @property
+    def outcomes(self):
+        """Status, outcome and reason of each answer, in order."""
+        return [
+            (int(status), outcome.decode(), reason.decode() or None)
+            for status, outcome, reason in CODES.findall(self.received)
+        ]
+
+
+class EntryBench:
+    """Entry with the real filters; attempts are answered by hand."""
+
+    def __init__(self, table=None, configuration=None, **route_fields):
+        self.reactor = task.Clock()
+        self.clock = clocks.ReactorClock(self.reactor)
+        self.contexts = contexts.ContextTable()
+        self.attempts = []
+        self.outcomes = []
+        self.never_sent = False
+        configured = source.FixedConfiguration(
+            configuration or path_node.configuration(**route_fields)
+        )
+        chooser = path_node.ListedChooser()
+        chooser.members = [
+            directory.Member(
+                ids.NodeId(f"n{number}"),
+                ids.PeerAddress(f"n{number}"),
+                ids.FailureDomainName("north"),
+                1,
+            )
+            for number in range(3)
+        ]
+        shed = path_node.NoShed()
+        self.entry = http_entry.Entry(
+            self.clock,
+            configured,
+            forwarder.Forwarder(
+                self.clock,
+                chooser,
+                shed,
+                path_node.FreePolicy(),
+                lambda target: held_exchange.HeldTransport(self._open),
+            ),
+            lambda call, outcome: self.outcomes.append(outcome),
+        )
+        filters = [
+            identify.IdentifyFilter(self.contexts, configured),
+            match_route.MatchRouteFilter(),
+            context.ContextFilter(shed),
+            deadline.DeadlineFilter(self.clock),
+            early_shed.EarlyShedFilter(shed, random.Random(1)),
+        ]
+        if table is not None:
+            filters.append(once.OnceFilter(table))
+        self.entry.set_filters(filters)
+
+    def _open(self, envelope, receiver):
+        held = held_exchange.HeldExchange(envelope, receiver, self.never_sent)
+        self.attempts.append(held)
+        return held
+
+    def connect(self):
+        return Connection(self)
+
+    def add_context(self):
+        """Returns the context of a request that runs on the upstream."""
+        running = contexts.Context(
+            ids.RequestId("parent"),
+            ids.CustomerId("masons"),
+            ids.RouteName("shop"),
+            model.Importance.NORMAL,
+            1000.0,
+            0,
+            0,
+            retry_budget.RetryBudget(3),
+        )
+        self.contexts.add(running)
+        return running
--- a/tests/support/gate_bench.py
+++ b/tests/support/gate_bench.py
@@ -26,6 +26,10 @@
     def setTcpNoDelay(self, enabled):
         """Has no delay."""
 
+    def unregisterProducer(self):
+        """Forgets the producer, if there is one, as TCP does."""
+        self.producer = None
+
 
 class HeardReceiver(exchange.Receiver):
     """Keeps what the gate says, in order."""
--- a/tests/test_forwarding_contract.py
+++ b/tests/test_forwarding_contract.py
@@ -7,48 +7,14 @@
 
 from cyclamendale import refusals
 from cyclamendale.entry import retry_budget
-from cyclamendale.forwarding import exchange
-from cyclamendale.overload import feedback
 from tests.support import call_tree
+from tests.support import held_exchange
 
 REASONS = refusals.RefusalReason
 NOT_RUN = refusals.Execution.NOT_RUN
 UNKNOWN = refusals.Execution.UNKNOWN
 
 
-class HeldExchange(exchange.Exchange):
-    """An attempt that a test answers by hand."""
-
-    def __init__(self, envelope, receiver, never_sent):
-        self.envelope = envelope
-        self.receiver = receiver
-        self.never_sent = never_sent
-        self.cancelled = False
-        self.pushes = []
-
-    def pull(self):
-        pass
-
-    def push(self, data, last):
-        self.pushes.append((data, last))
-
-    def cancel(self):
-        self.cancelled = True
-        return self.never_sent
-
-    def answer(self, status=200, more=False, unused=0):
-        self.receiver.answered(
-            exchange.Answer(
-                status, b"", b"", more, -1, unused, feedback.Feedback()
-            )
-        )
-
-    def refuse(self, reason=REASONS.LEAVING, execution=NOT_RUN):
-        self.receiver.refused(
-            refusals.Refusal(reason, execution), None, self.envelope.budget
-        )
-
-
 class ForwardingTest(testtools.TestCase):
     def start(self, more=False, never_sent=False, hedge_s=None, **fields):
         self.tree = call_tree.Tree(lambda: "answer", **fields)
@@ -56,12 +22,12 @@
         self.attempts = []
 
         def open_(envelope, receiver):
-            held = HeldExchange(envelope, receiver, never_sent)
+            held = held_exchange.HeldExchange(envelope, receiver, never_sent)
             self.attempts.append(held)
             return held
 
-        self.tree.forwarder.transport_for = lambda target: type(
-            "Transport", (), {"open": staticmethod(open_)}
+        self.tree.forwarder.transport_for = lambda target: (
+            held_exchange.HeldTransport(open_)
         )
         self.budget = retry_budget.RetryBudget(3)
         self.caller = self.tree.make_call(self.budget)
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -6,6 +6,8 @@
 from testtools import twistedsupport
 from twisted.internet import defer
 from twisted.internet import endpoints
+from twisted.internet import task
+from twisted.web import http
 from twisted.web import server
 
 from tests.support import path_node
@@ -49,6 +51,7 @@
             lambda request: self._render(render, request)
         )
         port, address = path_node.listen_site(self.reactor, self.upstream)
+        self.upstream_port = port
         self.nodes[-1].announce(address)
         self.nodes[0].chooser.members.append(self.nodes[-1].member())
         for node in self.nodes:
@@ -70,6 +73,15 @@
         received = yield client.closed
         return received
 
+    @defer.inlineCallbacks
+    def upload(self, data):
+        """Sends an upload that is refused; waits for the entry's close."""
+        received = yield self.exchange(data)
+        while self.nodes[0].entry.channels:
+            # The entry sees the close one turn later.
+            yield task.deferLater(self.reactor, 0)
+        return received
+
     def connect(self, node=None):
         point = endpoints.TCP4ClientEndpoint(
             self.reactor, "127.0.0.1", (node or self.nodes[0]).http_port
@@ -235,3 +247,43 @@
         received = yield self.exchange(get())
         self.assertIn(b"HTTP/1.1 200", received)
         self.assertEqual(1, self.nodes[0].policy.retries)
+
+    @defer.inlineCallbacks
+    def test_a_refusal_reaches_a_caller_that_is_still_uploading(self):
+        self.start(max_body_bytes=100_000)
+        body = b"x" * 5_000_000
+        received = yield self.upload(
+            b"POST /shop HTTP/1.1\r\nHost: x\r\nX-Api-Key: masons-key\r\n"
+            b"Content-Length: %d\r\n\r\n" % len(body) + body
+        )
+        self.assertIn(b"X-Cyclamendale-Reason: too-large", received)
+        self.assertTrue(received.endswith(b"}\n"))
+        self.assertEqual([], self.seen)
+
+    @defer.inlineCallbacks
+    def test_a_chunked_upload_over_the_limit_is_cut_at_the_upstream(self):
+        lost = defer.Deferred()
+        self.start(max_body_bytes=1_000_000)
+        self.upstream_port.factory.protocol = lambda: LossReporter(lost)
+        chunk = b"%x\r\n%s\r\n" % (100_000, b"x" * 100_000)
+        received = yield self.upload(
+            b"POST /shop HTTP/1.1\r\nHost: x\r\nX-Api-Key: masons-key\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n" + chunk * 20
+        )
+        self.assertIn(b"X-Cyclamendale-Reason: too-large", received)
+        yield lost
+        self.assertEqual([], self.seen)
+        self.assertEqual(0, len(self.nodes[-1].gate.running))
+
+
+class LossReporter(http.HTTPChannel):
+    """Tells when a connection with an unfinished request is lost."""
+
+    def __init__(self, lost):
+        super().__init__()
+        self.requestFactory = server.Site(None).requestFactory
+        self._lost = lost
+
+    def connectionLost(self, reason):
+        super().connectionLost(reason)
+        self._lost.callback(None)
