--- a/src/cyclamendale/upstream/contexts.py
+++ b/src/cyclamendale/upstream/contexts.py
@@ -34,6 +34,7 @@
         cancel_onward: Cancels each onward call in flight.
         on_waiting: Called with True when the first onward call begins,
             and with False when the last one in flight ends.
+        ended: Whether it runs no more, so that its token is invalid.
     """
 
     __slots__ = (
@@ -44,6 +45,7 @@
         "customer",
         "deadline_s",
         "depth",
+        "ended",
         "importance",
         "met",
         "on_waiting",
@@ -80,6 +82,7 @@
         self.repeats: set[int] = set()
         self.cancel_onward: set[Callable[[], None]] = set()
         self.on_waiting: Callable[[bool], None] | None = None
+        self.ended = False
         self._onward_calls = 0
         self._onward_since_s = 0.0
 
@@ -117,6 +120,7 @@
 
     def end(self, context: Context) -> None:
         """Makes a context's token invalid; repeats are harmless."""
+        context.ended = True
         self._live.pop(context.token, None)
 
     def find(self, token: str) -> Context | None:
--- a/tests/support/path_node.py
+++ b/tests/support/path_node.py
@@ -63,6 +63,7 @@
         self.finished = []
         self.paused = []
         self.closed = False
+        self.on_finish = lambda: None
 
     def submit(self, ticket):
         ticket.started_s = 0.0
@@ -70,6 +71,8 @@
 
     def finish(self, ticket, own_time_s, completion):
         self.finished.append(completion)
+        notify, self.on_finish = self.on_finish, lambda: None
+        notify()
 
     def pause(self, ticket):
         self.paused.append(ticket)
--- a/tests/test_cli_changes.py
+++ b/tests/test_cli_changes.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import hashlib
+import pathlib
+
 from expression import Error
 import testscenarios
 import testtools
@@ -243,11 +246,13 @@
         )
 
     def test_the_history_lists_the_newest_first_with_writer_and_files(self):
-        self.operator.run("put", self.busy(7), "--writer=arthit")
+        path = self.busy(7)
+        self.operator.run("put", path, "--writer=arthit")
         code, report = self.operator.json("history")
+        digest = hashlib.sha256(pathlib.Path(path).read_bytes()).hexdigest()
         newest, oldest = report["versions"]
         self.assertEqual(
-            (0, "arthit", ["90-busy.toml"], "malee"),
+            (0, "arthit", {"90-busy.toml": digest}, "malee"),
             (code, newest["writer"], newest["puts"], oldest["writer"]),
         )
         self.operator.run("history")
