--- /dev/null
+++ b/src/cyclamendale/peer/_checks.py
@@ -0,0 +1,90 @@
+"""Checks of decoded call messages, before anything is done with them.
+
+A peer that has the fleet secret is trusted to be a node, not to be free
+of faults: what it sends must not get a connection of this node's upstream
+or caller out of step, nor disturb timers and accounts.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+
+from cyclamendale.forwarding import exchange
+from cyclamendale.overload import shed_key as shed_keys
+from cyclamendale.peer.generated.call import ttypes
+
+MAX_REMAINING_S = 7 * 24 * 3600.0
+"""Longest time to a deadline that is believed."""
+
+_MIN_STATUS = 200
+_MAX_STATUS = 999
+_REQUEST_LINE_PARTS = 3
+_FORBIDDEN_LINE = re.compile(
+    rb"\n(?:\r\n|connection:|content-length|transfer-encoding"
+    rb"|x-api-key:|x-cyclamendale-)"
+)
+
+
+class CheckError(ValueError):
+    """A decoded message has values that make no sense."""
+
+
+def check_call(message: ttypes.CallRequest) -> None:
+    """Checks a call from another node.
+
+    Raises:
+        CheckError: A value is out of its range, or the head could be read
+            as something else than one request.
+    """
+    line = message.head.partition(b"\r\n")[0]
+    is_sound = (
+        message.budget >= 0
+        and message.depth >= 0
+        and 0 <= message.shed_key <= shed_keys.MAX_SHED_KEY
+        and abs(message.remaining_s) <= MAX_REMAINING_S
+        and _is_length(message.body_bytes, message.body, message.more)
+        and line.endswith(b" HTTP/1.1")
+        and len(line.split(b" ")) == _REQUEST_LINE_PARTS
+        and _are_header_lines(message.head)
+    )
+    if not is_sound:
+        raise CheckError
+
+
+def check_answer(message: ttypes.CallAnswer) -> None:
+    """Checks an answer or a refusal from another node.
+
+    Raises:
+        CheckError: A value is out of its range, or the head could be read
+            as something else than the headers of one answer.
+    """
+    is_sound = (
+        math.isfinite(message.load)
+        and 0 <= message.threshold <= shed_keys.MAX_SHED_KEY
+        and message.body_bytes >= exchange.UNKNOWN_LENGTH
+    )
+    if message.reason is None:
+        is_sound = (
+            is_sound
+            and _MIN_STATUS <= message.status <= _MAX_STATUS
+            and _are_header_lines(b"\r\n" + message.head)
+        )
+    if not is_sound:
+        raise CheckError
+
+
+def _is_length(body_bytes: int, body: bytes, more: bool) -> bool:
+    if body_bytes == exchange.UNKNOWN_LENGTH:
+        return True
+    return len(body) <= body_bytes if more else len(body) == body_bytes
+
+
+def _are_header_lines(head: bytes) -> bool:
+    """Returns whether whole lines follow, none of them of this hop."""
+    line_feeds = head.count(b"\n")
+    if not head.endswith(b"\r\n") or head.count(b"\r\n") != line_feeds:
+        return False
+    if head.count(b"\r") != line_feeds:
+        return False
+    return _FORBIDDEN_LINE.search(head.lower()) is None
--- a/src/cyclamendale/peer/calls.py
+++ b/src/cyclamendale/peer/calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from typing import Any
 
 from cyclamendale import clocks
 from cyclamendale import ids
@@ -11,6 +12,7 @@
 from cyclamendale.intents import model
 from cyclamendale.overload import feedback as feedbacks
 from cyclamendale.overload import shed_key as shed_keys
+from cyclamendale.peer import _checks
 from cyclamendale.peer import codec
 from cyclamendale.peer import connection as connections
 from cyclamendale.peer import kinds
@@ -110,6 +112,7 @@
         connection = self._connection
         if connection is None:
             return True
+        self._stop_listening()
         for kind in _REPLIED_KINDS:
             connection.forget(kind, self._call_id)
         if connection.is_open:
@@ -132,13 +135,17 @@
     def _replied(self, reply: bytes | network.PeerErrorKind) -> None:
         if self._ended:
             return
-        if self._envelope.more and self._connection is not None:
-            self._connection.forget(kinds.MessageKind.PUSH, self._call_id)
         answer = self._decoded(ttypes.CallAnswer, reply)
         if answer is None:
             return
+        if not answer.more and self._envelope.more and self._connection:
+            # A streamed answer may come while the upload goes on.
+            self._connection.forget(kinds.MessageKind.PUSH, self._call_id)
         if answer.reason is None:
             self._ended = not answer.more
+            if answer.more and self._connection is not None:
+                # Between two pulls no request would be failed.
+                self._connection.lost_listeners.add(self._connection_lost)
             self._receiver.answered(_decode_answer(answer))
             return
         self._ended = True
@@ -153,6 +160,8 @@
             return
         chunk = self._decoded(ttypes.Chunk, reply)
         if chunk is not None:
+            if chunk.last:
+                self._stop_listening()
             self._ended = chunk.last
             self._receiver.chunk(chunk.data, chunk.last, chunk.unused_budget)
 
@@ -168,13 +177,26 @@
         """Returns the decoded reply, or ends the exchange as lost."""
         if not isinstance(reply, network.PeerErrorKind):
             try:
-                return codec.decode(struct_type, reply)
-            except codec.DecodeError:
-                pass
+                message: Any = codec.decode(struct_type, reply)
+                if struct_type is ttypes.CallAnswer:
+                    _checks.check_answer(message)
+                return message
+            except (codec.DecodeError, _checks.CheckError):
+                self.cancel()
+        self._stop_listening()
         self._ended = True
         self._receiver.lost(sent=True)
         return None
 
+    def _connection_lost(self) -> None:
+        if not self._ended:
+            self._ended = True
+            self._receiver.lost(sent=True)
+
+    def _stop_listening(self) -> None:
+        if self._connection is not None:
+            self._connection.lost_listeners.discard(self._connection_lost)
+
 
 _REPLIED_KINDS = (
     kinds.MessageKind.CALL,
@@ -211,6 +233,7 @@
         key = (connection, call_id)
         try:
             message = codec.decode(ttypes.CallRequest, payload)
+            _checks.check_call(message)
             envelope = _decode_envelope(message, self._clock.now_s())
         except (codec.DecodeError, ValueError):
             connection.reject(kinds.MessageKind.CALL, call_id)
--- a/src/cyclamendale/peer/connection.py
+++ b/src/cyclamendale/peer/connection.py
@@ -29,6 +29,9 @@
     from cyclamendale.peer import kinds
 
 MAX_FRAME_BYTES = 1024 * 1024
+MAX_HANDSHAKE_BYTES = 64
+"""Longest message accepted before the peer has proved itself."""
+
 HANDSHAKE_TIMEOUT_S = 5.0
 PROTOCOL_VERSION = b"cyclamendale-peer-2"
 
@@ -63,7 +66,7 @@
 class PeerConnection(basic.Int32StringReceiver):
     """Protocol of both ends of a connection."""
 
-    MAX_LENGTH = MAX_FRAME_BYTES
+    MAX_LENGTH = MAX_HANDSHAKE_BYTES
     # Twisted's interfaces need a mypy plugin to be checked.
     transport: Any
 
@@ -125,12 +128,13 @@
         self._phase = _Phase.CLOSED
         if self._handshake_timer.active():
             self._handshake_timer.cancel()
+        # First, or a handler's next request would use this connection.
+        self._on_closed(self)
         pending, self._pending = self._pending, {}
         for handler in pending.values():
             handler(network.PeerErrorKind.LOST)
         for listener in tuple(self.lost_listeners):
             listener()
-        self._on_closed(self)
 
     def next_call_id(self) -> int:
         """Returns a call id not in use on this connection."""
@@ -231,6 +235,7 @@
             return
         self._handshake_timer.cancel()
         self._phase = _Phase.OPEN
+        self.MAX_LENGTH = MAX_FRAME_BYTES
         self._on_open(self)
 
     def _proof(self, by_initiator: bool) -> bytes:
--- a/tests/support/path_node.py
+++ b/tests/support/path_node.py
@@ -57,14 +57,19 @@
 
 
 class OpenAdmission(admission.Admission):
-    """Starts every request at once."""
+    """Starts every request at once, unless it `holds` them."""
 
     def __init__(self):
         self.finished = []
         self.closed = False
         self.on_finish = lambda: None
+        self.holds = False
+        self.waiting = []
 
     def submit(self, ticket):
+        if self.holds:
+            self.waiting.append(ticket)
+            return
         ticket.started_s = 0.0
         ticket.start()
 
@@ -74,7 +79,10 @@
         notify()
 
     def withdraw(self, ticket):
-        return False
+        if ticket not in self.waiting:
+            return False
+        self.waiting.remove(ticket)
+        return True
 
     def set_capacity(self, slots, connections):
         self.slots = slots
--- /dev/null
+++ b/tests/support/peer_bench.py
@@ -0,0 +1,122 @@
+"""Peer connections over string transports on a virtual clock."""
+
+from __future__ import annotations
+
+from cyclamendale import events
+from cyclamendale import ids
+from cyclamendale.peer import calls as peer_calls
+from cyclamendale.peer import codec
+from cyclamendale.peer import connection as connections
+from cyclamendale.peer import thrift_network
+from cyclamendale.peer.generated.call import ttypes
+from tests.support import gate_bench
+from tests.support import path_node
+
+PEER = ids.PeerAddress("127.0.0.1:9")
+
+
+class PeerBench:
+    """A node's network and gate; the other end is played by hand."""
+
+    def __init__(self):
+        self.gates = gate_bench.GateBench()
+        self.reactor = self.gates.reactor
+        self.clock = self.gates.clock
+        self.network = thrift_network.ThriftPeerNetwork(
+            self.reactor, self.clock, path_node.SECRET
+        )
+        self.server = peer_calls.CallServer(
+            self.network, self.clock, self.gates.gate
+        )
+        self.network.listen("127.0.0.1", 0)
+
+    def accept(self):
+        """Returns the accepting end of a new connection."""
+        acceptor = self.reactor.tcpServers[-1][1].buildProtocol(None)
+        acceptor.makeConnection(gate_bench.StringTransport())
+        return acceptor
+
+    def make_peer(self, is_initiator=True, secret=path_node.SECRET):
+        """Returns another node's end; its requests go to `requests`."""
+        requests = []
+        peer = connections.PeerConnection(
+            secret,
+            is_initiator,
+            lambda _, kind, call_id, payload: requests.append(
+                (kind, call_id, payload)
+            ),
+            lambda _: None,
+            lambda _: None,
+            self.reactor.callLater,
+            events.HybridLogicalClock(self.clock),
+        )
+        peer.requests = requests
+        peer.makeConnection(gate_bench.StringTransport())
+        return peer
+
+    def connected_peer(self):
+        """Returns an accepting end and the peer that opened it."""
+        acceptor, peer = self.accept(), self.make_peer()
+        pump(acceptor, peer)
+        return acceptor, peer
+
+    def accepting_peer(self):
+        """Answers the connection that the network opened last."""
+        initiator = self.reactor.tcpClients[-1][2].buildProtocol(None)
+        initiator.makeConnection(gate_bench.StringTransport())
+        peer = self.make_peer(is_initiator=False)
+        pump(initiator, peer)
+        return initiator, peer
+
+    def is_idle(self):
+        """Returns whether nothing of any call is left."""
+        return self.gates.is_idle() and not self.server._calls
+
+
+def pump(one, other):
+    """Carries bytes both ways until both are silent."""
+    moved = True
+    while moved:
+        moved = False
+        for source, sink in ((one, other), (other, one)):
+            data = source.transport.value()
+            source.transport.clear()
+            if data and not sink.transport.disconnected:
+                moved = True
+                sink.dataReceived(data)
+
+
+def call_bytes(**fields):
+    """Returns an encoded call; `fields` replace its values."""
+    values = {
+        "request_id": "r1",
+        "customer": "masons",
+        "route": "shop",
+        "importance": 2,
+        "shed_key": 7,
+        "depth": 0,
+        "budget": 3,
+        "remaining_s": 5.0,
+        "head": b"GET /shop HTTP/1.1\r\nHost: x\r\n",
+        "body": b"",
+        "more": False,
+        "body_bytes": 0,
+        **fields,
+    }
+    return codec.encode(ttypes.CallRequest(**values))
+
+
+def answer_bytes(**fields):
+    """Returns an encoded answer; `fields` replace its values."""
+    values = {
+        "status": 200,
+        "head": b"A: b\r\n",
+        "body": b"",
+        "more": False,
+        "body_bytes": 0,
+        "unused_budget": 0,
+        "threshold": 7,
+        "load": 0.5,
+        **fields,
+    }
+    return codec.encode(ttypes.CallAnswer(**values))
