Tell an upstream's long uploads apart by their lengths

Two long uploads of one request to one path counted as a repeat of each other, because nothing of their bodies is known when they begin; the fifth was refused for want of retry budget. Their announced lengths are part of the digest now. Those without length stay conservative.

--- a/src/cyclamendale/filters/context.py
+++ b/src/cyclamendale/filters/context.py
@@ -68,6 +68,7 @@
     assert call.route is not None
     digest = xxhash.xxh3_64(call.method)
     digest.update(call.path)
-    digest.update(b"\n")
+    # Of a long body only the length is known yet.
+    digest.update(b"\n%d\n" % call.body_bytes)
     digest.update(call.body)
     return digest.intdigest()
--- a/tests/test_entry_contract.py
+++ b/tests/test_entry_contract.py
@@ -203,6 +203,18 @@
         )
         self.assertEqual(1, len(self.bench.attempts))
 
+    def test_uploads_of_other_lengths_are_no_repeats_of_one_another(self):
+        running = self.bench.add_context()
+        for body_bytes in (70_000, 70_001, 70_001):
+            caller = self.bench.connect()
+            caller.send(
+                b"POST /shop HTTP/1.1\r\nX-Cyclamendale-Context: %s\r\n"
+                b"Content-Length: %d\r\n\r\n"
+                % (running.token.encode(), body_bytes)
+            )
+            self.bench.attempts[-1].answer(unused=9)
+        self.assertEqual(2, running.budget.remaining)
+
     def test_http_1_0_gets_a_plain_body_and_the_close(self):
         self.caller.send(b"GET /shop HTTP/1.0\r\n" + KEY + END)
         self.bench.attempts[0].answer(more=True, body=b"hi")
