Let a stopping node send what it has written before it goes

A stop counted an entry as drained when the last part of an answer was handed to its socket, and closed the connections between nodes without waiting: a slow reader's answer, or the last frames to a peer, were cut with the process. Now the entry is drained when its connections are closed, each of which closes once its caller has the whole answer, and the peer network waits up to a second.

--- a/src/cyclamendale/entry/http_entry.py
+++ b/src/cyclamendale/entry/http_entry.py
@@ -114,11 +114,13 @@
                 channel.transport.loseConnection()
 
     def check_drained(self) -> None:
-        """Reports a drained entry to whoever waits for it."""
-        if not self._drained or self.active:
-            return
-        # A request that still arrives is not cut either.
-        if not any(channel.requests for channel in self.channels):
+        """Reports a drained entry to whoever waits for it.
+
+        Each connection closes once its caller has the whole answer, so
+        neither a request that still arrives nor an answer on its way to a
+        slow reader is cut.
+        """
+        if self._drained and not self.active and not self.channels:
             drained, self._drained = self._drained, []
             for notify in drained:
                 notify()
@@ -191,7 +193,8 @@
             if not self.persistent:
                 # A caller may never read the answer.
                 self.setTimeout(self.entry.idle_timeout_s)
-        self.entry.check_drained()
+            elif self.entry.closing and not self.requests:
+                self.loseConnection()
 
     def timeoutConnection(self) -> None:
         """Closes an idle connection; deadlines bound the busy ones."""
--- a/src/cyclamendale/peer/connection.py
+++ b/src/cyclamendale/peer/connection.py
@@ -17,6 +17,7 @@
 import struct
 from typing import Any, TYPE_CHECKING
 
+from twisted.internet import defer
 from twisted.internet import protocol
 from twisted.protocols import basic
 from twisted.python import failure
@@ -182,9 +183,20 @@
         if self._phase is _Phase.OPEN:
             self._send(kind, Flag.REJECTION, call_id, b"")
 
-    def close(self) -> None:
-        """Closes the connection once written data is sent."""
+    def close(self) -> defer.Deferred[None]:
+        """Closes the connection once written data is sent.
+
+        Returns:
+            Fires when the connection is closed.
+        """
+        closed: defer.Deferred[None] = defer.Deferred()
+        self.lost_listeners.add(lambda: closed.callback(None))
         self.transport.loseConnection()
+        return closed
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        self._abort()
 
     def _send(
         self, kind: int, flag: Flag, call_id: int, payload: bytes
--- a/src/cyclamendale/peer/thrift_network.py
+++ b/src/cyclamendale/peer/thrift_network.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from expression import Error
@@ -24,6 +24,9 @@
 RECONNECT_PAUSE_S = 0.2
 """Time after a failed connect during which the peer is not tried."""
 
+CLOSE_TIMEOUT_S = 1.0
+"""How long closing waits for a peer to take what was written."""
+
 MAX_WAITING_FOR_CONNECT = 1024
 """Requests per peer that may wait for its connection to open."""
 
@@ -73,15 +76,25 @@
         return self._port.getHost().port
 
     def close(self) -> defer.Deferred[Any]:
-        """Stops listening and closes all connections."""
-        for accepted in tuple(self._accepted):
-            accepted.close()
-        for link in self._links.values():
-            if link.connection is not None:
-                link.connection.close()
-        if self._port is None:
-            return defer.succeed(None)
-        return defer.maybeDeferred(self._port.stopListening)
+        """Stops listening and closes all connections.
+
+        Returns:
+            Fires once what was written has left, or after a bounded time.
+        """
+        closing = {
+            link.connection
+            for link in self._links.values()
+            if link.connection is not None
+        } | self._accepted
+        closed = [connection.close() for connection in closing]
+        if self._port is not None:
+            closed.append(defer.maybeDeferred(self._port.stopListening))
+        timer = self._clock.call_later(
+            CLOSE_TIMEOUT_S, _abort_all, tuple(closing)
+        )
+        return defer.gatherResults(closed).addCallback(
+            lambda _: timer.cancel() if timer.active() else None
+        )
 
     def with_connection(
         self, peer: ids.PeerAddress, user: ConnectionUser
@@ -218,6 +231,11 @@
         )
 
 
+def _abort_all(closing: Iterable[connections.PeerConnection]) -> None:
+    for connection in closing:
+        connection.abort()
+
+
 class _ConnectFactory(protocol.ClientFactory):
     """Builds the initiating end of a connection, once."""
 
--- a/tests/test_entry_contract.py
+++ b/tests/test_entry_contract.py
@@ -319,6 +319,18 @@
         self.assertEqual([], drained)
         self.caller.send(b"hi")
         self.bench.attempts[0].answer()
+        self.caller.close()
+        self.assertEqual([True], drained)
+
+    def test_a_stop_waits_until_a_slow_reader_has_the_whole_answer(self):
+        self.caller.send(GET)
+        self.bench.attempts[0].answer(more=True, body=b"hi", body_bytes=5)
+        drained = []
+        self.bench.entry.close(lambda: drained.append(True))
+        self.bench.attempts[0].receiver.chunk(b"all", True, 0)
+        self.assertTrue(self.caller.transport.disconnecting)
+        self.assertEqual([], drained)
+        self.caller.close()
         self.assertEqual([True], drained)
 
 
--- a/tests/test_peer_contract.py
+++ b/tests/test_peer_contract.py
@@ -12,6 +12,7 @@
 from cyclamendale.peer import connection as connections
 from cyclamendale.peer import kinds
 from cyclamendale.peer import network
+from cyclamendale.peer import thrift_network
 from cyclamendale.peer.generated.call import ttypes
 from tests.support import gate_bench
 from tests.support import peer_bench
@@ -176,6 +177,31 @@
         self.assertTrue(self.bench.is_idle())
 
 
+class CloseTest(testtools.TestCase):
+    """A stop waits until what was written has left, for a bounded time."""
+
+    def setUp(self):
+        super().setUp()
+        self.bench = peer_bench.PeerBench()
+        self.acceptor, _ = self.bench.connected_peer()
+        self.bench.network.with_connection(peer_bench.PEER, lambda _: None)
+        self.initiator, _ = self.bench.accepting_peer()
+        self.closed = []
+        self.bench.network.close().addCallback(self.closed.append)
+
+    def test_it_waits_for_both_kinds_of_connections(self):
+        for connection in (self.acceptor, self.initiator):
+            self.assertTrue(connection.transport.disconnecting)
+            self.assertEqual([], self.closed)
+            connection.connectionLost(gate_bench.CLOSED)
+        self.assertEqual(1, len(self.closed))
+
+    def test_a_peer_that_takes_nothing_is_cut(self):
+        self.bench.reactor.advance(thrift_network.CLOSE_TIMEOUT_S)
+        self.assertTrue(self.acceptor.transport.disconnected)
+        self.assertTrue(self.initiator.transport.disconnected)
+
+
 class AbsurdCallTest(testscenarios.TestWithScenarios, testtools.TestCase):
     """A call with values that make no sense is rejected and runs nothing."""
 
