--- a/tests/test_entry_contract.py
+++ b/tests/test_entry_contract.py
@@ -203,6 +203,32 @@
         )
         self.assertEqual(1, len(self.bench.attempts))
 
+    def test_a_token_of_another_host_is_none_here(self):
+        elsewhere = entry_bench.EntryBench().add_context()
+        self.caller.send(
+            LINE + b"X-Cyclamendale-Context: " + elsewhere.token.encode()
+            + b"\r\n\r\n"
+        )  # fmt: skip
+        self.assertEqual(
+            [(403, "not-run", "context-invalid")], self.caller.outcomes
+        )
+
+    def test_a_caller_gone_within_its_head_leaves_nothing(self):
+        self.caller.send(LINE)
+        self.caller.close()
+        self.assertEqual([], self.bench.outcomes)
+        self.assertEqual([], self.bench.reactor.getDelayedCalls())
+        self.assertEqual(set(), self.bench.entry.channels)
+
+    def test_an_answer_before_the_end_of_the_upload_is_whole(self):
+        self.caller.send(POST + b"Content-Length: 100000\r\n\r\n")
+        self.bench.attempts[0].answer(body=b"enough")
+        self.caller.send(b"x" * 50_000)
+        self.assertEqual([(200, "answered", None)], self.caller.outcomes)
+        self.assertIn(b"Connection: close\r\n", self.caller.received)
+        self.assertTrue(self.caller.received.endswith(b"\r\n\r\nenough"))
+        self.assertTrue(self.caller.wrote_end)
+
     def test_uploads_of_other_lengths_are_no_repeats_of_one_another(self):
         running = self.bench.add_context()
         for body_bytes in (70_000, 70_001, 70_001):
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -248,6 +248,17 @@
         self.assertIn(b"HTTP/1.1 200", received)
         self.assertEqual(1, self.nodes[0].policy.retries)
 
+    @defer.inlineCallbacks
+    def test_an_upstream_that_refuses_to_connect_is_passed_over(self):
+        self.start(nodes=3)
+        port, address = path_node.listen_site(self.reactor, self.upstream)
+        yield port.stopListening()
+        self.nodes[1].announce(address)
+        self.nodes[0].chooser.members.insert(0, self.nodes[1].member())
+        received = yield self.exchange(get())
+        self.assertIn(b"HTTP/1.1 200", received)
+        self.assertEqual(1, len(self.seen))
+
     @defer.inlineCallbacks
     def test_a_refusal_reaches_a_caller_that_is_still_uploading(self):
         self.start(max_body_bytes=100_000)
