--- a/measure/_call_graph_model.py
+++ b/measure/_call_graph_model.py
@@ -517,9 +517,7 @@
         self.work_s = 0.0
         self.services = {spec.name: spec for spec in services}
         self.routes = {route.name: route for route in routes}
-        self.members = {
-            spec.name: tuple(self._members(spec)) for spec in services
-        }
+        self.members = {spec.name: make_members(spec) for spec in services}
         self.nodes = {
             member.node: Node(self, member, spec)
             for spec in services
@@ -575,10 +573,6 @@
         )
         return root
 
-    def _members(self, spec: ServiceSpec) -> Iterator[directories.Member]:
-        for index in range(spec.targets):
-            yield _member(f"{spec.name}-{index}", spec)
-
     def _expire(self, root: Root) -> None:
         if self.policy.cancels and root.call is not None:
             root.call.cancel()
@@ -609,6 +603,13 @@
     )
 
 
+def make_members(spec: ServiceSpec) -> tuple[directories.Member, ...]:
+    """Returns the members whose upstreams serve a service."""
+    return tuple(
+        _member(f"{spec.name}-{index}", spec) for index in range(spec.targets)
+    )
+
+
 def chain(
     depth: int,
     targets: int = 3,
--- a/measure/_call_graph_model_policies.py
+++ b/measure/_call_graph_model_policies.py
@@ -161,5 +161,5 @@
 STATIC_FIFO = Policy("static limit, FIFO", _fifo, early_shed=False)
 AIMD = Policy("AIMD", _aimd)
 GRADIENT = Policy("gradient", _gradient)
-AIMD_GATE_ONLY = Policy("AIMD, no early shed", _aimd, early_shed=False)
-ALL = (NO_CONTROL, STATIC_FIFO, AIMD, GRADIENT, AIMD_GATE_ONLY)
+GATE_ONLY = Policy("gradient, no early shed", _gradient, early_shed=False)
+ALL = (NO_CONTROL, STATIC_FIFO, AIMD, GRADIENT, GATE_ONLY)
--- a/measure/fairness.py
+++ b/measure/fairness.py
@@ -17,7 +17,7 @@
 SETTLING_S = 2.0
 MEASURED_S = 6.0
 DEADLINE_S = 1.0
-SEEDS = (1, 2, 3)
+SEEDS = (1, 2, 3, 4, 5)
 POLICIES = (
     policies.NO_CONTROL,
     policies.STATIC_FIFO,
--- a/measure/overload.py
+++ b/measure/overload.py
@@ -29,11 +29,11 @@
     model.Importance.BACKGROUND: 0.30,
 }
 SEEDS_BY_POLICY = {
-    policies.NO_CONTROL: (1,),
-    policies.STATIC_FIFO: (1, 2),
-    policies.AIMD_GATE_ONLY: (1, 2),
-    policies.GRADIENT: (1, 2, 3),
-    policies.AIMD: (1, 2, 3),
+    policies.NO_CONTROL: (1, 2),
+    policies.STATIC_FIFO: (1, 2, 3),
+    policies.GATE_ONLY: (1, 2, 3),
+    policies.GRADIENT: (1, 2, 3, 4, 5),
+    policies.AIMD: (1, 2, 3, 4, 5),
 }
 
 
--- a/measure/recovery.py
+++ b/measure/recovery.py
@@ -24,7 +24,7 @@
 SUSTAINED_S = 3.0
 RECOVERED_SHARE = 0.95
 CLIENT_RETRIES = 4
-SEEDS = (1, 2, 3)
+SEEDS = (1, 2, 3, 4, 5)
 POLICIES = (
     policies.NO_CONTROL,
     policies.STATIC_FIFO,
--- a/measure/stragglers.py
+++ b/measure/stragglers.py
@@ -40,7 +40,7 @@
                 "route", service.name, deadline_s=DEADLINE_S
             )
         ],
-        policies.AIMD,
+        policies.GRADIENT,
         seed,
         hedges=hedges,
     )
--- a/src/cyclamendale/overload/limit.py
+++ b/src/cyclamendale/overload/limit.py
@@ -200,7 +200,7 @@
 
 
 class AimdLimit(_WindowedLimit):
-    """Additive increase, multiplicative decrease."""
+    """Additive increase, multiplicative decrease; kept for comparison."""
 
     _STRONGEST_DECREASE = 0.5
     _INCREASE_SHARE = 0.05
@@ -233,4 +233,4 @@
 
 def make_limit(clock: clocks.Clock, slow_start_s: float) -> ConcurrencyLimit:
     """Returns the limit that nodes use."""
-    return AimdLimit(clock, slow_start_s)
+    return GradientLimit(clock, slow_start_s)
--- a/src/cyclamendale/overload/threshold_shed.py
+++ b/src/cyclamendale/overload/threshold_shed.py
@@ -70,33 +70,31 @@
         self.refreshed_s = now_s
         self.probed_s = now_s
 
-    def refresh(self, now_s: float, demand: list[int]) -> None:
+    def refresh(self, now_s: float, recent: Iterable[int]) -> None:
         """Follows the threshold on which enough answers agree.
 
         Args:
             now_s: The time.
-            demand: Sample of the shed keys that arrive, sorted.
+            recent: Sample of the shed keys that arrive.
         """
-        agreed = self._agreed(now_s)
-        if agreed > self.threshold:
-            elapsed_s = now_s - self.refreshed_s
-            agreed = min(agreed, self._reachable(elapsed_s, demand))
-        self.threshold = agreed
-        self.refreshed_s = now_s
-
-    def _agreed(self, now_s: float) -> int:
         remembered = self.remembered
         while remembered and now_s - remembered[0][0] > MEMORY_S:
             remembered.popleft()
-        if not remembered:
-            return shed_keys.MAX_SHED_KEY
-        thresholds = sorted(threshold for _, threshold in remembered)
-        return thresholds[int(AGREEMENT * (len(thresholds) - 1))]
+        agreed: int = shed_keys.MAX_SHED_KEY
+        if remembered:
+            thresholds = sorted(threshold for _, threshold in remembered)
+            agreed = thresholds[int(AGREEMENT * (len(thresholds) - 1))]
+            if agreed > self.threshold:
+                reachable = self._reachable(now_s, sorted(recent))
+                agreed = min(agreed, reachable)
+        self.threshold = agreed
+        self.refreshed_s = now_s
 
-    def _reachable(self, elapsed_s: float, demand: list[int]) -> int:
+    def _reachable(self, now_s: float, demand: list[int]) -> int:
         # The gates notice more load only after a while; a threshold that
         # jumps would flood them in the meantime.
         admitted = bisect.bisect_right(demand, self.threshold)
+        elapsed_s = now_s - self.refreshed_s
         growth = math.exp(min(LARGEST_GROWTH, RISE_PER_S * elapsed_s))
         admitted = max(admitted + 1, int(admitted * growth))
         if admitted >= len(demand):
@@ -131,7 +129,7 @@
             return False
         now_s = self._clock.now_s()
         if now_s - state.refreshed_s >= REFRESH_S:
-            state.refresh(now_s, sorted(self._recent))
+            state.refresh(now_s, self._recent)
         if shed_key <= state.threshold:
             return False
         if (
@@ -149,8 +147,6 @@
         now_s = self._clock.now_s()
         state = self._routes.get(route)
         if state is None:
-            if answer_feedback.threshold == shed_keys.MAX_SHED_KEY:
-                return
             state = self._routes[route] = _RouteThreshold(now_s)
         state.remembered.append((now_s, answer_feedback.threshold))
 
