--- a/src/cyclamendale/peer/connection.py
+++ b/src/cyclamendale/peer/connection.py
@@ -17,6 +17,7 @@
 import struct
 from typing import Any, TYPE_CHECKING
 
+from twisted.internet import defer
 from twisted.internet import protocol
 from twisted.protocols import basic
 from twisted.python import failure
@@ -29,6 +30,9 @@
     from cyclamendale.peer import kinds
 
 MAX_FRAME_BYTES = 1024 * 1024
+MAX_HANDSHAKE_BYTES = 64
+"""Longest message accepted before the peer has proved itself."""
+
 HANDSHAKE_TIMEOUT_S = 5.0
 PROTOCOL_VERSION = b"cyclamendale-peer-2"
 
@@ -63,7 +67,7 @@
 class PeerConnection(basic.Int32StringReceiver):
     """Protocol of both ends of a connection."""
 
-    MAX_LENGTH = MAX_FRAME_BYTES
+    MAX_LENGTH = MAX_HANDSHAKE_BYTES
     # Twisted's interfaces need a mypy plugin to be checked.
     transport: Any
 
@@ -125,12 +129,13 @@
         self._phase = _Phase.CLOSED
         if self._handshake_timer.active():
             self._handshake_timer.cancel()
+        # First, or a handler's next request would use this connection.
+        self._on_closed(self)
         pending, self._pending = self._pending, {}
         for handler in pending.values():
             handler(network.PeerErrorKind.LOST)
         for listener in tuple(self.lost_listeners):
             listener()
-        self._on_closed(self)
 
     def next_call_id(self) -> int:
         """Returns a call id not in use on this connection."""
@@ -178,9 +183,20 @@
         if self._phase is _Phase.OPEN:
             self._send(kind, Flag.REJECTION, call_id, b"")
 
-    def close(self) -> None:
-        """Closes the connection once written data is sent."""
+    def close(self) -> defer.Deferred[None]:
+        """Closes the connection once written data is sent.
+
+        Returns:
+            Fires when the connection is closed.
+        """
+        closed: defer.Deferred[None] = defer.Deferred()
+        self.lost_listeners.add(lambda: closed.callback(None))
         self.transport.loseConnection()
+        return closed
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        self._abort()
 
     def _send(
         self, kind: int, flag: Flag, call_id: int, payload: bytes
@@ -231,6 +247,7 @@
             return
         self._handshake_timer.cancel()
         self._phase = _Phase.OPEN
+        self.MAX_LENGTH = MAX_FRAME_BYTES
         self._on_open(self)
 
     def _proof(self, by_initiator: bool) -> bytes:
--- a/tests/test_entry_contract.py
+++ b/tests/test_entry_contract.py
@@ -203,6 +203,44 @@
         )
         self.assertEqual(1, len(self.bench.attempts))
 
+    def test_a_token_of_another_host_is_none_here(self):
+        elsewhere = entry_bench.EntryBench().add_context()
+        self.caller.send(
+            LINE + b"X-Cyclamendale-Context: " + elsewhere.token.encode()
+            + b"\r\n\r\n"
+        )  # fmt: skip
+        self.assertEqual(
+            [(403, "not-run", "context-invalid")], self.caller.outcomes
+        )
+
+    def test_a_caller_gone_within_its_head_leaves_nothing(self):
+        self.caller.send(LINE)
+        self.caller.close()
+        self.assertEqual([], self.bench.outcomes)
+        self.assertEqual([], self.bench.reactor.getDelayedCalls())
+        self.assertEqual(set(), self.bench.entry.channels)
+
+    def test_an_answer_before_the_end_of_the_upload_is_whole(self):
+        self.caller.send(POST + b"Content-Length: 100000\r\n\r\n")
+        self.bench.attempts[0].answer(body=b"enough")
+        self.caller.send(b"x" * 50_000)
+        self.assertEqual([(200, "answered", None)], self.caller.outcomes)
+        self.assertIn(b"Connection: close\r\n", self.caller.received)
+        self.assertTrue(self.caller.received.endswith(b"\r\n\r\nenough"))
+        self.assertTrue(self.caller.wrote_end)
+
+    def test_uploads_of_other_lengths_are_no_repeats_of_one_another(self):
+        running = self.bench.add_context()
+        for body_bytes in (70_000, 70_001, 70_001):
+            caller = self.bench.connect()
+            caller.send(
+                b"POST /shop HTTP/1.1\r\nX-Cyclamendale-Context: %s\r\n"
+                b"Content-Length: %d\r\n\r\n"
+                % (running.token.encode(), body_bytes)
+            )
+            self.bench.attempts[-1].answer(unused=9)
+        self.assertEqual(2, running.budget.remaining)
+
     def test_http_1_0_gets_a_plain_body_and_the_close(self):
         self.caller.send(b"GET /shop HTTP/1.0\r\n" + KEY + END)
         self.bench.attempts[0].answer(more=True, body=b"hi")
@@ -307,6 +345,18 @@
         self.assertEqual([], drained)
         self.caller.send(b"hi")
         self.bench.attempts[0].answer()
+        self.caller.close()
+        self.assertEqual([True], drained)
+
+    def test_a_stop_waits_until_a_slow_reader_has_the_whole_answer(self):
+        self.caller.send(GET)
+        self.bench.attempts[0].answer(more=True, body=b"hi", body_bytes=5)
+        drained = []
+        self.bench.entry.close(lambda: drained.append(True))
+        self.bench.attempts[0].receiver.chunk(b"all", True, 0)
+        self.assertTrue(self.caller.transport.disconnecting)
+        self.assertEqual([], drained)
+        self.caller.close()
         self.assertEqual([True], drained)
 
 
