--- a/src/cyclamendale/entry/http_entry.py
+++ b/src/cyclamendale/entry/http_entry.py
@@ -14,6 +14,7 @@
 from twisted.python import failure
 from twisted.web import http
 
+from cyclamendale import _http_constants
 from cyclamendale import _immediate_write
 from cyclamendale import clocks
 from cyclamendale import refusals
@@ -464,7 +465,10 @@
         self._status = answer.status
         head = [
             b"HTTP/1.1 %d %s\r\n"
-            % (answer.status, http.RESPONSES.get(answer.status, b"Unknown")),
+            % (
+                answer.status,
+                _http_constants.REASON_PHRASES.get(answer.status, b"Unknown"),
+            ),
             answer.head,
             b"X-Cyclamendale-Outcome: answered\r\n",
             b"X-Cyclamendale-Request: %s\r\n"
@@ -474,7 +478,7 @@
             self._answer_chunked = self.channel.is_http_1_1
             if self._answer_chunked:
                 head.append(b"Transfer-Encoding: chunked\r\n")
-        elif answer.status not in http.NO_BODY_CODES:
+        elif answer.status not in _http_constants.NO_BODY_CODES:
             length = answer.body_bytes if answer.more else len(answer.body)
             if self._bodyless:
                 length = answer.body_bytes
@@ -522,7 +526,9 @@
             b"HTTP/1.1 %d %s\r\n"
             % (
                 refusal.http_status,
-                http.RESPONSES.get(refusal.http_status, b"Refused"),
+                _http_constants.REASON_PHRASES.get(
+                    refusal.http_status, b"Refused"
+                ),
             ),
             b"Content-Type: application/json\r\n",
             b"Content-Length: %d\r\n" % len(body),
--- a/src/cyclamendale/forwarding/forwarder.py
+++ b/src/cyclamendale/forwarding/forwarder.py
@@ -6,8 +6,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from twisted.web import http
-
+from cyclamendale import _http_constants
 from cyclamendale import clocks
 from cyclamendale import ids
 from cyclamendale import refusals
@@ -465,7 +464,7 @@
             return
         self._answered = True
         self._done = not answer.more
-        succeeded = answer.status < http.INTERNAL_SERVER_ERROR
+        succeeded = answer.status < _http_constants.INTERNAL_SERVER_ERROR
         self._forwarding.attempt_ended(
             self, answer.unused_budget, succeeded, answer.feedback
         )
--- a/src/cyclamendale/upstream/http_connection.py
+++ b/src/cyclamendale/upstream/http_connection.py
@@ -17,6 +17,7 @@
 from twisted.python import failure
 from twisted.web import http
 
+from cyclamendale import _http_constants
 from cyclamendale import _immediate_write
 from cyclamendale.forwarding import exchange
 
@@ -252,7 +253,9 @@
         handler = self._handler
         if handler is None:
             return
-        no_body = self._bodyless or self._status in http.NO_BODY_CODES
+        no_body = (
+            self._bodyless or self._status in _http_constants.NO_BODY_CODES
+        )
         if self._chunked:
             self.length = None
         if not no_body and self.length is None and not self._chunked:
