--- a/src/cyclamendale/entry/http_entry.py
+++ b/src/cyclamendale/entry/http_entry.py
@@ -464,11 +464,7 @@
         self.answer_begun = True
         self._status = answer.status
         head = [
-            b"HTTP/1.1 %d %s\r\n"
-            % (
-                answer.status,
-                _http_constants.REASON_PHRASES.get(answer.status, b"Unknown"),
-            ),
+            _http_constants.status_line(answer.status),
             answer.head,
             b"X-Cyclamendale-Outcome: answered\r\n",
             b"X-Cyclamendale-Request: %s\r\n"
@@ -523,13 +519,7 @@
         call.ended = True
         body = b"" if self._bodyless else _refusal_body(call, refusal)
         head = [
-            b"HTTP/1.1 %d %s\r\n"
-            % (
-                refusal.http_status,
-                _http_constants.REASON_PHRASES.get(
-                    refusal.http_status, b"Refused"
-                ),
-            ),
+            _http_constants.status_line(refusal.http_status),
             b"Content-Type: application/json\r\n",
             b"Content-Length: %d\r\n" % len(body),
             b"X-Cyclamendale-Outcome: %s\r\n"
