--- a/measure/configuration_spread.py
+++ b/measure/configuration_spread.py
@@ -85,7 +85,7 @@
         self.wires = virtual.Wires(self.clock, domains)
         members = [
             directories.Member(
-                ids.make_node_id(address),
+                ids.NodeId(f"{address}#1"),
                 address,
                 ids.FailureDomainName(str(domains[address])),
                 1,
--- a/src/cyclamendale/controllers/configuration.py
+++ b/src/cyclamendale/controllers/configuration.py
@@ -37,7 +37,7 @@
 TICK_JITTER = 0.1
 """Share by which a tick may be early or late."""
 
-PUSH_NEAR = 3
+PUSH_NEAR = 6
 PUSH_ACROSS = 1
 """Peers told of a new version at once, in the own domain and others."""
 
