Drop what mutations showed to be redundant in the membership rules

Telling a process that another is held at its address, and passing on as news what an exchange of whole states corrected, had no test that failed without them once random node ids and a bound of 10 s were in the tests: a new process exchanges states with the first member that it hears of.

--- a/src/cyclamendale/membership/protocol.py
+++ b/src/cyclamendale/membership/protocol.py
@@ -131,12 +131,7 @@
     def receive(self, datagram: Any) -> None:
         """Handles an authentic, fresh `MembershipDatagram`."""
         now_s = self._clock.now_s()
-        sender = ids.NodeId(datagram.sender)
-        address = ids.address_of(sender)
-        record = self.members.record(address)
-        if record is not None and record.member.node != sender:
-            # Another process has the address: one of the two is over.
-            self._writer.tell(address, record.encoded)
+        address = ids.address_of(ids.NodeId(datagram.sender))
         disputes_self = False
         for encoded in datagram.updates or ():
             disputes_self |= self._take_update(encoded, now_s)
--- a/src/cyclamendale/membership/update_rules.py
+++ b/src/cyclamendale/membership/update_rules.py
@@ -121,9 +121,7 @@
                 self.contacts[member.address] = None
             return
         self._suspicions.end(member.address)
-        # What corrects an entry here may correct others' as well.
-        spread = origin is Origin.NEWS or held is not None
-        self._take(member, None, spread, now_s)
+        self._take(member, None, origin is Origin.NEWS, now_s)
 
     def _may_refute(
         self,
