--- a/src/cyclamendale/entry/http_entry.py
+++ b/src/cyclamendale/entry/http_entry.py
@@ -585,7 +585,8 @@
             return True
         left = self._answer_left - len(data)
         self._answer_left = left
-        return left == 0 if last else left > 0
+        # The end may follow in a part of its own, without data.
+        return left == 0 if last else left >= 0
 
     def _framed(self, data: bytes) -> bytes:
         if not self._answer_chunked:
--- a/tests/test_entry_contract.py
+++ b/tests/test_entry_contract.py
@@ -268,6 +268,14 @@
         self.bench.attempts[0].receiver.chunk(b"", True, 0)
         self.assertEqual([404], self.bench.outcomes)
 
+    def test_the_last_part_of_a_streamed_answer_may_be_empty(self):
+        self.caller.send(GET)
+        self.bench.attempts[0].answer(more=True, body=b"hi", body_bytes=5)
+        self.bench.attempts[0].receiver.chunk(b"all", False, 0)
+        self.bench.attempts[0].receiver.chunk(b"", True, 0)
+        self.assertEqual([200], self.bench.outcomes)
+        self.assertFalse(self.caller.transport.disconnected)
+
     def test_a_streamed_answer_of_the_wrong_length_is_cut(self):
         self.caller.send(GET)
         self.bench.attempts[0].answer(more=True, body=b"hi", body_bytes=9)
