Refuse as not ready until configured; give leases their own platform share

Cause: a node without configuration did not listen, so its callers had no typed answer; other work on the table could keep a lease from being renewed. The table's reachability is now an event and part of the status.

--- a/src/cyclamendale/_observation.py
+++ b/src/cyclamendale/_observation.py
@@ -72,6 +72,7 @@
     configuration: source.ConfigurationSource,
     gate: gates.Gate,
     quota_controller: quotas.QuotaController,
+    table_reachable: bool | None,
 ) -> timeline.NodeStatus:
     """Returns what a node says of itself to operators."""
     own = members.own()
@@ -88,5 +89,6 @@
         upstream_address=upstream.address if upstream else None,
         upstream_state=upstream.state.value if upstream else None,
         in_flight=len(gate.running),
+        table_reachable=table_reachable,
         held_shards=len(quota_controller.held_shards()),
     )
--- a/src/cyclamendale/node.py
+++ b/src/cyclamendale/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import random
 from typing import Any
 
@@ -31,6 +32,7 @@
 from cyclamendale.filters import match_route
 from cyclamendale.filters import once
 from cyclamendale.filters import quota
+from cyclamendale.filters import readiness
 from cyclamendale.forwarding import exchange
 from cyclamendale.forwarding import forwarder
 from cyclamendale.forwarding import policy
@@ -99,22 +101,40 @@
         self._set_filters()
         self._http_port: Any = None
         self._control_port: Any = None
+        self._is_serving = False
 
     # Construction, part by part.
 
     def _build_platform(self) -> None:
-        platform = http_client.make_platform(
+        settings = self._settings
+        platform = self._make_platform(
+            load_limit.make_node_share(settings.fleet_nodes),
+            self._reachability_changed,
+        )
+        self._table = http_client.make_table(platform)
+        self._objects = http_client.make_object_store(platform)
+        # Other work must not keep a lease from being renewed in time.
+        self._lease_table = http_client.make_table(
+            self._make_platform(load_limit.make_lease_share())
+        )
+        self._table_reachable: bool | None = None
+
+    def _make_platform(
+        self,
+        share: load_limit.LoadShare,
+        on_reachability: Callable[[bool], None] | None = None,
+    ) -> http_client.HttpPlatform:
+        return http_client.make_platform(
             self._reactor,
             self._clock,
             self._random,
             http_client.HttpSettings(
                 self._settings.platform_url,
                 timeout_s=self._settings.platform_timeout_s,
-                share=load_limit.make_node_share(self._settings.fleet_nodes),
+                share=share,
             ),
+            on_reachability,
         )
-        self._table = http_client.make_table(platform)
-        self._objects = http_client.make_object_store(platform)
 
     def _build_membership(self, secret: bytes, peer_port: int) -> None:
         self._membership = membership.make_membership_controller(
@@ -180,7 +200,7 @@
             self._clock,
             self._random,
             self._directory,
-            self._table,
+            self._lease_table,
             self._network,
             self._configuration,
             self.event_log,
@@ -208,6 +228,7 @@
             self._clock, self._weight_of, self._service_of
         )
         filters: list[base.Filter] = [
+            readiness.ReadinessFilter(lambda: self._is_serving),
             identify.IdentifyFilter(self._gate.contexts, self._configuration),
             match_route.MatchRouteFilter(),
             context.ContextFilter(customer_fairness),
@@ -228,14 +249,15 @@
         self._configuration.start()
         self._metrics.start()
         self._listen_control()
-        yield self._configuration.ready
-        self._quotas.start()
-        self._announcements.start()
         self._http_port = self._reactor.listenTCP(
             self._settings.http_address.port,
             self._entry.make_factory(),
             interface=self._settings.http_address.host,
         )
+        yield self._configuration.ready
+        self._quotas.start()
+        self._announcements.start()
+        self._is_serving = True
         self.event_log.record(
             events.NodeStarted(failure_domain=self.own.failure_domain)
         )
@@ -263,13 +285,13 @@
         entry_drained: defer.Deferred[None] = defer.Deferred()
         self._entry.begin_close()
         yield self._pause(LINGER_S)
-        if self._http_port is not None:
-            yield self._http_port.stopListening()
+        yield self._http_port.stopListening()
         self._entry.close(lambda: entry_drained.callback(None))
         drained = defer.gatherResults([gate_drained, entry_drained])
         yield self._within(drained, self._settings.shutdown_timeout_s)
-        yield self._quotas.stop()
-        yield self._announcements.stop()
+        if self._is_serving:
+            yield self._quotas.stop()
+            yield self._announcements.stop()
         yield self._configuration.stop()
         yield self._timeline.stop()
         yield self._membership.stop()
@@ -305,6 +327,12 @@
 
     # What the parts ask of each other.
 
+    def _reachability_changed(self, reachable: bool) -> None:
+        self._table_reachable = reachable
+        self.event_log.record(
+            events.StoreReachabilityChanged(reachable=reachable)
+        )
+
     def _announced(self, announced: directory.Announcement | None) -> None:
         self._gate.set_upstream(announced)
         self._membership.set_upstream(announced)
@@ -338,7 +366,11 @@
 
     def _status(self) -> timeline.NodeStatus:
         return _observation.node_status(
-            self._directory, self._configuration, self._gate, self._quotas
+            self._directory,
+            self._configuration,
+            self._gate,
+            self._quotas,
+            self._table_reachable,
         )
 
 
