Refuse, not fail, when the deadline passes while a filter begins

The timer for a waiting filter was set with a negative delay, which a reactor refuses with an assertion, and the caller's connection broke. The virtual clock of the entry's tests refuses it now as well; the new test failed with it before.

--- a/src/cyclamendale/entry/http_entry.py
+++ b/src/cyclamendale/entry/http_entry.py
@@ -391,7 +391,8 @@
         entry.chain.run(call)
         if self._forwarding is None and not self._over and call.deadline_s:
             self._filter_timer = entry.clock.call_later(
-                call.deadline_s - entry.clock.now_s(), self._filter_too_slow
+                max(0.0, call.deadline_s - entry.clock.now_s()),
+                self._filter_too_slow,
             )
 
     def _make_call(
--- a/tests/support/entry_bench.py
+++ b/tests/support/entry_bench.py
@@ -33,6 +33,14 @@
 )
 
 
+class StrictClock(task.Clock):
+    """Virtual clock that refuses what a reactor refuses."""
+
+    def callLater(self, delay, function, *args, **kwargs):
+        assert delay >= 0, delay
+        return super().callLater(delay, function, *args, **kwargs)
+
+
 class Connection:
     """One caller's connection."""
 
@@ -70,7 +78,7 @@
     """Entry with the real filters; attempts are answered by hand."""
 
     def __init__(self, table=None, configuration=None, **route_fields):
-        self.reactor = task.Clock()
+        self.reactor = StrictClock()
         self.clock = clocks.ReactorClock(self.reactor)
         self.contexts = contexts.ContextTable()
         self.attempts = []
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -146,6 +146,20 @@
         self.assertEqual([], self.attempts())
         self.assertEqual([], self.rows())
 
+    def test_a_deadline_that_passes_within_a_filter_is_a_refusal(self):
+        class Slow(tables.Table):
+            def insert_if_absent(self, key, value):
+                node.reactor.rightNow += 6.0
+                return defer.Deferred()
+
+            read = list_rows = compare_and_set = transact = None
+
+        node = entry_bench.EntryBench(Slow(), once=model.Once.TABLE)
+        caller = node.connect()
+        caller.send(POST % b"booking-1")
+        node.reactor.advance(0.0)
+        self.assertEqual([(504, "not-run", "deadline")], caller.outcomes)
+
     def test_a_defect_of_a_filter_is_refused_as_not_run(self):
         class Broken(tables.Table):
             def insert_if_absent(self, key, value):
