Test what hand-made mutations of the overload code survived

Eight mutations survived the tests: the over-use of a customer crossing its importance class, requests that wait onward holding the limit, the slots no longer bounding them, a resume without effect, a baseline that never catches up, a threshold that does not accelerate, one not bounded by the refused keys, and demand held back at the entries being forgotten.

--- a/tests/test_overload_admission.py
+++ b/tests/test_overload_admission.py
@@ -187,6 +187,12 @@
     pass
 
 
+class OneAtATime(limits.StaticLimit):
+    """Works on one request at once, whatever it may hold."""
+
+    current = 1
+
+
 class RefusalReasonTest(testtools.TestCase):
     scenarios = [
         ("expired", {"deadline_s": 0.0, "wait_s": 0.0, "reason": "deadline"}),
@@ -238,6 +244,38 @@
         bench.gate.finish(first.ticket, 0.0, admission.Completion.CANCELLED)
         self.assertEqual(["started"], second.outcomes)
 
+    def test_a_request_that_waits_onward_holds_only_its_slot(self):
+        bench = Bench()
+        bench.gate = gate_admission.make_admission(
+            bench.clock,
+            bench.random,
+            SERVICE,
+            limit=OneAtATime(bench.clock, 0.0),
+        )
+        bench.gate.set_capacity(3, 1000)
+        requests = [bench.submit() for _ in range(4)]
+        for held, request in enumerate(requests, start=1):
+            self.assertEqual(min(held, 3), len(bench.running))
+            if request in bench.running:
+                bench.gate.pause(request.ticket)
+        self.assertEqual(1, len(bench.waiting))
+        for request in requests[:3]:
+            bench.gate.resume(request.ticket)
+            bench.finish(request)
+        bench.submit()
+        self.assertEqual(1, len(bench.running))
+
+    def test_overuse_never_puts_a_request_behind_a_lower_class(self):
+        bench = Bench()
+        for _ in range(50):
+            bench.finish(bench.submit(customer="greedy"))
+        bench.finish(bench.submit(customer="modest"))
+        bench.submit()
+        greedy = bench.submit(importance=2, over=250, customer="greedy")
+        bench.submit(importance=3, over=0, customer="modest")
+        bench.finish(bench.running[0])
+        self.assertEqual(["started"], greedy.outcomes)
+
     def test_requests_in_service_outlive_a_drain(self):
         bench = Bench()
         running = bench.submit()
--- a/tests/test_overload_limit.py
+++ b/tests/test_overload_limit.py
@@ -57,6 +57,11 @@
         self.run_for(2.0)
         self.assertGreaterEqual(self.limit.current, WORKERS)
 
+    def test_slower_work_becomes_normal_in_the_end(self):
+        self.run_for(5.0, offered=2)
+        self.run_for(30.0, slowness=3.0)
+        self.assertGreater(self.limit.expected_own_time_s, 1.5 * WORK_S)
+
     def test_a_slow_service_further_down_leaves_the_limit_alone(self):
         self.run_for(5.0, offered=2)
         # Many are held for long, but the own time stays what it was.
--- a/tests/test_overload_shedding.py
+++ b/tests/test_overload_shedding.py
@@ -12,6 +12,7 @@
 
 from cyclamendale import clocks
 from cyclamendale.intents import model
+from cyclamendale.overload import _demand
 from cyclamendale.overload import _threshold_control
 from cyclamendale.overload import fair_use
 from cyclamendale.overload import feedback
@@ -76,13 +77,38 @@
         self.run_for(2.0, 100)
         self.assertEqual(MAX, self.control.threshold)
 
-    def test_it_stays_above_what_the_gate_still_serves(self):
-        self.run_for(0.2, 600)
+    def test_it_rises_faster_after_a_greater_overload(self):
+        self.run_for(5.0, 3000)
+        self.run_for(2.0, 100)
+        self.assertEqual(MAX, self.control.threshold)
+
+    def test_it_never_excludes_what_the_gate_still_serves(self):
         for _ in range(20):
-            self.control.refused(3 << 24)
-        self.reactor.advance(0.05)
-        self.control.update()
-        self.assertGreaterEqual(self.control.threshold, 2 << 24)
+            for index in range(10):
+                self.control.offered(index << 16, 1.0)
+                self.control.offered((3 << 24) + index, 1.0)
+                self.control.refused((3 << 24) + index)
+            self.control.finished()
+            self.reactor.advance(0.05)
+            self.control.update()
+            self.assertGreaterEqual(self.control.threshold, CRITICAL_END)
+
+    def test_the_demand_that_entries_hold_back_is_remembered(self):
+        demand = _demand.DemandByKey()
+        keys = [next(self.keys) for _ in range(400)]
+        for _ in range(40):
+            for key in keys:
+                demand.arrived(key)
+            demand.end_window(1.0, MAX)
+        cut = demand.key_at(200)
+        self.assertLess(cut, demand.key_at(390))
+        above = demand.key_at(390)
+        for _ in range(40):
+            for key in keys:
+                if key <= cut:
+                    demand.arrived(key)
+            demand.end_window(1.0, cut)
+        self.assertEqual(above, demand.key_at(390))
 
 
 class EarlyShedTest(testtools.TestCase):
