--- a/measure/recovery.py
+++ b/measure/recovery.py
@@ -62,10 +62,12 @@
         key=lambda root: root.arrived_s,
     )
     during = _served_share(first_roots, CALM_S + 5.0, end_s)
+    recovery_s = _recovery_s(first_roots, end_s)
     return {
         "policy": policy.name,
         "seed": seed,
-        "recovery s": _recovery_s(first_roots, end_s),
+        "recovered": float(recovery_s < OBSERVED_S),
+        "recovery s": recovery_s,
         "first attempts served while slow": during,
     }
 
@@ -73,7 +75,10 @@
 def _recovery_s(
     first_roots: list[_call_graph_model.Root], end_s: float
 ) -> float:
-    """Returns when goodput came back for good, after the cause ended."""
+    """Returns when goodput came back for good, after the cause ended.
+
+    When it did not, this is the whole time observed.
+    """
     sustained = int(SUSTAINED_S / STEP_S)
     good = 0
     for step in range(int((OBSERVED_S - 2 * WINDOW_S) / STEP_S)):
@@ -82,7 +87,7 @@
         good = good + 1 if share >= RECOVERED_SHARE else 0
         if good > sustained:
             return (step - sustained) * STEP_S
-    return float("inf")
+    return OBSERVED_S
 
 
 def _served_share(
