--- a/measure/fairness.py
+++ b/measure/fairness.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from measure import _call_graph_model
+from measure import _call_graph_model_calls
 from measure import _call_graph_model_policies as policies
 from measure import _call_graph_model_runs as runs
 
@@ -43,7 +44,7 @@
     graph = _call_graph_model.Graph(
         services,
         [
-            _call_graph_model.RouteSpec(
+            _call_graph_model_calls.RouteSpec(
                 "route", services[0].name, deadline_s=DEADLINE_S
             )
         ],
@@ -77,7 +78,7 @@
     }
 
 
-def _served_share(roots: list[_call_graph_model.Root]) -> float:
+def _served_share(roots: list[_call_graph_model_calls.Root]) -> float:
     # The others send exactly their fair share, so what was served of it
     # is the figure asked for.
     counted = [
--- a/measure/overload.py
+++ b/measure/overload.py
@@ -11,6 +11,7 @@
 
 from cyclamendale.intents import model
 from measure import _call_graph_model
+from measure import _call_graph_model_calls
 from measure import _call_graph_model_policies as policies
 from measure import _call_graph_model_runs as runs
 
@@ -45,7 +46,7 @@
     services = _call_graph_model.chain(depth)
     capacity_per_s = _call_graph_model.capacity_per_s(services[-1])
     routes = [
-        _call_graph_model.RouteSpec(
+        _call_graph_model_calls.RouteSpec(
             importance.name, services[0].name, importance, DEADLINE_S
         )
         for importance in SHARE_BY_IMPORTANCE
@@ -79,7 +80,7 @@
 
 
 def _figures(
-    roots: list[_call_graph_model.Root],
+    roots: list[_call_graph_model_calls.Root],
     start_s: float,
     end_s: float,
     capacity_per_s: float,
@@ -102,7 +103,7 @@
     }
 
 
-def _share(roots: list[_call_graph_model.Root]) -> float:
+def _share(roots: list[_call_graph_model_calls.Root]) -> float:
     return sum(root.succeeded for root in roots) / len(roots)
 
 
--- a/measure/overload_cost.py
+++ b/measure/overload_cost.py
@@ -19,6 +19,7 @@
 from cyclamendale.overload import shed_key
 from cyclamendale.overload import threshold_shed
 from measure import _call_graph_model
+from measure import _call_graph_model_calls
 from measure import _call_graph_model_events as events
 from measure import _call_graph_model_runs as runs
 
@@ -116,7 +117,7 @@
 
 def _measure_choice(targets: int) -> float:
     clock, random = events.EventClock(), random_module.Random(1)
-    spec = _call_graph_model.ServiceSpec("service", targets, 4, 96, 0.02)
+    spec = _call_graph_model_calls.ServiceSpec("service", targets, 4, 96, 0.02)
     members = _call_graph_model.make_members(spec)
     directory: directories.Directory = _call_graph_model.ModelDirectory(
         members[0], {"service": members}
--- a/measure/recovery.py
+++ b/measure/recovery.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from measure import _call_graph_model
+from measure import _call_graph_model_calls
 from measure import _call_graph_model_policies as policies
 from measure import _call_graph_model_runs as runs
 
@@ -38,7 +39,7 @@
     policy, seed = cell
     services = _call_graph_model.chain(DEPTH, targets=2)
     capacity_per_s = _call_graph_model.capacity_per_s(services[-1])
-    routes = [_call_graph_model.RouteSpec("route", services[0].name)]
+    routes = [_call_graph_model_calls.RouteSpec("route", services[0].name)]
     graph = _call_graph_model.Graph(services, routes, policy, seed)
     clients = [
         _call_graph_model.PoissonClients(
@@ -73,7 +74,7 @@
 
 
 def _recovery_s(
-    first_roots: list[_call_graph_model.Root], end_s: float
+    first_roots: list[_call_graph_model_calls.Root], end_s: float
 ) -> float:
     """Returns when goodput came back for good, after the cause ended.
 
@@ -91,7 +92,9 @@
 
 
 def _served_share(
-    first_roots: list[_call_graph_model.Root], start_s: float, end_s: float
+    first_roots: list[_call_graph_model_calls.Root],
+    start_s: float,
+    end_s: float,
 ) -> float:
     """Returns the share served of the requests first sent in a window."""
     begin = bisect.bisect_left(first_roots, start_s, key=_arrived_s)
@@ -100,7 +103,7 @@
     return served / max(1, end - begin)
 
 
-def _arrived_s(root: _call_graph_model.Root) -> float:
+def _arrived_s(root: _call_graph_model_calls.Root) -> float:
     return root.arrived_s
 
 
--- a/measure/stragglers.py
+++ b/measure/stragglers.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from measure import _call_graph_model
+from measure import _call_graph_model_calls
 from measure import _call_graph_model_policies as policies
 from measure import _call_graph_model_runs as runs
 
@@ -22,7 +23,7 @@
 def measure_cell(cell: tuple[float, bool, int]) -> dict[str, Any]:
     """Runs one load with one seed."""
     load, hedges, seed = cell
-    service = _call_graph_model.ServiceSpec(
+    service = _call_graph_model_calls.ServiceSpec(
         "lookup",
         targets=4,
         workers=4,
@@ -36,7 +37,7 @@
     graph = _call_graph_model.Graph(
         [service],
         [
-            _call_graph_model.RouteSpec(
+            _call_graph_model_calls.RouteSpec(
                 "route", service.name, deadline_s=DEADLINE_S
             )
         ],
