--- a/measure/recovery.py
+++ b/measure/recovery.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from measure import _call_graph_model
+from measure import _call_graph_model_calls
 from measure import _call_graph_model_policies as policies
 from measure import _call_graph_model_runs as runs
 
@@ -38,7 +39,7 @@
     policy, seed = cell
     services = _call_graph_model.chain(DEPTH, targets=2)
     capacity_per_s = _call_graph_model.capacity_per_s(services[-1])
-    routes = [_call_graph_model.RouteSpec("route", services[0].name)]
+    routes = [_call_graph_model_calls.RouteSpec("route", services[0].name)]
     graph = _call_graph_model.Graph(services, routes, policy, seed)
     clients = [
         _call_graph_model.PoissonClients(
@@ -62,18 +63,23 @@
         key=lambda root: root.arrived_s,
     )
     during = _served_share(first_roots, CALM_S + 5.0, end_s)
+    recovery_s = _recovery_s(first_roots, end_s)
     return {
         "policy": policy.name,
         "seed": seed,
-        "recovery s": _recovery_s(first_roots, end_s),
+        "recovered": float(recovery_s < OBSERVED_S),
+        "recovery s": recovery_s,
         "first attempts served while slow": during,
     }
 
 
 def _recovery_s(
-    first_roots: list[_call_graph_model.Root], end_s: float
+    first_roots: list[_call_graph_model_calls.Root], end_s: float
 ) -> float:
-    """Returns when goodput came back for good, after the cause ended."""
+    """Returns when goodput came back for good, after the cause ended.
+
+    When it did not, this is the whole time observed.
+    """
     sustained = int(SUSTAINED_S / STEP_S)
     good = 0
     for step in range(int((OBSERVED_S - 2 * WINDOW_S) / STEP_S)):
@@ -82,11 +88,13 @@
         good = good + 1 if share >= RECOVERED_SHARE else 0
         if good > sustained:
             return (step - sustained) * STEP_S
-    return float("inf")
+    return OBSERVED_S
 
 
 def _served_share(
-    first_roots: list[_call_graph_model.Root], start_s: float, end_s: float
+    first_roots: list[_call_graph_model_calls.Root],
+    start_s: float,
+    end_s: float,
 ) -> float:
     """Returns the share served of the requests first sent in a window."""
     begin = bisect.bisect_left(first_roots, start_s, key=_arrived_s)
@@ -95,7 +103,7 @@
     return served / max(1, end - begin)
 
 
-def _arrived_s(root: _call_graph_model.Root) -> float:
+def _arrived_s(root: _call_graph_model_calls.Root) -> float:
     return root.arrived_s
 
 
