--- /dev/null
+++ b/src/cyclamendale/entry/_channel.py
@@ -0,0 +1,151 @@
+"""One HTTP connection from a caller."""
+
+from __future__ import annotations
+
+from typing import Any, TYPE_CHECKING
+
+from twisted.python import failure
+from twisted.web import http
+
+from cyclamendale import clocks
+from cyclamendale.entry import _request
+
+if TYPE_CHECKING:
+    from cyclamendale.entry import http_entry
+
+LINGER_S = 2.0
+"""How long the rest of a refused upload is read and dropped.
+
+Closing at once would reset the connection and could destroy the refusal
+before the caller has read it.
+"""
+
+
+class EntryChannel(http.HTTPChannel):
+    """One connection from a caller."""
+
+    transport: Any
+
+    def __init__(self, entry: http_entry.Entry) -> None:
+        super().__init__()
+        self.entry = entry
+        self.timeOut = entry.idle_timeout_s  # type: ignore[assignment]
+        self.requestFactory = _request.EntryRequest  # type: ignore[assignment]
+        self.is_http_1_1 = True
+        self._arrival_timer: clocks.DelayedCall | None = None
+        self._lingering = False
+
+    def connectionMade(self) -> None:
+        """Notes the connection."""
+        super().connectionMade()
+        self.entry.channels.add(self)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Bounds the time that a request may take to arrive.
+
+        One that arrives in one piece, as most do, costs no timer.
+        """
+        if self._lingering:
+            return
+        super().dataReceived(data)
+        if not self._handlingRequest and self._arrival_timer is None:
+            self._watch_arrival()
+
+    def headerReceived(self, line: bytes) -> bool:
+        """Refuses what twisted fails to parse, such as a huge number."""
+        try:
+            return super().headerReceived(line)
+        except ValueError:
+            self._respondToBadRequestAndDisconnect()
+            return False
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        """Refuses an oversized line."""
+        self._respondToBadRequestAndDisconnect()
+
+    def allContentReceived(self) -> None:
+        """Ends a request unless it was already answered and left."""
+        if not self._lingering:
+            super().allContentReceived()
+
+    def requestDone(self, request: _request.EntryRequest) -> None:
+        """Goes on to the next request, or closes the connection."""
+        if not self.persistent and not self._handlingRequest:
+            self.requests.remove(request)
+            self._linger(request.answer_begun)
+        else:
+            super().requestDone(request)
+            if not self.persistent:
+                # A caller may never read the answer.
+                self.setTimeout(self.entry.idle_timeout_s)
+            elif self.entry.closing and not self.requests:
+                self.loseConnection()
+
+    def timeoutConnection(self) -> None:
+        """Closes an idle connection; deadlines bound the busy ones."""
+        if any(request.has_begun for request in self.requests):
+            self.setTimeout(self.entry.idle_timeout_s)
+        else:
+            super().timeoutConnection()
+
+    def _respondToBadRequestAndDisconnect(self) -> None:
+        """Refuses a malformed request like any other, typed."""
+        if self._lingering:
+            return
+        if not self.requests:
+            self.requests.append(_request.EntryRequest(self))
+        self.requests[-1].malformed()
+
+    def _send100Continue(self) -> None:
+        """Asks for a body, unless the request was refused already."""
+        if self.requests:
+            super()._send100Continue()
+
+    def _linger(self, answer_begun: bool) -> None:
+        """Closes this side; drops what the caller still sends."""
+        self._lingering = True
+        self._buffer = b""
+        self._stop_arrival_timer()
+        self._networkProducer.unregisterProducer()
+        self.transport.resumeProducing()
+        self.transport.loseWriteConnection()
+        self._arrival_timer = self.entry.clock.call_later(
+            # A long answer may still be on its way to a slow reader.
+            self.entry.idle_timeout_s if answer_begun else LINGER_S,
+            self.transport.abortConnection,
+        )
+
+    def allHeadersReceived(self) -> None:
+        """Notes the end of the head."""
+        self._stop_arrival_timer()
+        self.is_http_1_1 = self._version == b"HTTP/1.1"
+        super().allHeadersReceived()
+
+    def connectionLost(self, reason: failure.Failure) -> None:  # type: ignore[override]
+        """Tells the requests in progress that their caller is gone."""
+        self._stop_arrival_timer()
+        self.entry.channels.discard(self)
+        super().connectionLost(reason)
+        self.entry.check_drained()
+
+    def _watch_arrival(self) -> None:
+        if self.line_mode:
+            if not self._buffer and not self._receivedHeaderSize:
+                return
+            timeout_s = self.entry.head_timeout_s
+        elif self.requests and not self.requests[-1].has_begun:
+            timeout_s = self.entry.idle_timeout_s
+        else:
+            return
+        self._arrival_timer = self.entry.clock.call_later(
+            timeout_s, self._arrives_too_slowly
+        )
+
+    def _stop_arrival_timer(self) -> None:
+        timer, self._arrival_timer = self._arrival_timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
+
+    def _arrives_too_slowly(self) -> None:
+        self._arrival_timer = None
+        self._respondToBadRequestAndDisconnect()
--- /dev/null
+++ b/src/cyclamendale/entry/_request.py
@@ -0,0 +1,413 @@
+"""One HTTP request of a caller, and where its answer goes."""
+
+from __future__ import annotations
+
+from typing import Any, TYPE_CHECKING
+
+from twisted.python import failure
+from twisted.web import http
+
+from cyclamendale import _http_constants
+from cyclamendale import _immediate_write
+from cyclamendale import clocks
+from cyclamendale import refusals
+from cyclamendale.entry import call as calls
+from cyclamendale.filters import match_route
+from cyclamendale.forwarding import caller as callers
+from cyclamendale.forwarding import exchange
+from cyclamendale.forwarding import forwarder
+
+if TYPE_CHECKING:
+    from cyclamendale.entry import _channel
+
+_HOP_HEADERS = frozenset(
+    {
+        b"Connection",
+        b"Content-Length",
+        b"Expect",
+        b"Keep-Alive",
+        b"Proxy-Authenticate",
+        b"Proxy-Authorization",
+        b"Proxy-Connection",
+        b"TE",
+        b"Te",
+        b"Trailer",
+        b"Transfer-Encoding",
+        b"Upgrade",
+    }
+)
+_OWN_PREFIX = b"X-Cyclamendale-"
+_OWN_REQUEST_HEADERS = frozenset(
+    {b"X-Cyclamendale-Context", b"X-Cyclamendale-Deadline-Ms"}
+)
+
+
+class EntryRequest(http.Request, callers.Caller):
+    """One request of a caller, and where its answer goes."""
+
+    channel: Any
+
+    def __init__(
+        self, channel: _channel.EntryChannel, queued: Any = None
+    ) -> None:
+        super().__init__(channel)
+        self._entry = channel.entry
+        self._call: calls.Call | None = None
+        self._forwarding: forwarder.Forwarding | None = None
+        self._received = bytearray()
+        self._body_bytes = 0
+        self._uploaded_bytes = 0
+        self._body_complete = False
+        self._upload_wanted = False
+        self._reading_paused = False
+        self._filter_timer: clocks.DelayedCall | None = None
+        self._status = 0
+        self._answer_left = exchange.UNKNOWN_LENGTH
+        self._answer_chunked = False
+        self._bodyless = False
+        self._writing_paused = False
+        self._chunk_wanted = False
+        self.answer_begun = False
+        self._over = False
+
+    @property
+    def has_begun(self) -> bool:
+        """Returns whether the request entered the filter chain."""
+        return self._call is not None
+
+    # The request arrives.
+
+    def parseCookies(self) -> None:
+        """Leaves cookies to the upstream."""
+
+    def gotLength(self, length: int | None) -> None:
+        """Begins at once with a request whose body is long."""
+        self._body_bytes = exchange.UNKNOWN_LENGTH if length is None else length
+        if length is None or length > exchange.CHUNK_BYTES:
+            self._begin(self.channel._command, self.channel._path)
+
+    def handleContentChunk(self, data: bytes) -> None:
+        """Keeps a part of the body until it is asked for."""
+        if self._over:
+            return
+        self._received += data
+        if self._call is None:
+            return
+        if self._body_bytes == exchange.UNKNOWN_LENGTH:
+            self._uploaded_bytes += len(data)
+            if self._check_upload(self._call):
+                return
+        if self._upload_wanted:
+            self._send_upload()
+        elif len(self._received) >= exchange.CHUNK_BYTES:
+            # Twisted may have resumed reading for reasons of its own.
+            self._reading_paused = True
+            self.channel.transport.pauseProducing()
+
+    def requestReceived(
+        self, command: bytes, path: bytes, version: bytes
+    ) -> None:
+        """Handles the end of the request."""
+        self._body_complete = True
+        if self._over:
+            return
+        if self._call is None:
+            self._begin(command, path)
+        elif self._upload_wanted:
+            self._send_upload()
+
+    def connectionLost(self, reason: failure.Failure) -> None:
+        """Cancels the work for a caller that is gone."""
+        call = self._call
+        if call is not None and not self._over:
+            not_run = call.on_cancel is None or call.on_cancel()
+            call.ended = True
+            self._end(
+                refusals.Refusal(
+                    refusals.RefusalReason.CANCELLED,
+                    refusals.Execution.NOT_RUN
+                    if not_run
+                    else refusals.Execution.UNKNOWN,
+                )
+            )
+        super().connectionLost(reason)
+
+    def malformed(self) -> None:
+        """Refuses a request that is malformed, maybe halfway."""
+        if self._call is None:
+            self._call = self._make_call(b"", b"", b"", False)
+        self._fail(refusals.Refusal(refusals.RefusalReason.BAD_REQUEST))
+
+    def _check_upload(self, call: calls.Call) -> bool:
+        """Stops an upload that grew over its route's limit."""
+        route = call.route
+        if route is None or self._uploaded_bytes <= route.max_body_bytes:
+            return False
+        self._fail(match_route.too_large(call, route))
+        return True
+
+    def _fail(self, refusal: refusals.Refusal) -> None:
+        """Ends the request for a fault of its caller."""
+        if self._over:
+            self.channel.transport.abortConnection()
+        elif self._forwarding is not None:
+            self._forwarding.fail(refusal)
+        else:
+            self.refuse(refusal)
+
+    def _begin(self, method: bytes, path: bytes) -> None:
+        entry = self._entry
+        body, more = bytes(self._received), not self._body_complete
+        self._received.clear()
+        if not more:
+            self._body_bytes = len(body)
+        call = self._make_call(method, path, body, more)
+        self._call = call
+        self._bodyless = method == b"HEAD"
+        entry.active.add(self)
+        assert entry.chain is not None
+        entry.chain.run(call)
+        if self._forwarding is None and not self._over and call.deadline_s:
+            self._filter_timer = entry.clock.call_later(
+                max(0.0, call.deadline_s - entry.clock.now_s()),
+                self._filter_too_slow,
+            )
+
+    def _make_call(
+        self, method: bytes, path: bytes, body: bytes, more: bool
+    ) -> calls.Call:
+        entry = self._entry
+        return calls.Call(
+            method,
+            path,
+            self._passed_headers(),
+            entry.configuration.current,
+            entry.clock.now_s(),
+            self,
+            body,
+            more,
+            self._body_bytes,
+        )
+
+    def _filter_too_slow(self) -> None:
+        """Refuses a request whose deadline passed in the filter chain."""
+        self.refuse(refusals.Refusal(refusals.RefusalReason.DEADLINE))
+
+    def _passed_headers(self) -> calls.HeaderList:
+        return [
+            (name, value)
+            for name, values in self.requestHeaders.getAllRawHeaders()
+            if name not in _HOP_HEADERS
+            and (
+                not name.startswith(_OWN_PREFIX) or name in _OWN_REQUEST_HEADERS
+            )
+            for value in values
+        ]
+
+    def passed(self) -> None:
+        """Forwards the call once it passed the filter chain."""
+        assert self._call is not None
+        self._stop_filter_timer()
+        forwarding = forwarder.Forwarding(
+            self._entry.forwarder, self._call, self
+        )
+        self._forwarding = forwarding
+        forwarding.start()
+
+    # The request's body goes out.
+
+    def next_upload(self) -> None:
+        """See base class."""
+        self._upload_wanted = True
+        if self._received or self._body_complete:
+            self._send_upload()
+
+    def _send_upload(self) -> None:
+        self._upload_wanted = False
+        data = bytes(self._received[: exchange.CHUNK_BYTES])
+        del self._received[: exchange.CHUNK_BYTES]
+        last = self._body_complete and not self._received
+        if self._reading_paused and not self._over:
+            self._reading_paused = False
+            self.channel.transport.resumeProducing()
+        assert self._forwarding is not None
+        self._forwarding.push(data, last)
+
+    # The answer comes back.
+
+    def answer(self, answer: exchange.Answer) -> None:
+        """See base class."""
+        if self._over:
+            return
+        self.answer_begun = True
+        self._status = answer.status
+        head = [
+            _http_constants.status_line(answer.status),
+            answer.head,
+            b"X-Cyclamendale-Outcome: answered\r\n",
+            b"X-Cyclamendale-Request: %s\r\n"
+            % (self._call.request.encode() if self._call else b""),
+        ]
+        if answer.more and answer.body_bytes == exchange.UNKNOWN_LENGTH:
+            self._answer_chunked = self.channel.is_http_1_1
+            if self._answer_chunked:
+                head.append(b"Transfer-Encoding: chunked\r\n")
+        elif answer.status not in _http_constants.NO_BODY_CODES:
+            length = answer.body_bytes if answer.more else len(answer.body)
+            if self._bodyless:
+                length = answer.body_bytes
+            if length != exchange.UNKNOWN_LENGTH:
+                head.append(b"Content-Length: %d\r\n" % length)
+        self._write_head(head, self._framed(answer.body))
+        if answer.more:
+            if answer.body_bytes != exchange.UNKNOWN_LENGTH:
+                self._answer_left = answer.body_bytes - len(answer.body)
+            self.channel.registerProducer(self, True)
+            self._pull()
+        else:
+            self._end(answer.status)
+            self.finish()
+
+    def chunk(self, data: bytes, last: bool) -> None:
+        """See base class."""
+        if self._over:
+            return
+        if not self._fits(data, last):
+            assert self._forwarding is not None
+            self._forwarding.cancel()
+            self.abort()
+            return
+        framed = self._framed(data)
+        if last and self._answer_chunked:
+            framed += b"0\r\n\r\n"
+        self.channel.write(framed)
+        if last:
+            self.channel.unregisterProducer()
+            self._end(self._status)
+            self.finish()
+        else:
+            self._pull()
+
+    def refuse(self, refusal: refusals.Refusal) -> None:
+        """See base class."""
+        if self._over:
+            return
+        call = self._call
+        assert call is not None
+        call.ended = True
+        body = b"" if self._bodyless else _refusal_body(call, refusal)
+        head = [
+            _http_constants.status_line(refusal.http_status),
+            b"Content-Type: application/json\r\n",
+            b"Content-Length: %d\r\n" % len(body),
+            b"X-Cyclamendale-Outcome: %s\r\n"
+            % refusal.execution.value.encode(),
+            b"X-Cyclamendale-Reason: %s\r\n" % refusal.reason.value.encode(),
+            b"X-Cyclamendale-Request: %s\r\n" % call.request.encode(),
+        ]
+        if refusal.decider is not None:
+            head.append(
+                b"X-Cyclamendale-Decided-By: %s\r\n"
+                % str(refusal.decider).encode()
+            )
+        if refusal.retry_after_s is not None:
+            # The header has whole seconds, the body the exact figure.
+            head.append(
+                b"Retry-After: %d\r\n" % max(1, round(refusal.retry_after_s))
+            )
+        if not self._body_complete:
+            # The rest of the body is not read, so nothing can follow.
+            self.channel.persistent = False
+        self._write_head(head, body)
+        self._end(refusal)
+        self.finish()
+
+    def abort(self) -> None:
+        """See base class."""
+        if self._over:
+            return
+        self._end(
+            refusals.Refusal(
+                refusals.RefusalReason.LOST, refusals.Execution.UNKNOWN
+            )
+        )
+        self.channel.transport.abortConnection()
+
+    # Backpressure of the caller's connection.
+
+    def pauseProducing(self) -> None:
+        """The caller reads slowly."""
+        self._writing_paused = True
+
+    def resumeProducing(self) -> None:
+        """The caller has read what was sent."""
+        self._writing_paused = False
+        if self._chunk_wanted:
+            self._pull()
+
+    def stopProducing(self) -> None:
+        """The connection is closing; `connectionLost` follows."""
+
+    def _pull(self) -> None:
+        self._chunk_wanted = self._writing_paused
+        if not self._writing_paused and self._forwarding is not None:
+            self._forwarding.pull()
+
+    def _fits(self, data: bytes, last: bool) -> bool:
+        """Returns whether a part keeps to the announced length."""
+        if self._answer_left == exchange.UNKNOWN_LENGTH:
+            return True
+        left = self._answer_left - len(data)
+        self._answer_left = left
+        # The end may follow in a part of its own, without data.
+        return left == 0 if last else left >= 0
+
+    def _framed(self, data: bytes) -> bytes:
+        if not self._answer_chunked:
+            return data
+        return b"%x\r\n%s\r\n" % (len(data), data) if data else b""
+
+    def _write_head(self, head: list[bytes], body: bytes) -> None:
+        if self._entry.closing or not self._body_complete:
+            self.channel.persistent = False
+        if not self.channel.persistent:
+            head.append(b"Connection: close\r\n")
+        head.append(b"\r\n")
+        head.append(body)
+        self.startedWriting = 1
+        _immediate_write.write_now(self.channel.transport, b"".join(head))
+
+    def _end(self, outcome: refusals.Refusal | int) -> None:
+        self._over = True
+        self._stop_filter_timer()
+        self._entry.active.discard(self)
+        call = self._call
+        assert call is not None
+        if call.on_ended is not None:
+            call.on_ended(
+                outcome if isinstance(outcome, refusals.Refusal) else None
+            )
+        self._entry.observer(call, outcome)
+        self._entry.check_drained()
+
+    def _stop_filter_timer(self) -> None:
+        timer, self._filter_timer = self._filter_timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
+
+
+def _refusal_body(call: calls.Call, refusal: refusals.Refusal) -> bytes:
+    decider = refusal.decider
+    return (
+        b'{"reason":"%s","outcome":"%s","request":"%s","decided_by":%s,'
+        b'"retry_after_s":%s}\n'
+        % (
+            refusal.reason.value.encode(),
+            refusal.execution.value.encode(),
+            call.request.encode(),
+            b'"%s"' % str(decider).encode() if decider else b"null",
+            b"%.3f" % refusal.retry_after_s
+            if refusal.retry_after_s is not None
+            else b"null",
+        )
+    )
--- a/src/cyclamendale/entry/call.py
+++ b/src/cyclamendale/entry/call.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from cyclamendale.entry import retry_budget
-    from cyclamendale.forwarding import forwarder
+    from cyclamendale.forwarding import caller as callers
     from cyclamendale.upstream import contexts
 
 HeaderList = list[tuple[bytes, bytes]]
@@ -85,7 +85,7 @@
         headers: HeaderList,
         configuration: model.Configuration,
         arrived_s: float,
-        caller: forwarder.Caller,
+        caller: callers.Caller,
         body: bytes = b"",
         more: bool = False,
         body_bytes: int = 0,
--- /dev/null
+++ b/src/cyclamendale/forwarding/_attempt.py
@@ -0,0 +1,142 @@
+"""One attempt of a call at one target, as its forwarding sees it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cyclamendale import _http_constants
+from cyclamendale import ids
+from cyclamendale import refusals
+from cyclamendale.forwarding import exchange
+from cyclamendale.overload import feedback as feedbacks
+
+if TYPE_CHECKING:
+    from cyclamendale.forwarding import forwarder
+
+_BROKEN_REASONS = frozenset(
+    {
+        refusals.RefusalReason.LOST,
+        refusals.RefusalReason.NO_TARGET,
+        refusals.RefusalReason.UPSTREAM_FAILED,
+    }
+)
+"""Refusals that speak against the target itself.
+
+One that sheds or drains works as it should, and one whose onward calls
+were late or failed is not mended by going elsewhere.
+"""
+
+
+class Attempt(exchange.Receiver):
+    """One attempt at one target."""
+
+    __slots__ = (
+        "_answered",
+        "_done",
+        "_forwarding",
+        "exchange",
+        "lent",
+        "started_s",
+        "target",
+    )
+
+    def __init__(
+        self,
+        forwarding: forwarder.Forwarding,
+        target: ids.NodeId,
+        lent: int,
+        started_s: float,
+    ) -> None:
+        self._forwarding = forwarding
+        self._answered = False
+        self._done = False
+        self.target = target
+        self.lent = lent
+        self.started_s = started_s
+        self.exchange: exchange.Exchange | None = None
+
+    def cancel(self, timed_out: bool = False) -> bool:
+        """Abandons the attempt.
+
+        What it borrowed stays with it, unless it certainly did not run.
+
+        Args:
+            timed_out: Whether the target is to blame.
+
+        Returns:
+            Whether the request certainly was not and will not be run.
+        """
+        if self._done:
+            return False
+        self._done = True
+        not_run = self.exchange is not None and self.exchange.cancel()
+        if not self._answered:
+            self._forwarding.attempt_ended(
+                self, self.lent if not_run else 0, not timed_out, None
+            )
+        return not_run
+
+    def answered(self, answer: exchange.Answer) -> None:
+        """See base class."""
+        if self._done:
+            return
+        self._answered = True
+        self._done = not answer.more
+        self._forwarding.attempt_ended(
+            self, answer.unused_budget, True, answer.feedback
+        )
+        if answer.status < _http_constants.INTERNAL_SERVER_ERROR:
+            self._forwarding.answer_took(self.started_s)
+        self._forwarding.answered(self, answer)
+
+    def refused(
+        self,
+        refusal: refusals.Refusal,
+        answer_feedback: feedbacks.Feedback | None,
+        unused_budget: int,
+    ) -> None:
+        """See base class."""
+        if self._done:
+            return
+        self._done = True
+        is_sound = refusal.reason not in _BROKEN_REASONS
+        self._forwarding.attempt_ended(
+            self, unused_budget, is_sound, answer_feedback
+        )
+        self._forwarding.refused(self, refusal, answer_feedback)
+
+    def chunk(self, data: bytes, last: bool, unused_budget: int) -> None:
+        """See base class."""
+        if self._done:
+            return
+        self._done = last
+        if last:
+            self._forwarding.give_back(self.lent, unused_budget)
+        self._forwarding.chunk(self, data, last)
+
+    def pushed(self) -> None:
+        """See base class."""
+        if not self._done:
+            self._forwarding.pushed(self)
+
+    def lost(self, sent: bool) -> None:
+        """See base class."""
+        if self._done:
+            return
+        self._done = True
+        if self._answered:
+            self._forwarding.broken(self)
+            return
+        unused_budget = 0 if sent else self.lent
+        self._forwarding.attempt_ended(self, unused_budget, False, None)
+        reason = (
+            refusals.RefusalReason.LOST
+            if sent
+            else refusals.RefusalReason.NO_TARGET
+        )
+        execution = (
+            refusals.Execution.UNKNOWN if sent else refusals.Execution.NOT_RUN
+        )
+        self._forwarding.refused(
+            self, refusals.Refusal(reason, execution), None
+        )
--- a/src/cyclamendale/forwarding/forwarder.py
+++ b/src/cyclamendale/forwarding/forwarder.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-import abc
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from cyclamendale import _http_constants
 from cyclamendale import clocks
 from cyclamendale import ids
 from cyclamendale import refusals
+from cyclamendale.forwarding import _attempt
+from cyclamendale.forwarding import caller as callers
 from cyclamendale.forwarding import exchange
 from cyclamendale.forwarding import policy
+from cyclamendale.intents import model
 from cyclamendale.membership import directory
 from cyclamendale.overload import early_shed
 from cyclamendale.overload import feedback as feedbacks
@@ -26,41 +27,6 @@
 TransportFor = Callable[[directory.Member], exchange.CallTransport]
 
 
-class Caller(abc.ABC):
-    """Who waits for the answer: the HTTP request at the entry."""
-
-    @abc.abstractmethod
-    def passed(self) -> None:
-        """Forwards the call, which passed the filter chain."""
-
-    @abc.abstractmethod
-    def answer(self, answer: exchange.Answer) -> None:
-        """Receives the start of the answer."""
-
-    @abc.abstractmethod
-    def chunk(self, data: bytes, last: bool) -> None:
-        """Receives a further part of the answer's body.
-
-        Unless it is the last, the caller asks for the next one through
-        `Forwarding.pull` when it has room.
-        """
-
-    @abc.abstractmethod
-    def refuse(self, refusal: refusals.Refusal) -> None:
-        """Receives a refusal instead of an answer."""
-
-    @abc.abstractmethod
-    def abort(self) -> None:
-        """The answer broke off midway; it must not look complete."""
-
-    @abc.abstractmethod
-    def next_upload(self) -> None:
-        """Asks for the next part of the request's body.
-
-        The caller sends it through `Forwarding.push`.
-        """
-
-
 class Forwarder:
     """Starts forwardings; holds what they share."""
 
@@ -78,7 +44,7 @@
         self.policy = retry_policy
         self.transport_for = transport_for
 
-    def forward(self, call: calls.Call, caller: Caller) -> Forwarding:
+    def forward(self, call: calls.Call, caller: callers.Caller) -> Forwarding:
         """Forwards a call that passed the filter chain."""
         forwarding = Forwarding(self, call, caller)
         forwarding.start()
@@ -103,16 +69,16 @@
     )
 
     def __init__(
-        self, shared: Forwarder, call: calls.Call, caller: Caller
+        self, shared: Forwarder, call: calls.Call, caller: callers.Caller
     ) -> None:
         assert call.route is not None
         self._shared = shared
         self._call = call
         self._caller = caller
         self._route = call.route
-        self._attempts: set[_Attempt] = set()
+        self._attempts: set[_attempt.Attempt] = set()
         self._excluded: set[ids.NodeId] = set()
-        self._winner: _Attempt | None = None
+        self._winner: _attempt.Attempt | None = None
         self._maybe_run = False
         self._upload_begun = False
         self._deadline_timer: clocks.DelayedCall | None = None
@@ -137,7 +103,7 @@
             self._deadline_passed,
         )
         hedge_delay_s = self._shared.policy.call_sent(self._route)
-        if not self._attempt():
+        if not self._send_attempt():
             self._refuse(refusals.Refusal(refusals.RefusalReason.NO_TARGET))
         elif hedge_delay_s is not None and not (call.ended or call.more):
             self._hedge_timer = clock.call_later(hedge_delay_s, self._hedge)
@@ -185,7 +151,9 @@
 
     # What attempts report.
 
-    def answered(self, attempt: _Attempt, answer: exchange.Answer) -> None:
+    def answered(
+        self, attempt: _attempt.Attempt, answer: exchange.Answer
+    ) -> None:
         """Handles an answer of one attempt."""
         self._note_feedback(answer.feedback)
         self._attempts.discard(attempt)
@@ -195,7 +163,7 @@
             and self._route.idempotent
         ):
             self._maybe_run = True
-            if self._attempts or self._retry(self._shared.policy.may_retry):
+            if self._attempts or self._retry(self._may_retry_now):
                 return
         self._winner = attempt
         for other in self._take_attempts():
@@ -210,7 +178,7 @@
 
     def refused(
         self,
-        attempt: _Attempt,
+        attempt: _attempt.Attempt,
         refusal: refusals.Refusal,
         answer_feedback: feedbacks.Feedback | None,
     ) -> None:
@@ -224,26 +192,24 @@
             self._maybe_run = True
         if self._attempts:
             return
-        if self._may_retry(refusal) and self._retry(
-            self._shared.policy.may_retry
-        ):
+        if self._may_retry(refusal) and self._retry(self._may_retry_now):
             return
         self._refuse(refusal)
 
-    def chunk(self, attempt: _Attempt, data: bytes, last: bool) -> None:
+    def chunk(self, attempt: _attempt.Attempt, data: bytes, last: bool) -> None:
         """Passes a part of the answer's body on."""
         if last:
             self._attempts.discard(attempt)
             self._end()
         self._caller.chunk(data, last)
 
-    def pushed(self, attempt: _Attempt) -> None:
+    def pushed(self, attempt: _attempt.Attempt) -> None:
         """Asks the caller for the next part of the request's body."""
         if self._winner in (None, attempt) and not self._call.ended:
             self._upload_begun = True
             self._caller.next_upload()
 
-    def broken(self, attempt: _Attempt) -> None:
+    def broken(self, attempt: _attempt.Attempt) -> None:
         """Breaks an answer off that had already begun."""
         self._attempts.discard(attempt)
         self._end()
@@ -251,7 +217,7 @@
 
     # Attempts, retries and hedges.
 
-    def _attempt(self) -> bool:
+    def _send_attempt(self) -> bool:
         """Sends one attempt; False when there is no target."""
         shared = self._shared
         call = self._call
@@ -263,7 +229,9 @@
         lent = call.budget.lend(
             shared.policy.amount_to_lend(call.budget.remaining)
         )
-        attempt = _Attempt(self, target.node, lent, shared.clock.now_s())
+        attempt = _attempt.Attempt(
+            self, target.node, lent, shared.clock.now_s()
+        )
         self._attempts.add(attempt)
         shared.chooser.sent(target.node)
         handle = shared.transport_for(target).open(
@@ -277,13 +245,11 @@
 
     def _envelope(self, lent: int) -> exchange.Envelope:
         call = self._call
-        parent = call.parent
-        importance = parent.importance if parent else self._route.importance
         return exchange.Envelope(
             call.request,
             call.customer,
             self._route.name,
-            importance,
+            self._importance(),
             call.shed_key,
             call.depth,
             lent,
@@ -294,6 +260,14 @@
             call.body_bytes,
         )
 
+    def _importance(self) -> model.Importance:
+        """Returns the importance of the root request."""
+        parent = self._call.parent
+        return parent.importance if parent else self._route.importance
+
+    def _may_retry_now(self) -> bool:
+        return self._shared.policy.may_retry(self._importance())
+
     def _may_retry(self, refusal: refusals.Refusal) -> bool:
         if refusal.execution is refusals.Execution.NOT_RUN:
             return self._shared.policy.is_retryable_refusal(refusal.reason)
@@ -315,7 +289,7 @@
         if call.budget.remaining <= 0 or not is_allowed():
             return False
         call.budget.spend()
-        if self._attempt():
+        if self._send_attempt():
             return True
         call.budget.take_back(1, 1)
         return False
@@ -366,7 +340,7 @@
             call.parent.onward_ended(self._shared.clock.now_s())
             call.parent.cancel_onward.discard(self._cancel_and_refuse)
 
-    def _take_attempts(self) -> list[_Attempt]:
+    def _take_attempts(self) -> list[_attempt.Attempt]:
         attempts = list(self._attempts)
         self._attempts.clear()
         return attempts
@@ -389,7 +363,7 @@
 
     def attempt_ended(
         self,
-        attempt: _Attempt,
+        attempt: _attempt.Attempt,
         unused_budget: int,
         succeeded: bool,
         answer_feedback: feedbacks.Feedback | None,
@@ -407,123 +381,3 @@
         """Learns how long an attempt took that answered or lost."""
         shared = self._shared
         shared.policy.took(self._route, shared.clock.now_s() - started_s)
-
-
-class _Attempt(exchange.Receiver):
-    """One attempt at one target."""
-
-    __slots__ = (
-        "_answered",
-        "_done",
-        "_forwarding",
-        "exchange",
-        "lent",
-        "started_s",
-        "target",
-    )
-
-    def __init__(
-        self,
-        forwarding: Forwarding,
-        target: ids.NodeId,
-        lent: int,
-        started_s: float,
-    ) -> None:
-        self._forwarding = forwarding
-        self._answered = False
-        self._done = False
-        self.target = target
-        self.lent = lent
-        self.started_s = started_s
-        self.exchange: exchange.Exchange | None = None
-
-    def cancel(self, timed_out: bool = False) -> bool:
-        """Abandons the attempt.
-
-        What it borrowed stays with it, unless it certainly did not run.
-
-        Args:
-            timed_out: Whether the target is to blame.
-
-        Returns:
-            Whether the request certainly was not and will not be run.
-        """
-        if self._done:
-            return False
-        self._done = True
-        not_run = self.exchange is not None and self.exchange.cancel()
-        if not self._answered:
-            self._forwarding.attempt_ended(
-                self, self.lent if not_run else 0, not timed_out, None
-            )
-        return not_run
-
-    def answered(self, answer: exchange.Answer) -> None:
-        """See base class."""
-        if self._done:
-            return
-        self._answered = True
-        self._done = not answer.more
-        succeeded = answer.status < _http_constants.INTERNAL_SERVER_ERROR
-        self._forwarding.attempt_ended(
-            self, answer.unused_budget, succeeded, answer.feedback
-        )
-        if succeeded:
-            self._forwarding.answer_took(self.started_s)
-        self._forwarding.answered(self, answer)
-
-    def refused(
-        self,
-        refusal: refusals.Refusal,
-        answer_feedback: feedbacks.Feedback | None,
-        unused_budget: int,
-    ) -> None:
-        """See base class."""
-        if self._done:
-            return
-        self._done = True
-        # A target that sheds or drains works as it should.
-        is_sound = (
-            refusal.execution is refusals.Execution.NOT_RUN
-            and refusal.reason is not refusals.RefusalReason.NO_TARGET
-        )
-        self._forwarding.attempt_ended(
-            self, unused_budget, is_sound, answer_feedback
-        )
-        self._forwarding.refused(self, refusal, answer_feedback)
-
-    def chunk(self, data: bytes, last: bool, unused_budget: int) -> None:
-        """See base class."""
-        if self._done:
-            return
-        self._done = last
-        if last:
-            self._forwarding.give_back(self.lent, unused_budget)
-        self._forwarding.chunk(self, data, last)
-
-    def pushed(self) -> None:
-        """See base class."""
-        if not self._done:
-            self._forwarding.pushed(self)
-
-    def lost(self, sent: bool) -> None:
-        """See base class."""
-        if self._done:
-            return
-        self._done = True
-        if self._answered:
-            self._forwarding.broken(self)
-            return
-        unused_budget = 0 if sent else self.lent
-        self._forwarding.attempt_ended(self, unused_budget, False, None)
-        reason = (
-            refusals.RefusalReason.LOST
-            if sent
-            else refusals.RefusalReason.NO_TARGET
-        )
-        execution = (
-            refusals.Execution.UNKNOWN if sent else refusals.Execution.NOT_RUN
-        )
-        self._forwarding.refused(
-            self, refusals.Refusal(reason, execution), None
-        )
--- a/src/cyclamendale/forwarding/policy.py
+++ b/src/cyclamendale/forwarding/policy.py
@@ -38,8 +38,12 @@
         """
 
     @abc.abstractmethod
-    def may_retry(self) -> bool:
-        """Counts and allows a retry while they are few for the calls."""
+    def may_retry(self, importance: model.Importance) -> bool:
+        """Counts and allows a retry while they are few for the calls.
+
+        Args:
+            importance: Importance of the root request.
+        """
 
     @abc.abstractmethod
     def may_hedge(self, route: model.Route) -> bool:
@@ -84,9 +88,9 @@
             return None
         return self._hedging.call_sent(route.name)
 
-    def may_retry(self) -> bool:
+    def may_retry(self, importance: model.Importance) -> bool:
         """See base class."""
-        return self._throttle.may_retry()
+        return self._throttle.may_retry(importance)
 
     def may_hedge(self, route: model.Route) -> bool:
         """See base class."""
--- a/src/cyclamendale/intents/model.py
+++ b/src/cyclamendale/intents/model.py
@@ -60,7 +60,8 @@
 
     Attributes:
         name: Name that upstreams announce.
-        max_queue_s: Longest time a request may wait at an upstream.
+        max_queue_s: Longest time an ordinary request may wait at an
+            upstream; a critical one may wait four times as long.
         slow_start_s: Ramp-up time of a cold upstream.
     """
 
--- a/src/cyclamendale/node.py
+++ b/src/cyclamendale/node.py
@@ -45,7 +45,8 @@
 from cyclamendale.overload import gate_admission
 from cyclamendale.overload import power_of_two
 from cyclamendale.overload import threshold_shed
-from cyclamendale.peer import calls as peer_calls
+from cyclamendale.peer import call_client
+from cyclamendale.peer import call_server
 from cyclamendale.peer import thrift_network
 from cyclamendale.platform import http_client
 from cyclamendale.platform import load_limit
@@ -173,7 +174,7 @@
             self._make_admission,
             lambda own, running: threshold_shed.combine(own, running.met),
         )
-        peer_calls.CallServer(self._network, self._clock, self._gate)
+        call_server.CallServer(self._network, self._clock, self._gate)
         self._shed = threshold_shed.make_early_shed(self._clock, self._random)
         self._observer = _observation.CallObserver(
             self._clock, self.event_log, self._metrics
@@ -352,7 +353,7 @@
     ) -> exchange.CallTransport:
         if target.node == self.own.node:
             return self._gate
-        return peer_calls.RemoteCallTransport(
+        return call_client.RemoteCallTransport(
             self._network, self._clock, target.address
         )
 
--- /dev/null
+++ b/src/cyclamendale/peer/call_client.py
@@ -0,0 +1,203 @@
+"""Caller's end of calls between nodes."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from cyclamendale import clocks
+from cyclamendale import ids
+from cyclamendale.forwarding import exchange
+from cyclamendale.peer import _call_codec
+from cyclamendale.peer import _checks
+from cyclamendale.peer import codec
+from cyclamendale.peer import connection as connections
+from cyclamendale.peer import kinds
+from cyclamendale.peer import network
+from cyclamendale.peer import thrift_network
+from cyclamendale.peer.generated.call import ttypes
+
+_REPLIED_KINDS = (
+    kinds.MessageKind.CALL,
+    kinds.MessageKind.PULL,
+    kinds.MessageKind.PUSH,
+)
+
+
+class RemoteCallTransport(exchange.CallTransport):
+    """Way to the gate of another node."""
+
+    def __init__(
+        self,
+        peer_network: thrift_network.ThriftPeerNetwork,
+        clock: clocks.Clock,
+        peer: ids.PeerAddress,
+    ) -> None:
+        self._network = peer_network
+        self._clock = clock
+        self._peer = peer
+
+    def open(
+        self, envelope: exchange.Envelope, receiver: exchange.Receiver
+    ) -> exchange.Exchange:
+        """See base class."""
+        handle = _RemoteExchange(envelope, receiver, self._clock)
+        self._network.with_connection(self._peer, handle.connected)
+        return handle
+
+
+class _RemoteExchange(exchange.Exchange):
+    """Caller's end of a call."""
+
+    __slots__ = (
+        "_call_id",
+        "_clock",
+        "_connection",
+        "_ended",
+        "_envelope",
+        "_receiver",
+    )
+
+    def __init__(
+        self,
+        envelope: exchange.Envelope,
+        receiver: exchange.Receiver,
+        clock: clocks.Clock,
+    ) -> None:
+        self._envelope = envelope
+        self._receiver = receiver
+        self._clock = clock
+        self._connection: connections.PeerConnection | None = None
+        self._call_id = 0
+        self._ended = False
+
+    def connected(self, connection: connections.PeerConnection | None) -> None:
+        """Sends the call once there is a connection."""
+        if self._ended:
+            return
+        if connection is None:
+            self._ended = True
+            self._receiver.lost(sent=False)
+            return
+        self._connection = connection
+        self._call_id = connection.next_call_id()
+        if self._envelope.more:
+            connection.expect(
+                kinds.MessageKind.PUSH, self._call_id, self._push_taken
+            )
+        connection.request(
+            kinds.MessageKind.CALL,
+            self._call_id,
+            _call_codec.encode_envelope(self._envelope, self._clock.now_s()),
+            self._replied,
+        )
+
+    def pull(self) -> None:
+        """See base class."""
+        self._request(
+            kinds.MessageKind.PULL, _call_codec.SIGNAL, self._chunk_received
+        )
+
+    def push(self, data: bytes, last: bool) -> None:
+        """See base class."""
+        chunk = ttypes.Chunk(data=data, last=last, unused_budget=0)
+        self._request(
+            kinds.MessageKind.PUSH,
+            codec.encode(chunk),
+            None if last else self._push_taken,
+        )
+
+    def cancel(self) -> bool:
+        """See base class."""
+        if self._ended:
+            return False
+        self._ended = True
+        connection = self._connection
+        if connection is None:
+            return True
+        self._stop_listening()
+        for kind in _REPLIED_KINDS:
+            connection.forget(kind, self._call_id)
+        if connection.is_open:
+            connection.request(
+                kinds.MessageKind.CANCEL,
+                self._call_id,
+                _call_codec.SIGNAL,
+                None,
+            )
+        return False
+
+    def _request(
+        self,
+        kind: kinds.MessageKind,
+        payload: bytes,
+        on_reply: connections.ReplyHandler | None,
+    ) -> None:
+        connection = self._connection
+        if self._ended or connection is None or not connection.is_open:
+            return
+        connection.request(kind, self._call_id, payload, on_reply)
+
+    def _replied(self, reply: bytes | network.PeerErrorKind) -> None:
+        if self._ended:
+            return
+        answer = self._decoded(ttypes.CallAnswer, reply)
+        if answer is None:
+            return
+        if not answer.more and self._envelope.more and self._connection:
+            # A streamed answer may come while the upload goes on.
+            self._connection.forget(kinds.MessageKind.PUSH, self._call_id)
+        if answer.reason is None:
+            self._ended = not answer.more
+            if answer.more and self._connection is not None:
+                # Between two pulls no request would be failed.
+                self._connection.lost_listeners.add(self._connection_lost)
+            self._receiver.answered(_call_codec.decode_answer(answer))
+            return
+        self._ended = True
+        self._receiver.refused(
+            _call_codec.decode_refusal(answer),
+            _call_codec.decode_feedback(answer),
+            answer.unused_budget,
+        )
+
+    def _chunk_received(self, reply: bytes | network.PeerErrorKind) -> None:
+        if self._ended:
+            return
+        chunk = self._decoded(ttypes.Chunk, reply)
+        if chunk is not None:
+            if chunk.last:
+                self._stop_listening()
+            self._ended = chunk.last
+            self._receiver.chunk(chunk.data, chunk.last, chunk.unused_budget)
+
+    def _push_taken(self, reply: bytes | network.PeerErrorKind) -> None:
+        if self._ended:
+            return
+        if self._decoded(ttypes.Signal, reply) is not None:
+            self._receiver.pushed()
+
+    def _decoded(
+        self, struct_type: type, reply: bytes | network.PeerErrorKind
+    ) -> ttypes.CallAnswer | None:
+        """Returns the decoded reply, or ends the exchange as lost."""
+        if not isinstance(reply, network.PeerErrorKind):
+            try:
+                message: Any = codec.decode(struct_type, reply)
+                if struct_type is ttypes.CallAnswer:
+                    _checks.check_answer(message)
+                return message
+            except (codec.DecodeError, _checks.CheckError):
+                self.cancel()
+        self._stop_listening()
+        self._ended = True
+        self._receiver.lost(sent=True)
+        return None
+
+    def _connection_lost(self) -> None:
+        if not self._ended:
+            self._ended = True
+            self._receiver.lost(sent=True)
+
+    def _stop_listening(self) -> None:
+        if self._connection is not None:
+            self._connection.lost_listeners.discard(self._connection_lost)
--- a/tests/support/call_tree.py
+++ b/tests/support/call_tree.py
@@ -11,6 +11,7 @@
 from cyclamendale import refusals
 from cyclamendale.entry import call as calls
 from cyclamendale.entry import retry_budget
+from cyclamendale.forwarding import caller as callers
 from cyclamendale.forwarding import exchange
 from cyclamendale.forwarding import forwarder
 from cyclamendale.intents import model
@@ -122,7 +123,7 @@
         return caller
 
 
-class TreeCaller(forwarder.Caller):
+class TreeCaller(callers.Caller):
     """Keeps what the caller of one call heard."""
 
     def __init__(self, ended=lambda: None) -> None:
--- a/tests/support/path_node.py
+++ b/tests/support/path_node.py
@@ -27,7 +27,8 @@
 from cyclamendale.overload import early_shed
 from cyclamendale.overload import feedback
 from cyclamendale.overload import target_choice
-from cyclamendale.peer import calls as peer_calls
+from cyclamendale.peer import call_client
+from cyclamendale.peer import call_server
 from cyclamendale.peer import thrift_network
 from cyclamendale.upstream import gate as gates
 
@@ -146,7 +147,7 @@
     def call_sent(self, route):
         return self.hedge_after_s
 
-    def may_retry(self):
+    def may_retry(self, importance):
         self.retries += 1
         return True
 
@@ -179,7 +180,7 @@
             self._make_admission,
             lambda own, context: own,
         )
-        peer_calls.CallServer(self.network, self.clock, self.gate)
+        call_server.CallServer(self.network, self.clock, self.gate)
         port = self.network.listen("127.0.0.1", 0)
         self.address = ids.PeerAddress(f"127.0.0.1:{port}")
         self.node = ids.make_node_id(self.address)
@@ -216,7 +217,7 @@
     def transport_for(self, target):
         if target.node == self.node:
             return self.gate
-        return peer_calls.RemoteCallTransport(
+        return call_client.RemoteCallTransport(
             self.network, self.clock, target.address
         )
 
--- a/tests/support/peer_bench.py
+++ b/tests/support/peer_bench.py
@@ -4,7 +4,7 @@
 
 from cyclamendale import events
 from cyclamendale import ids
-from cyclamendale.peer import calls as peer_calls
+from cyclamendale.peer import call_server
 from cyclamendale.peer import codec
 from cyclamendale.peer import connection as connections
 from cyclamendale.peer import thrift_network
@@ -25,7 +25,7 @@
         self.network = thrift_network.ThriftPeerNetwork(
             self.reactor, self.clock, path_node.SECRET
         )
-        self.server = peer_calls.CallServer(
+        self.server = call_server.CallServer(
             self.network, self.clock, self.gates.gate
         )
         self.network.listen("127.0.0.1", 0)
--- a/tests/test_entry_contract.py
+++ b/tests/test_entry_contract.py
@@ -6,6 +6,7 @@
 import testtools
 
 from cyclamendale import refusals
+from cyclamendale.entry import _channel
 from cyclamendale.entry import http_entry
 from cyclamendale.intents import model
 from tests.support import entry_bench
@@ -296,7 +297,7 @@
         self.caller.send(b"x" * 100_000)
         self.assertTrue(self.caller.wrote_end)
         self.assertFalse(self.caller.transport.disconnecting)
-        self.bench.reactor.advance(http_entry.LINGER_S)
+        self.bench.reactor.advance(_channel.LINGER_S)
         self.assertTrue(self.caller.transport.disconnected)
 
     def test_a_long_upload_may_pause_longer_than_an_idle_connection(self):
--- a/tests/test_peer_contract.py
+++ b/tests/test_peer_contract.py
@@ -7,7 +7,7 @@
 import testscenarios
 import testtools
 
-from cyclamendale.peer import calls as peer_calls
+from cyclamendale.peer import call_client
 from cyclamendale.peer import codec
 from cyclamendale.peer import connection as connections
 from cyclamendale.peer import kinds
@@ -268,7 +268,7 @@
     def test_it_counts_as_lost(self):
         bench = peer_bench.PeerBench()
         receiver = gate_bench.HeardReceiver()
-        peer_calls.RemoteCallTransport(
+        call_client.RemoteCallTransport(
             bench.network, bench.clock, peer_bench.PEER
         ).open(bench.gates.envelope(), receiver)
         initiator, peer = bench.accepting_peer()
@@ -291,7 +291,7 @@
     def test_the_caller_hears_it_once_and_a_retry_does_not_hang(self):
         bench = peer_bench.PeerBench()
         receiver = gate_bench.HeardReceiver()
-        transport = peer_calls.RemoteCallTransport(
+        transport = call_client.RemoteCallTransport(
             bench.network, bench.clock, peer_bench.PEER
         )
         retried = gate_bench.HeardReceiver()
