Free ended calls without the cycle collector

Cause: a call's objects referred to each other (entry, call, forwarding, attempt, exchange, ticket, context), so all of them, 41,545 objects after some seconds, waited for one young collection of 42 to 70 ms, during which the node served nobody. Ruled out: quota draws (25 waits of at most 0.6 ms in 2,829 calls), the gate's queue (no wait; at most 3.3 ms on the upstream), work on the loop (no stall in samples of the main thread), the machine (wake-up p99 31 us).

--- a/src/cyclamendale/entry/_request.py
+++ b/src/cyclamendale/entry/_request.py
@@ -388,6 +388,8 @@
                 outcome if isinstance(outcome, refusals.Refusal) else None
             )
         self._entry.observer(call, outcome)
+        self._forwarding = None
+        call.release()
         self._entry.check_drained()
 
     def _stop_filter_timer(self) -> None:
--- a/src/cyclamendale/entry/call.py
+++ b/src/cyclamendale/entry/call.py
@@ -95,7 +95,7 @@
         self.headers = headers
         self.configuration = configuration
         self.arrived_s = arrived_s
-        self.caller = caller
+        self.caller: callers.Caller | None = caller
         self.body = body
         self.more = more
         self.body_bytes = body_bytes
@@ -133,3 +133,13 @@
         if value is not None:
             self.headers = [pair for pair in self.headers if pair[0] != name]
         return value
+
+    def release(self) -> None:
+        """Drops what refers back to the caller of an ended call.
+
+        Calls would otherwise be freed by the cycle collector only, whose
+        pauses callers would notice.
+        """
+        self.caller = None
+        self.on_cancel = None
+        self.on_ended = None
--- a/src/cyclamendale/entry/http_entry.py
+++ b/src/cyclamendale/entry/http_entry.py
@@ -57,8 +57,8 @@
         """Sets the filters that each request passes, in order."""
         self.chain = base.FilterChain(
             filters,
-            lambda call: call.caller.passed(),
-            lambda call, refusal: call.caller.refuse(refusal),
+            _passed,
+            _refused,
         )
 
     def make_factory(self) -> protocol.ServerFactory:
@@ -103,3 +103,13 @@
 
     def buildProtocol(self, addr: Any) -> _channel.EntryChannel:
         return _channel.EntryChannel(self._entry)
+
+
+def _passed(call: calls.Call) -> None:
+    assert call.caller is not None
+    call.caller.passed()
+
+
+def _refused(call: calls.Call, refusal: refusals.Refusal) -> None:
+    assert call.caller is not None
+    call.caller.refuse(refusal)
--- a/src/cyclamendale/forwarding/_attempt.py
+++ b/src/cyclamendale/forwarding/_attempt.py
@@ -55,6 +55,11 @@
         self.started_s = started_s
         self.exchange: exchange.Exchange | None = None
 
+    @property
+    def is_done(self) -> bool:
+        """Returns whether nothing more is heard of it."""
+        return self._done
+
     def cancel(self, timed_out: bool = False) -> bool:
         """Abandons the attempt.
 
@@ -68,8 +73,8 @@
         """
         if self._done:
             return False
-        self._done = True
-        not_run = self.exchange is not None and self.exchange.cancel()
+        handle = self._finish()
+        not_run = handle is not None and handle.cancel()
         if not self._answered:
             self._forwarding.attempt_ended(
                 self, self.lent if not_run else 0, not timed_out, None
@@ -81,7 +86,8 @@
         if self._done:
             return
         self._answered = True
-        self._done = not answer.more
+        if not answer.more:
+            self._finish()
         self._forwarding.attempt_ended(
             self, answer.unused_budget, True, answer.feedback
         )
@@ -98,7 +104,7 @@
         """See base class."""
         if self._done:
             return
-        self._done = True
+        self._finish()
         is_sound = refusal.reason not in _BROKEN_REASONS
         self._forwarding.attempt_ended(
             self, unused_budget, is_sound, answer_feedback
@@ -109,8 +115,8 @@
         """See base class."""
         if self._done:
             return
-        self._done = last
         if last:
+            self._finish()
             self._forwarding.give_back(self.lent, unused_budget)
         self._forwarding.chunk(self, data, last)
 
@@ -123,7 +129,7 @@
         """See base class."""
         if self._done:
             return
-        self._done = True
+        self._finish()
         if self._answered:
             self._forwarding.broken(self)
             return
@@ -140,3 +146,9 @@
         self._forwarding.refused(
             self, refusals.Refusal(reason, execution), None
         )
+
+    def _finish(self) -> exchange.Exchange | None:
+        """Lets go of the exchange, which refers back to this attempt."""
+        self._done = True
+        handle, self.exchange = self.exchange, None
+        return handle
--- a/src/cyclamendale/forwarding/forwarder.py
+++ b/src/cyclamendale/forwarding/forwarder.py
@@ -237,7 +237,8 @@
         handle = shared.transport_for(target).open(
             self._envelope(lent), attempt
         )
-        attempt.exchange = handle
+        if not attempt.is_done:
+            attempt.exchange = handle
         if call.ended and attempt in self._attempts:
             # Ended by a callback before there was a handle to cancel.
             handle.cancel()
@@ -334,6 +335,8 @@
             return
         call.ended = True
         call.on_cancel = None
+        # Attempts refer to this object; see `Call.release`.
+        self._winner = None
         self._stop_timer(self._deadline_timer)
         self._stop_timer(self._hedge_timer)
         if call.parent is not None:
--- a/src/cyclamendale/peer/call_server.py
+++ b/src/cyclamendale/peer/call_server.py
@@ -56,8 +56,7 @@
         inbound = _InboundCall(connection, call_id, self._calls)
         self._calls[key] = inbound
         connection.lost_listeners.add(inbound.connection_lost)
-        handle = self._gate.open(envelope, inbound)
-        inbound.handle = handle
+        inbound.opened(self._gate.open(envelope, inbound))
 
     def _pull(
         self,
@@ -122,11 +121,17 @@
         self._stage = _Stage.CALLED
         self.handle: exchange.Exchange | None = None
 
+    def opened(self, handle: exchange.Exchange) -> None:
+        """Takes the handle, unless the call has ended already."""
+        if self._stage is not _Stage.ENDED:
+            self.handle = handle
+
     def connection_lost(self) -> None:
         """Cancels the work: nobody is left to receive the answer."""
+        handle = self.handle
         self._end()
-        if self.handle is not None:
-            self.handle.cancel()
+        if handle is not None:
+            handle.cancel()
 
     def answered(self, answer: exchange.Answer) -> None:
         """See base class."""
@@ -188,3 +193,5 @@
         self._stage = _Stage.ENDED
         self._connection.lost_listeners.discard(self.connection_lost)
         self._calls.pop((self._connection, self._call_id), None)
+        # It refers back to this object; see `Call.release`.
+        self.handle = None
--- a/src/cyclamendale/upstream/_gate_exchange.py
+++ b/src/cyclamendale/upstream/_gate_exchange.py
@@ -112,6 +112,7 @@
 
     def _refused(self, refusal: refusals.Refusal) -> None:
         self._phase = _Phase.ENDED
+        self._ticket = None
         assert self._admission is not None
         self._receiver.refused(
             refusal, self._admission.feedback(), self._envelope.budget
@@ -303,7 +304,8 @@
         if phase is _Phase.WAITING:
             assert self._admission is not None and self._ticket is not None
             self._phase = _Phase.ENDED
-            self._admission.withdraw(self._ticket)
+            ticket, self._ticket = self._ticket, None
+            self._admission.withdraw(ticket)
         elif self._response_complete:
             self._close()
         elif phase is not _Phase.ENDED:
@@ -387,7 +389,8 @@
             started_s = self._ticket.started_s or 0.0
             total_s = self._gate.clock.now_s() - started_s
             own_time_s = max(0.0, total_s - self._context.onward_s)
-        self._admission.finish(self._ticket, own_time_s, completion)
+        ticket, self._ticket = self._ticket, None
+        self._admission.finish(ticket, own_time_s, completion)
 
     def _close(self) -> None:
         """Ends the exchange once its answer was sent or abandoned."""
