--- a/src/cyclamendale/overload/threshold_shed.py
+++ b/src/cyclamendale/overload/threshold_shed.py
@@ -59,10 +59,6 @@
     return feedback.Feedback(threshold, own.load)
 
 
-HIGHEST_CRITICAL_KEY = 0x00FFFFFF
-"""Largest shed key of the most important class."""
-
-
 class _RouteThreshold:
     __slots__ = ("probed_s", "refreshed_s", "remembered", "threshold")
 
@@ -134,7 +130,7 @@
         now_s = self._clock.now_s()
         if now_s - state.refreshed_s >= REFRESH_S:
             state.refresh(now_s, self._recent)
-        if shed_key <= max(state.threshold, HIGHEST_CRITICAL_KEY):
+        if shed_key <= state.threshold:
             return False
         if (
             now_s - state.probed_s >= PROBE_EVERY_S
