--- a/src/cyclamendale/quotas/token_cache.py
+++ b/src/cyclamendale/quotas/token_cache.py
@@ -14,7 +14,7 @@
 TICK_S = 0.1
 """Interval at which demand is measured and tokens are given back."""
 
-STOCK_S = 0.4
+STOCK_S = 0.2
 """Demand for which a node keeps tokens."""
 
 DRY_S = 0.05
