Apply a changed service to the running gate

Cause: a gate took its service's limits when the upstream announced itself and kept them, so an accepted change of max_queue_s or slow_start_s was not in force until the upstream came anew. Found while reading. Before: the new test failed (no way to set them). After: it passes; 199 tests of overload, upstream, path and peers pass.

--- a/measure/_call_graph_model_policies.py
+++ b/measure/_call_graph_model_policies.py
@@ -46,6 +46,9 @@
     def set_capacity(self, slots: int, connections: int) -> None:
         """See base class."""
 
+    def set_service(self, service: model.Service) -> None:
+        """See base class."""
+
     def close(self) -> None:
         """See base class."""
 
--- a/src/cyclamendale/node.py
+++ b/src/cyclamendale/node.py
@@ -174,6 +174,7 @@
             self._make_admission,
             lambda own, running: threshold_shed.combine(own, running.met),
         )
+        self._configuration.subscribe(self._configured)
         call_server.CallServer(self._network, self._clock, self._gate)
         self._shed = threshold_shed.make_early_shed(self._clock, self._random)
         self._observer = _observation.CallObserver(
@@ -328,6 +329,10 @@
 
     # What the parts ask of each other.
 
+    def _configured(self, configuration: model.Configuration) -> None:
+        for service in configuration.services.values():
+            self._gate.set_service(service)
+
     def _reachability_changed(self, reachable: bool) -> None:
         self._table_reachable = reachable
         self.event_log.record(
--- a/src/cyclamendale/overload/admission.py
+++ b/src/cyclamendale/overload/admission.py
@@ -8,6 +8,7 @@
 
 from cyclamendale import ids
 from cyclamendale import refusals
+from cyclamendale.intents import model
 from cyclamendale.overload import feedback
 from cyclamendale.overload import shed_key as shed_keys
 
@@ -95,6 +96,10 @@
     def set_capacity(self, slots: int, connections: int) -> None:
         """Sets the announced bounds of the upstream."""
 
+    @abc.abstractmethod
+    def set_service(self, service: model.Service) -> None:
+        """Takes the service's limits as the configuration now has them."""
+
     @abc.abstractmethod
     def close(self) -> None:
         """Refuses waiting and new requests as not run; others finish."""
--- a/src/cyclamendale/overload/gate_admission.py
+++ b/src/cyclamendale/overload/gate_admission.py
@@ -124,6 +124,11 @@
         self._limit.set_capacity(slots, connections)
         self._run_waiting()
 
+    def set_service(self, service: model.Service) -> None:
+        """See base class."""
+        self._service = service
+        self._limit.set_slow_start(service.slow_start_s)
+
     def close(self) -> None:
         """See base class."""
         self._closed = True
--- a/src/cyclamendale/overload/limit.py
+++ b/src/cyclamendale/overload/limit.py
@@ -69,6 +69,10 @@
         """Returns the own time of a request without congestion."""
         return 0.0
 
+    def set_slow_start(self, slow_start_s: float) -> None:
+        """Sets the ramp-up time of a cold upstream."""
+        self._slow_start_s = slow_start_s
+
     def set_capacity(self, slots: int, connections: int) -> None:
         """Sets the announced bounds; a raised bound is used at once."""
         ceiling = max(1, min(slots, connections))
--- a/src/cyclamendale/upstream/gate.py
+++ b/src/cyclamendale/upstream/gate.py
@@ -13,6 +13,7 @@
 from cyclamendale import clocks
 from cyclamendale import refusals
 from cyclamendale.forwarding import exchange
+from cyclamendale.intents import model
 from cyclamendale.membership import directory
 from cyclamendale.overload import admission as admissions
 from cyclamendale.overload import feedback as feedbacks
@@ -99,6 +100,13 @@
         else:
             self._stop_accepting()
 
+    def set_service(self, service: model.Service) -> None:
+        """Takes changed limits of a service, if the upstream's."""
+        announced = self._announced
+        if announced is not None and announced.service == service.name:
+            assert self._admission is not None
+            self._admission.set_service(service)
+
     def disconnect(self) -> None:
         """Closes idle connections to the upstream."""
         if self._pool is not None:
--- a/tests/support/path_node.py
+++ b/tests/support/path_node.py
@@ -95,6 +95,9 @@
     def set_capacity(self, slots, connections):
         self.slots = slots
 
+    def set_service(self, service):
+        self.service = service
+
     def close(self):
         self.closed = True
 
--- a/tests/test_overload_admission.py
+++ b/tests/test_overload_admission.py
@@ -6,6 +6,7 @@
 
 from hypothesis import stateful
 from hypothesis import strategies
+import msgspec
 import testtools
 from twisted.internet import task
 
@@ -237,6 +238,18 @@
         bench.finish(bench.running[0])
         self.assertEqual(["started"], important.outcomes)
 
+    def test_a_changed_service_holds_for_what_comes_next(self):
+        bench = Bench()
+        bench.submit()
+        bench.gate.set_service(
+            msgspec.structs.replace(SERVICE, max_queue_s=1.0)
+        )
+        request = bench.submit()
+        bench.reactor.advance(0.9)
+        self.assertIsNone(request.refusal)
+        bench.reactor.advance(0.2)
+        self.assertEqual("shed", request.refusal.reason.value)
+
     def test_a_cancelled_request_gives_its_slot_back(self):
         bench = Bench()
         first, second = bench.submit(), bench.submit()
