--- a/src/cyclamendale/peer/call_server.py
+++ b/src/cyclamendale/peer/call_server.py
@@ -64,11 +64,11 @@
         call_id: int,
         payload: bytes,
     ) -> None:
-        inbound = self._calls.get((connection, call_id))
-        if inbound is None or inbound.handle is None:
+        handle = self._handle_of(connection, call_id)
+        if handle is None:
             connection.reject(kinds.MessageKind.PULL, call_id)
         else:
-            inbound.handle.pull()
+            handle.pull()
 
     def _push(
         self,
@@ -76,16 +76,12 @@
         call_id: int,
         payload: bytes,
     ) -> None:
-        inbound = self._calls.get((connection, call_id))
-        if inbound is None or inbound.handle is None:
-            connection.reject(kinds.MessageKind.PUSH, call_id)
-            return
-        try:
-            chunk = codec.decode(ttypes.Chunk, payload)
-        except codec.DecodeError:
+        handle = self._handle_of(connection, call_id)
+        chunk = _decoded_chunk(payload)
+        if handle is None or chunk is None:
             connection.reject(kinds.MessageKind.PUSH, call_id)
-            return
-        inbound.handle.push(chunk.data, chunk.last)
+        else:
+            handle.push(chunk.data, chunk.last)
 
     def _cancel(
         self,
@@ -97,6 +93,19 @@
         if inbound is not None:
             inbound.connection_lost()
 
+    def _handle_of(
+        self, connection: connections.PeerConnection, call_id: int
+    ) -> exchange.Exchange | None:
+        inbound = self._calls.get((connection, call_id))
+        return None if inbound is None else inbound.handle
+
+
+def _decoded_chunk(payload: bytes) -> ttypes.Chunk | None:
+    try:
+        return codec.decode(ttypes.Chunk, payload)
+    except codec.DecodeError:
+        return None
+
 
 class _Stage(enum.Enum):
     CALLED = 1
