Bound the bodies of control requests

Cause: the library keeps a whole body, in a file if long, before the announcement resource can refuse it; hosts have no disks.

--- a/src/cyclamendale/node.py
+++ b/src/cyclamendale/node.py
@@ -8,7 +8,6 @@
 
 from twisted.internet import defer
 from twisted.web import resource
-from twisted.web import server
 
 from cyclamendale import _observation
 from cyclamendale import clocks
@@ -19,6 +18,7 @@
 from cyclamendale import timeline
 from cyclamendale.controllers import announcements
 from cyclamendale.controllers import configuration as configurations
+from cyclamendale.controllers import control_site
 from cyclamendale.controllers import membership
 from cyclamendale.controllers import quotas
 from cyclamendale.controllers import timeline as timelines
@@ -306,11 +306,9 @@
         root: Any = resource.Resource()
         root.putChild(b"announce", self._announcements.resource())
         timeline_site.add_resources(root, self._timeline)
-        site = server.Site(root)
-        site.noisy = False
         self._control_port = self._reactor.listenTCP(
             self._settings.control_address.port,
-            site,
+            control_site.make_site(root),
             interface=self._settings.control_address.host,
         )
 
