Show a leaving upstream whose answer is lost; report queued requests

Cause: the pair was listed as not shown, and the status always said that nothing was queued. With a lost attempt called not run, the new test fails.

--- a/measure/_call_graph_model_policies.py
+++ b/measure/_call_graph_model_policies.py
@@ -55,6 +55,11 @@
     def reopen(self, cold: bool) -> None:
         """See base class."""
 
+    @property
+    def queued(self) -> int:
+        """See base class."""
+        return 0
+
     def feedback(self) -> feedbacks.Feedback:
         """See base class."""
         return feedbacks.Feedback()
--- a/src/cyclamendale/_observation.py
+++ b/src/cyclamendale/_observation.py
@@ -89,6 +89,7 @@
         upstream_address=upstream.address if upstream else None,
         upstream_state=upstream.state.value if upstream else None,
         in_flight=len(gate.running),
+        queued=gate.queued,
         table_reachable=table_reachable,
         held_shards=len(quota_controller.held_shards()),
     )
--- a/src/cyclamendale/overload/admission.py
+++ b/src/cyclamendale/overload/admission.py
@@ -108,6 +108,11 @@
     def reopen(self, cold: bool) -> None:
         """Takes requests again, with slow start when `cold`."""
 
+    @property
+    @abc.abstractmethod
+    def queued(self) -> int:
+        """Returns how many requests wait to be started."""
+
     @abc.abstractmethod
     def feedback(self) -> feedback.Feedback:
         """Returns the current threshold and load."""
--- a/src/cyclamendale/overload/gate_admission.py
+++ b/src/cyclamendale/overload/gate_admission.py
@@ -143,6 +143,11 @@
         if cold:
             self._limit.start_cold()
 
+    @property
+    def queued(self) -> int:
+        """See base class."""
+        return len(self._queue)
+
     def feedback(self) -> feedback.Feedback:
         """See base class."""
         self._control.update()
--- a/src/cyclamendale/upstream/gate.py
+++ b/src/cyclamendale/upstream/gate.py
@@ -64,6 +64,11 @@
         """Returns whether new work is admitted."""
         return self._accepting and not self._closing
 
+    @property
+    def queued(self) -> int:
+        """Returns how many requests wait for the upstream."""
+        return self._admission.queued if self._admission else 0
+
     @property
     def feedback(self) -> feedbacks.Feedback:
         """Returns the threshold and load of the upstream."""
--- a/tests/support/path_node.py
+++ b/tests/support/path_node.py
@@ -104,6 +104,10 @@
     def reopen(self, cold):
         self.closed = False
 
+    @property
+    def queued(self):
+        return 0
+
     def feedback(self):
         return feedback.Feedback()
 
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -289,6 +289,35 @@
         self.assertEqual([], self.seen)
         self.assertEqual(0, len(self.nodes[-1].gate.running))
 
+    @defer.inlineCallbacks
+    def test_a_leaving_upstream_whose_answer_is_lost_is_not_run_again(self):
+        """Two failures together: the gate drains, and its node is cut off."""
+
+        def render(request):
+            self.arrived.callback(None)
+            return server.NOT_DONE_YET
+
+        self.arrived = defer.Deferred()
+        self.start(render, nodes=3)
+        leaving, other = self.nodes[2], self.nodes[1]
+        spare = path_node.ScriptedUpstream(lambda request: b"spare")
+        port, address = path_node.listen_site(self.reactor, spare)
+        self.addCleanup(port.stopListening)
+        other.announce(address)
+        self.nodes[0].chooser.members.append(other.member())
+        pending = self.exchange(get())
+        yield self.arrived
+        leaving.gate.close(lambda: None)
+        fresh = yield self.exchange(get())
+        self.assertIn(b"HTTP/1.1 200", fresh)
+        self.assertTrue(fresh.endswith(b"spare"))
+        for connection in tuple(leaving.network._accepted):
+            connection.transport.abortConnection()
+        received = yield pending
+        self.assertIn(b"HTTP/1.1 502", received)
+        self.assertIn(b"X-Cyclamendale-Outcome: unknown", received)
+        self.assertEqual(1, len(self.seen))
+
 
 class LossReporter(http.HTTPChannel):
     """Tells when a connection with an unfinished request is lost."""
