--- a/src/cyclamendale/_observation.py
+++ b/src/cyclamendale/_observation.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
+from twisted.internet import defer
+
 from cyclamendale import clocks
 from cyclamendale import events
 from cyclamendale import metrics
 from cyclamendale import refusals
 from cyclamendale import timeline
 from cyclamendale.configuration import source
+from cyclamendale.controllers import base
 from cyclamendale.controllers import quotas
 from cyclamendale.entry import call as calls
 from cyclamendale.membership import directory
@@ -67,6 +72,43 @@
         )
 
 
+class GaugeSampler(base.Controller):
+    """Puts a node's status into the metrics, once an interval."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        node_metrics: metrics.Metrics,
+        status: Callable[[], timeline.NodeStatus],
+        interval_s: float,
+    ) -> None:
+        self._clock = clock
+        self._metrics = node_metrics
+        self._status = status
+        self._interval_s = interval_s
+        self._next: clocks.DelayedCall | None = None
+
+    def start(self) -> None:
+        """See base class."""
+        self._next = self._clock.call_later(self._interval_s, self._sample)
+
+    def stop(self) -> defer.Deferred[None]:
+        """See base class."""
+        if self._next is not None and self._next.active():
+            self._next.cancel()
+        return defer.succeed(None)
+
+    def _sample(self) -> None:
+        status = self._status()
+        gauge = self._metrics.gauge
+        gauge("configuration.version", status.version)
+        gauge("members", status.members)
+        gauge("quota.held_shards", status.held_shards)
+        gauge("upstream.in_flight", status.in_flight)
+        gauge("upstream.queued", status.queued)
+        self.start()
+
+
 def node_status(
     members: directory.Directory,
     configuration: source.ConfigurationSource,
--- a/src/cyclamendale/node.py
+++ b/src/cyclamendale/node.py
@@ -225,6 +225,13 @@
             self._configuration,
         )
 
+        self._gauges = _observation.GaugeSampler(
+            self._clock,
+            self._metrics,
+            self._status,
+            self._settings.metrics_interval_s,
+        )
+
     def _set_filters(self) -> None:
         customer_fairness = fair_use.make_fair_use(
             self._clock, self._weight_of, self._service_of
@@ -250,6 +257,8 @@
         self._timeline.start()
         self._configuration.start()
         self._metrics.start()
+        if self._settings.statsd_address is not None:
+            self._gauges.start()
         self._listen_control()
         self._http_port = self._reactor.listenTCP(
             self._settings.http_address.port,
@@ -297,6 +306,7 @@
         yield self._configuration.stop()
         yield self._timeline.stop()
         yield self._membership.stop()
+        yield self._gauges.stop()
         yield self._metrics.stop()
         self._gate.disconnect()
         yield self._control_port.stopListening()
