--- a/src/cyclamendale/node.py
+++ b/src/cyclamendale/node.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 import random
 from typing import Any
 
@@ -10,6 +9,7 @@
 from twisted.web import resource
 
 from cyclamendale import _observation
+from cyclamendale import _platform_links
 from cyclamendale import clocks
 from cyclamendale import events
 from cyclamendale import ids
@@ -48,8 +48,6 @@
 from cyclamendale.peer import call_client
 from cyclamendale.peer import call_server
 from cyclamendale.peer import thrift_network
-from cyclamendale.platform import http_client
-from cyclamendale.platform import load_limit
 from cyclamendale.upstream import gate as gates
 
 LINGER_S = 1.0
@@ -93,7 +91,9 @@
             ids.make_node_id(address), address, settings.failure_domain, 1
         )
         self.event_log = events.EventLog(self.own.node, hlc)
-        self._build_platform()
+        self._platform = _platform_links.PlatformLinks(
+            reactor, self._clock, self._random, settings, self.event_log
+        )
         self._build_membership(secret, peer_port)
         self._build_configuration()
         self._build_request_path()
@@ -106,43 +106,12 @@
 
     # Construction, part by part.
 
-    def _build_platform(self) -> None:
-        settings = self._settings
-        platform = self._make_platform(
-            load_limit.make_node_share(settings.fleet_nodes),
-            self._reachability_changed,
-        )
-        self._table = http_client.make_table(platform)
-        self._objects = http_client.make_object_store(platform)
-        # Other work must not keep a lease from being renewed in time.
-        self._lease_table = http_client.make_table(
-            self._make_platform(load_limit.make_lease_share())
-        )
-        self._table_reachable: bool | None = None
-
-    def _make_platform(
-        self,
-        share: load_limit.LoadShare,
-        on_reachability: Callable[[bool], None] | None = None,
-    ) -> http_client.HttpPlatform:
-        return http_client.make_platform(
-            self._reactor,
-            self._clock,
-            self._random,
-            http_client.HttpSettings(
-                self._settings.platform_url,
-                timeout_s=self._settings.platform_timeout_s,
-                share=share,
-            ),
-            on_reachability,
-        )
-
     def _build_membership(self, secret: bytes, peer_port: int) -> None:
         self._membership = membership.make_membership_controller(
             self._clock,
             self._random,
             self.own,
-            self._table,
+            self._platform.table,
             self._network,
             self.event_log,
             secret,
@@ -155,8 +124,8 @@
     def _build_configuration(self) -> None:
         self._configuration = configurations.make_configuration_controller(
             configurations.Dependencies(
-                rows=self._table,
-                objects=self._objects,
+                rows=self._platform.table,
+                objects=self._platform.objects,
                 peers=self._network,
                 directory=self._directory,
                 clock=self._clock,
@@ -202,7 +171,7 @@
             self._clock,
             self._random,
             self._directory,
-            self._lease_table,
+            self._platform.lease_table,
             self._network,
             self._configuration,
             self.event_log,
@@ -244,7 +213,7 @@
             deadline.DeadlineFilter(self._clock),
             quota.QuotaFilter(self._quotas),
             early_shed.EarlyShedFilter(self._shed, self._random),
-            once.OnceFilter(self._table),
+            once.OnceFilter(self._platform.table),
         ]
         self._entry.set_filters(filters)
 
@@ -341,12 +310,6 @@
         for service in configuration.services.values():
             self._gate.set_service(service)
 
-    def _reachability_changed(self, reachable: bool) -> None:
-        self._table_reachable = reachable
-        self.event_log.record(
-            events.StoreReachabilityChanged(reachable=reachable)
-        )
-
     def _announced(self, announced: directory.Announcement | None) -> None:
         self._gate.set_upstream(announced)
         self._membership.set_upstream(announced)
@@ -384,7 +347,7 @@
             self._configuration,
             self._gate,
             self._quotas,
-            self._table_reachable,
+            self._platform.is_reachable,
         )
 
 
