--- a/src/cyclamendale/entry/_request.py
+++ b/src/cyclamendale/entry/_request.py
@@ -11,6 +11,7 @@
 from cyclamendale import _immediate_write
 from cyclamendale import clocks
 from cyclamendale import refusals
+from cyclamendale.entry import _refusals
 from cyclamendale.entry import call as calls
 from cyclamendale.filters import match_route
 from cyclamendale.forwarding import caller as callers
@@ -295,26 +296,8 @@
         call = self._call
         assert call is not None
         call.ended = True
-        body = b"" if self._bodyless else _refusal_body(call, refusal)
-        head = [
-            _http_constants.status_line(refusal.http_status),
-            b"Content-Type: application/json\r\n",
-            b"Content-Length: %d\r\n" % len(body),
-            b"X-Cyclamendale-Outcome: %s\r\n"
-            % refusal.execution.value.encode(),
-            b"X-Cyclamendale-Reason: %s\r\n" % refusal.reason.value.encode(),
-            b"X-Cyclamendale-Request: %s\r\n" % call.request.encode(),
-        ]
-        if refusal.decider is not None:
-            head.append(
-                b"X-Cyclamendale-Decided-By: %s\r\n"
-                % str(refusal.decider).encode()
-            )
-        if refusal.retry_after_s is not None:
-            # The header has whole seconds, the body the exact figure.
-            head.append(
-                b"Retry-After: %d\r\n" % max(1, round(refusal.retry_after_s))
-            )
+        body = b"" if self._bodyless else _refusals.body(call, refusal)
+        head = _refusals.head(call, refusal, len(body))
         if not self._body_complete:
             # The rest of the body is not read, so nothing can follow.
             self.channel.persistent = False
@@ -396,20 +379,3 @@
         timer, self._filter_timer = self._filter_timer, None
         if timer is not None and timer.active():
             timer.cancel()
-
-
-def _refusal_body(call: calls.Call, refusal: refusals.Refusal) -> bytes:
-    decider = refusal.decider
-    return (
-        b'{"reason":"%s","outcome":"%s","request":"%s","decided_by":%s,'
-        b'"retry_after_s":%s}\n'
-        % (
-            refusal.reason.value.encode(),
-            refusal.execution.value.encode(),
-            call.request.encode(),
-            b'"%s"' % str(decider).encode() if decider else b"null",
-            b"%.3f" % refusal.retry_after_s
-            if refusal.retry_after_s is not None
-            else b"null",
-        )
-    )
