Let the kernel choose the fleet's ports; exit when a port is taken

The node then neither served nor ended: twisted's error for a taken port is no OSError, so the daemon stayed without a node. Before: a taken port hung the daemon. After: exit code 1 and the port in the log, for each of the three listeners (new test); the script gives port 0, reads the addresses from the log, and starts anew if a kept port is taken.

--- a/examples/fleet.py
+++ b/examples/fleet.py
@@ -9,7 +9,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -18,6 +17,9 @@
 QUICKSTART = HERE / "quickstart"
 LOOPBACK = "127.0.0.1"
 START_TIMEOUT_S = 20.0
+START_TRIES = 5
+"""Starts of a node whose port may be taken by another process."""
+
 STOP_TIMEOUT_S = 15.0
 FLEET_SECRET = "demo-fleet-secret-0000"
 
@@ -35,27 +37,37 @@
         self.domain = domain
         self.service = service
         self.onward = onward
-        self.http = free_address()
-        self.peer = free_address(udp=True)
-        self.control = free_address()
+        # The kernel chooses the ports; a node started again keeps them.
+        self.http = self.peer = self.control = f"{LOOPBACK}:0"
         self.node: subprocess.Popen | None = None
         self.upstream: subprocess.Popen | None = None
 
 
-def free_address(udp: bool = False) -> str:
-    """Returns a loopback address that nothing listens on."""
-    while True:
-        with socket.socket() as stream:
-            stream.bind((LOOPBACK, 0))
-            port = stream.getsockname()[1]
-            if not udp:
-                return f"{LOOPBACK}:{port}"
-            with (
-                socket.socket(type=socket.SOCK_DGRAM) as datagram,
-                contextlib.suppress(OSError),
-            ):
-                datagram.bind((LOOPBACK, port))
-                return f"{LOOPBACK}:{port}"
+def _listening(
+    node: subprocess.Popen, log: pathlib.Path, begins_at: int
+) -> dict[str, str] | None:
+    """Waits until a node says where it listens.
+
+    Args:
+        node: Its process.
+        log: Its log.
+        begins_at: Bytes that the log had before.
+
+    Returns:
+        The addresses, or None when the node ended first: another process
+        may have taken its port.
+    """
+    end_s = time.monotonic() + START_TIMEOUT_S
+    while time.monotonic() < end_s:
+        has_ended = node.poll() is not None
+        text = log.read_bytes()[begins_at:].decode()
+        for line in text.splitlines(keepends=True):
+            if '"listening"' in line and line.endswith("\n"):
+                return json.loads(line)
+        if has_ended:
+            return None
+        time.sleep(0.02)
+    raise StepFailedError(f"{log.name}: not listening")
 
 
 def wait_until(what: str, probe: Callable[[], object], timeout_s: float):
@@ -144,10 +156,20 @@
     def start_node(self, number: int) -> None:
         """Starts the node of one host, a new one if it ran before."""
         host = self.hosts[number]
-        host.node = self._run(
-            f"node-{number}",
-            ["-m", "cyclamendale.daemon", *self._flags(host)],
-        )
+        name = f"node-{number}"
+        log = self._folder / f"{name}.log"
+        for _ in range(START_TRIES):
+            begins_at = log.stat().st_size if log.exists() else 0
+            host.node = self._run(
+                name, ["-m", "cyclamendale.daemon", *self.flags(host)]
+            )
+            addresses = _listening(host.node, log, begins_at)
+            if addresses is not None:
+                host.http = addresses["http_address"]
+                host.peer = addresses["peer_address"]
+                host.control = addresses["control_address"]
+                return
+        raise StepFailedError(f"{name} does not start")
 
     def start_upstream(self, number: int) -> None:
         """Starts the upstream of one host."""
@@ -171,7 +193,8 @@
         connection.getresponse().read()
         connection.close()
 
-    def _flags(self, host: Host) -> list[str]:
+    def flags(self, host: Host) -> list[str]:
+        """Returns the flags of a host's node."""
         return [
             f"--http-address={host.http}",
             f"--peer-address={host.peer}",
--- a/src/cyclamendale/daemon.py
+++ b/src/cyclamendale/daemon.py
@@ -9,6 +9,7 @@
 import sys
 from typing import Any
 
+from twisted.internet import error
 from twisted.internet import reactor as default_reactor
 from twisted.python import failure
 
@@ -48,13 +49,14 @@
             signal.signal(number, self._signalled)
         try:
             self._node = nodes.make_node(self._reactor, self._settings)
-        except OSError:
+        except (OSError, error.CannotListenError):
             logs.begin(self._settings.log_level.value)
             self._failed(failure.Failure())
             return
         logs.begin(self._settings.log_level.value, self._node.own.node)
         started = self._node.start()
-        _log.info("listening", extra=self._node.listening())
+        if self._node.is_listening:
+            _log.info("listening", extra=self._node.listening())
         started.addCallbacks(self._started, self._failed)
 
     def _started(self, _result: None) -> None:
--- a/src/cyclamendale/node.py
+++ b/src/cyclamendale/node.py
@@ -242,6 +242,11 @@
             events.NodeStarted(failure_domain=self.own.failure_domain)
         )
 
+    @property
+    def is_listening(self) -> bool:
+        """Returns whether every listener could be opened."""
+        return self._http_port is not None
+
     def listening(self) -> dict[str, str]:
         """Returns the addresses in use, by the name of their setting."""
         settings = self._settings
--- a/tests/test_fleet_failures.py
+++ b/tests/test_fleet_failures.py
@@ -10,7 +10,9 @@
 import json
 import pathlib
 import signal
+import socket
 import subprocess
+import sys
 import threading
 import time
 
@@ -273,6 +275,30 @@
                     last - first + 1, burst + rate_per_s * window_s
                 )
 
+    def test_a_node_whose_port_is_taken_says_so_and_exits(self):
+        self.start(put=False)
+        for setting in ("http", "peer", "control"):
+            with socket.socket() as taken:
+                taken.bind((fleets.LOOPBACK, 0))
+                taken.listen()
+                port = taken.getsockname()[1]
+                host = fleets.Host("north", None, None)
+                setattr(host, setting, f"{fleets.LOOPBACK}:{port}")
+                done = subprocess.run(
+                    [
+                        sys.executable,
+                        "-m",
+                        "cyclamendale.daemon",
+                        *self.fleet.flags(host),
+                    ],
+                    capture_output=True,
+                    text=True,
+                    timeout=WAIT_S,
+                    check=False,
+                )
+            self.assertEqual(1, done.returncode, done.stderr)
+            self.assertIn(str(port), done.stderr)
+
     def test_of_two_racing_operators_one_is_told_of_the_other(self):
         self.start(put=True)
         commands = [
