Cancel timers through one function

Cause: the check that a timer exists and is still to run stood 12 times in the same words; it is clocks.cancel now. A constant that nothing read goes. Behaviour stays; no test was touched.

--- a/src/cyclamendale/_http_constants.py
+++ b/src/cyclamendale/_http_constants.py
@@ -10,7 +10,6 @@
 
 NO_BODY_CODES = frozenset(http.NO_BODY_CODES)
 INTERNAL_SERVER_ERROR = http.INTERNAL_SERVER_ERROR
-OK = http.OK
 
 _STATUS_LINES: dict[int, bytes] = {
     code: b"HTTP/1.1 %d %s\r\n" % (code, phrase)
--- a/src/cyclamendale/_observation.py
+++ b/src/cyclamendale/_observation.py
@@ -94,8 +94,7 @@
 
     def stop(self) -> defer.Deferred[None]:
         """See base class."""
-        if self._next is not None and self._next.active():
-            self._next.cancel()
+        clocks.cancel(self._next)
         return defer.succeed(None)
 
     def _sample(self) -> None:
--- a/src/cyclamendale/clocks.py
+++ b/src/cyclamendale/clocks.py
@@ -18,6 +18,12 @@
         """Returns whether the call is still to run."""
 
 
+def cancel(call: DelayedCall | None) -> None:
+    """Cancels a call if there is one and it is still to run."""
+    if call is not None and call.active():
+        call.cancel()
+
+
 class ReactorTime(Protocol):
     """The part of twisted's `IReactorTime` that the clocks use."""
 
--- a/src/cyclamendale/controllers/announcements.py
+++ b/src/cyclamendale/controllers/announcements.py
@@ -128,8 +128,7 @@
 
     def stop(self) -> defer.Deferred[None]:
         """See base class."""
-        if self._check_call is not None and self._check_call.active():
-            self._check_call.cancel()
+        clocks.cancel(self._check_call)
         return defer.succeed(None)
 
     def announce(
--- a/src/cyclamendale/controllers/configuration.py
+++ b/src/cyclamendale/controllers/configuration.py
@@ -139,8 +139,7 @@
     def stop(self) -> defer.Deferred[None]:
         """See base class."""
         self._is_stopped = True
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
+        clocks.cancel(self._timer)
         return defer.succeed(None)
 
     async def _start_round(self, pause_s: float) -> None:
@@ -301,8 +300,7 @@
         self, delay_s: float, function: Callable[..., None], *args: Any
     ) -> None:
         """Sets the one timer of the controller, with jitter."""
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
+        clocks.cancel(self._timer)
         if not self._is_stopped:
             jitter = self._deps.randomness.uniform(-TICK_JITTER, TICK_JITTER)
             self._timer = self._clock.call_later(
--- a/src/cyclamendale/controllers/membership.py
+++ b/src/cyclamendale/controllers/membership.py
@@ -74,8 +74,7 @@
         spread: defer.Deferred[None] = defer.Deferred()
         self._clock.call_later(LEAVE_S, spread.callback, None)
         yield spread
-        if self._tick_call is not None and self._tick_call.active():
-            self._tick_call.cancel()
+        clocks.cancel(self._tick_call)
         yield self._port.close()
         if not forgotten.called:
             # The table is slow or down; the row goes by its age.
--- a/src/cyclamendale/controllers/quota_leases.py
+++ b/src/cyclamendale/controllers/quota_leases.py
@@ -318,8 +318,7 @@
 
     def _finish_stop(self) -> None:
         for call in (self._ticking, self._stop_timeout):
-            if call is not None and call.active():
-                call.cancel()
+            clocks.cancel(call)
         if self._stopped is not None:
             stopped, self._stopped = self._stopped, None
             stopped.callback(None)
--- a/src/cyclamendale/entry/_channel.py
+++ b/src/cyclamendale/entry/_channel.py
@@ -143,8 +143,7 @@
 
     def _stop_arrival_timer(self) -> None:
         timer, self._arrival_timer = self._arrival_timer, None
-        if timer is not None and timer.active():
-            timer.cancel()
+        clocks.cancel(timer)
 
     def _arrives_too_slowly(self) -> None:
         self._arrival_timer = None
--- a/src/cyclamendale/entry/_request.py
+++ b/src/cyclamendale/entry/_request.py
@@ -377,5 +377,4 @@
 
     def _stop_filter_timer(self) -> None:
         timer, self._filter_timer = self._filter_timer, None
-        if timer is not None and timer.active():
-            timer.cancel()
+        clocks.cancel(timer)
--- a/src/cyclamendale/forwarding/forwarder.py
+++ b/src/cyclamendale/forwarding/forwarder.py
@@ -173,7 +173,7 @@
             self._attempts.add(attempt)
         else:
             self._end()
-        self._stop_timer(self._hedge_timer)
+        clocks.cancel(self._hedge_timer)
         self._caller.answer(answer)
 
     def refused(
@@ -337,8 +337,8 @@
         call.on_cancel = None
         # Attempts refer to this object; see `Call.release`.
         self._winner = None
-        self._stop_timer(self._deadline_timer)
-        self._stop_timer(self._hedge_timer)
+        clocks.cancel(self._deadline_timer)
+        clocks.cancel(self._hedge_timer)
         if call.parent is not None:
             call.parent.onward_ended(self._shared.clock.now_s())
             call.parent.cancel_onward.discard(self._cancel_and_refuse)
@@ -354,11 +354,6 @@
         else:
             self._call.parent.met.append(answer_feedback)
 
-    @staticmethod
-    def _stop_timer(timer: clocks.DelayedCall | None) -> None:
-        if timer is not None and timer.active():
-            timer.cancel()
-
     def give_back(self, lent: int, unused_budget: int) -> None:
         """Takes unused budget of a streamed answer back."""
         assert self._call.budget is not None
--- a/src/cyclamendale/metrics.py
+++ b/src/cyclamendale/metrics.py
@@ -135,8 +135,7 @@
 
     def stop(self) -> defer.Deferred[None]:
         """See base class."""
-        if self._next_send is not None and self._next_send.active():
-            self._next_send.cancel()
+        clocks.cancel(self._next_send)
         self._send()
         return defer.succeed(None)
 
--- a/src/cyclamendale/peer/thrift_network.py
+++ b/src/cyclamendale/peer/thrift_network.py
@@ -311,6 +311,5 @@
         self._finish(Error(network.PeerError(kind, self._peer)))
 
     def _finish(self, result: Result[Any, network.PeerError]) -> None:
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
+        clocks.cancel(self.timer)
         self.result.callback(result)
--- a/src/cyclamendale/upstream/_gate_exchange.py
+++ b/src/cyclamendale/upstream/_gate_exchange.py
@@ -395,7 +395,6 @@
     def _close(self) -> None:
         """Ends the exchange once its answer was sent or abandoned."""
         self._phase = _Phase.ENDED
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
+        clocks.cancel(self._timer)
         self._buffer.clear()
         self._gate.ended(self)
