--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 setup: $(VENV)/.ready
 
-$(VENV)/.ready: requirements.txt pyproject.toml
+$(VENV)/.ready: requirements.txt requirements-run.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --requirement requirements.txt
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
--- a/examples/fleet.py
+++ b/examples/fleet.py
@@ -145,7 +145,7 @@
     def _start_platform(self) -> None:
         platform = self._run(
             "platform",
-            ["-m", "cyclamendale.platform.stand_in"],
+            ["-m", "cyclamendale.store.stand_in"],
             stdout=subprocess.PIPE,
         )
         assert platform.stdout is not None
--- a/measure/configuration_size.py
+++ b/measure/configuration_size.py
@@ -23,8 +23,8 @@
 from cyclamendale.configuration import store
 from cyclamendale.peer import network
 from cyclamendale.peer.generated.configuration import ttypes
-from cyclamendale.platform import http_api
-from cyclamendale.platform import table
+from cyclamendale.store import http_api
+from cyclamendale.store import table
 
 FILES = (50, 200, 800, 3200)
 REPEATED_TEXTS = 50
--- a/measure/configuration_spread.py
+++ b/measure/configuration_spread.py
@@ -27,9 +27,9 @@
 from cyclamendale.controllers import configuration
 from cyclamendale.intents import model
 from cyclamendale.membership import directory as directories
-from cyclamendale.platform import faults
-from cyclamendale.platform import memory
-from cyclamendale.platform import state as states
+from cyclamendale.store import faults
+from cyclamendale.store import memory
+from cyclamendale.store import state as states
 from measure import _configuration_model as virtual
 
 NODES = (10, 40, 160, 1100)
--- a/src/cyclamendale/_platform_links.py
+++ b/src/cyclamendale/_platform_links.py
@@ -8,8 +8,8 @@
 from cyclamendale import clocks
 from cyclamendale import events
 from cyclamendale import settings as settings_module
-from cyclamendale.platform import http_client
-from cyclamendale.platform import load_limit
+from cyclamendale.store import http_client
+from cyclamendale.store import load_limit
 
 
 class PlatformLinks:
--- a/src/cyclamendale/cli/changing.py
+++ b/src/cyclamendale/cli/changing.py
@@ -22,7 +22,7 @@
 from cyclamendale.intents import kinds
 from cyclamendale.intents import model
 from cyclamendale.intents import parse
-from cyclamendale.platform import load_limit
+from cyclamendale.store import load_limit
 
 ASK_AGAIN_S = 0.25
 CHANGE_ID_BYTES = 12
--- a/src/cyclamendale/cli/reactor_services.py
+++ b/src/cyclamendale/cli/reactor_services.py
@@ -14,8 +14,8 @@
 from cyclamendale.cli import services
 from cyclamendale.configuration import publisher
 from cyclamendale.intents import merge
-from cyclamendale.platform import http_client
-from cyclamendale.platform import load_limit
+from cyclamendale.store import http_client
+from cyclamendale.store import load_limit
 
 PLATFORM_TIMEOUT_S = 2.0
 NODE_TIMEOUT_S = 60.0
--- a/src/cyclamendale/configuration/_publication.py
+++ b/src/cyclamendale/configuration/_publication.py
@@ -15,8 +15,8 @@
 from cyclamendale.configuration import changes
 from cyclamendale.configuration import documents
 from cyclamendale.configuration import store as stores
-from cyclamendale.platform import object_store
-from cyclamendale.platform import table
+from cyclamendale.store import object_store
+from cyclamendale.store import table
 
 Files: TypeAlias = "Mapping[ids.IntentFileName, bytes]"
 Validate: TypeAlias = "Callable[[Files], Result[Any, Any]]"
--- a/src/cyclamendale/configuration/publisher.py
+++ b/src/cyclamendale/configuration/publisher.py
@@ -16,9 +16,9 @@
 from cyclamendale.configuration import changes
 from cyclamendale.configuration import documents
 from cyclamendale.configuration import store as stores
-from cyclamendale.platform import load_limit
-from cyclamendale.platform import object_store
-from cyclamendale.platform import table
+from cyclamendale.store import load_limit
+from cyclamendale.store import object_store
+from cyclamendale.store import table
 
 MAX_ATTEMPTS = 10
 """Attempts of one change, those to settle a lost answer included."""
--- a/src/cyclamendale/configuration/store.py
+++ b/src/cyclamendale/configuration/store.py
@@ -14,8 +14,8 @@
 from cyclamendale import ids
 from cyclamendale.configuration import changes
 from cyclamendale.configuration import documents
-from cyclamendale.platform import object_store
-from cyclamendale.platform import table
+from cyclamendale.store import object_store
+from cyclamendale.store import table
 
 MAX_LOOSE_FILES = 16
 """Files changed since the last bundle; with more, one is written."""
--- a/src/cyclamendale/controllers/_quota_divisions.py
+++ b/src/cyclamendale/controllers/_quota_divisions.py
@@ -8,9 +8,9 @@
 
 from cyclamendale import ids
 from cyclamendale.intents import model
-from cyclamendale.platform import table
 from cyclamendale.quotas import shard_row
 from cyclamendale.quotas import shares
+from cyclamendale.store import table
 
 CustomersByShard = Mapping[ids.ShardId, Mapping[ids.CustomerId, model.Customer]]
 
--- a/src/cyclamendale/controllers/_quota_fleet_steps.py
+++ b/src/cyclamendale/controllers/_quota_fleet_steps.py
@@ -12,10 +12,10 @@
 from cyclamendale import ids
 from cyclamendale.controllers import _quota_divisions
 from cyclamendale.controllers import _quota_layout
-from cyclamendale.platform import table
 from cyclamendale.quotas import lease
 from cyclamendale.quotas import lease_rows
 from cyclamendale.quotas import shard_row
+from cyclamendale.store import table
 
 MAX_ROWS = 65536
 """Most lease rows read at once."""
--- a/src/cyclamendale/controllers/_quota_layout.py
+++ b/src/cyclamendale/controllers/_quota_layout.py
@@ -12,10 +12,10 @@
 import msgspec
 
 from cyclamendale import ids
-from cyclamendale.platform import table
 from cyclamendale.quotas import lease
 from cyclamendale.quotas import shard_row
 from cyclamendale.quotas import shares
+from cyclamendale.store import table
 
 _WRITE_ID_BITS = 62
 _LAYOUT_VALUE = b"{}"
--- a/src/cyclamendale/controllers/_quota_locator.py
+++ b/src/cyclamendale/controllers/_quota_locator.py
@@ -12,9 +12,9 @@
 from cyclamendale.peer import kinds
 from cyclamendale.peer import network
 from cyclamendale.peer.generated.quota import ttypes
-from cyclamendale.platform import table
 from cyclamendale.quotas import holder_map
 from cyclamendale.quotas import shard_row
+from cyclamendale.store import table
 
 MIN_REFRESH_S = 0.1
 """Wait before a second look-up of one failure domain's holders."""
--- a/src/cyclamendale/controllers/configuration.py
+++ b/src/cyclamendale/controllers/configuration.py
@@ -26,8 +26,8 @@
 from cyclamendale.intents import model
 from cyclamendale.membership import directory as directories
 from cyclamendale.peer import network
-from cyclamendale.platform import object_store
-from cyclamendale.platform import table
+from cyclamendale.store import object_store
+from cyclamendale.store import table
 
 _LOG = logging.getLogger(__name__)
 
--- a/src/cyclamendale/controllers/membership.py
+++ b/src/cyclamendale/controllers/membership.py
@@ -20,7 +20,7 @@
 from cyclamendale.membership import state_sync
 from cyclamendale.membership import udp
 from cyclamendale.peer import network as networks
-from cyclamendale.platform import table as tables
+from cyclamendale.store import table as tables
 
 LEAVE_S = 1.0
 """Time for which a node that leaves goes on to spread that it left."""
--- a/src/cyclamendale/controllers/quota_leases.py
+++ b/src/cyclamendale/controllers/quota_leases.py
@@ -21,13 +21,13 @@
 from cyclamendale.controllers import base
 from cyclamendale.intents import model
 from cyclamendale.membership import directory
-from cyclamendale.platform import table
 from cyclamendale.quotas import holder
 from cyclamendale.quotas import holder_map
 from cyclamendale.quotas import lease
 from cyclamendale.quotas import lease_rows
 from cyclamendale.quotas import shard_row
 from cyclamendale.quotas import shares
+from cyclamendale.store import table
 
 TICK_S = 0.25
 """Interval at which due reads and writes are looked for."""
--- a/src/cyclamendale/controllers/quotas.py
+++ b/src/cyclamendale/controllers/quotas.py
@@ -19,11 +19,11 @@
 from cyclamendale.controllers import quota_leases
 from cyclamendale.membership import directory
 from cyclamendale.peer import network
-from cyclamendale.platform import table
 from cyclamendale.quotas import gate
 from cyclamendale.quotas import holder_map
 from cyclamendale.quotas import lease
 from cyclamendale.quotas import token_cache
+from cyclamendale.store import table
 
 MAX_WAIT_S = 1.0
 """Longest time that a request waits for a token."""
--- a/src/cyclamendale/filters/once.py
+++ b/src/cyclamendale/filters/once.py
@@ -19,7 +19,7 @@
 from cyclamendale.entry import call as calls
 from cyclamendale.filters import base
 from cyclamendale.intents import model
-from cyclamendale.platform import table as tables
+from cyclamendale.store import table as tables
 
 IDEMPOTENCY_HEADER = b"Idempotency-Key"
 ROW_PREFIX = "once/"
--- a/src/cyclamendale/membership/contact_rows.py
+++ b/src/cyclamendale/membership/contact_rows.py
@@ -13,7 +13,7 @@
 from cyclamendale import clocks
 from cyclamendale import ids
 from cyclamendale.membership import member_list
-from cyclamendale.platform import table as tables
+from cyclamendale.store import table as tables
 
 PREFIX = "members/"
 ROW_FORMAT = 1
--- /dev/null
+++ b/src/cyclamendale/peer/idl/fleet.thrift
@@ -0,0 +1,81 @@
+// Messages between the nodes of a fleet.
+
+// One request, on its way to the node beside the upstream that is to run it.
+struct RunRequest {
+  1: required string request_id,
+  2: required string service_name,
+  // Request line and forwarded header lines, each ended by CRLF.
+  3: required binary head,
+  4: required binary body,
+  5: required double remaining_s,
+  6: required i16 rank,
+  7: required bool idempotent,
+  // Whether an upstream made this call while it ran another request.
+  8: required bool onward,
+  // Host and process that the sender believes the upstream to be.
+  9: required string upstream_id,
+  10: required double aim_left_s,
+}
+
+struct RunAnswer {
+  // HTTP status of the upstream, or 0 when the node answers itself.
+  1: required i16 status,
+  2: required binary head,
+  3: required binary body,
+  4: optional string reason,
+  5: required bool may_have_run,
+  6: optional double retry_after_s,
+  // State of the gate that answered.
+  7: required double busy,
+  8: required double wait_s,
+  9: required bool is_framed,
+}
+
+struct UpstreamReport {
+  1: required string upstream_id,
+  2: required string service_name,
+  3: required i32 slots,
+  4: required bool is_open,
+  5: required double cold_left_s,
+  6: required i32 in_service,
+  7: required i32 queued,
+  8: required double service_time_s,
+  9: required double pressure,
+}
+
+struct CustomerDemand {
+  1: required string customer,
+  2: required double rate_per_s,
+}
+
+// Mean number of calls to a service during one run of a route.
+struct CallFrequency {
+  1: required string route,
+  2: required string service_name,
+  3: required double calls,
+}
+
+struct HostReport {
+  1: required string host,
+  2: required i64 incarnation,
+  3: required i32 sequence,
+  4: required string peer_address,
+  5: required string failure_domain,
+  6: required i64 configuration_version,
+  7: required bool is_leaving,
+  8: optional UpstreamReport upstream,
+  9: optional list<CustomerDemand> demands,
+  10: optional list<CallFrequency> frequencies,
+  // Whether the receiver should answer with a report of its own at once.
+  11: required bool is_introduction,
+}
+
+struct ConfigurationRequest {
+  1: required i64 have_version,
+}
+
+// The platform's own bytes of a version, so that all nodes decode the same.
+struct ConfigurationDocument {
+  1: required i64 version,
+  2: required binary document,
+}
--- a/src/cyclamendale/quotas/lease.py
+++ b/src/cyclamendale/quotas/lease.py
@@ -14,10 +14,10 @@
 import msgspec
 
 from cyclamendale import ids
-from cyclamendale.platform import table
 from cyclamendale.quotas import lease_rows
 from cyclamendale.quotas import shard_row
 from cyclamendale.quotas import shares
+from cyclamendale.store import table
 
 _WRITE_ID_BITS = 62
 
--- a/src/cyclamendale/platform/_http_attempt.py
+++ b/src/cyclamendale/store/_http_attempt.py
@@ -21,7 +21,7 @@
 from zope.interface import implementer  # type: ignore[import-untyped]
 
 from cyclamendale import clocks
-from cyclamendale.platform import faults
+from cyclamendale.store import faults
 
 
 class AttemptFailure(enum.Enum):
--- a/src/cyclamendale/platform/_http_objects.py
+++ b/src/cyclamendale/store/_http_objects.py
@@ -10,11 +10,11 @@
 from twisted.internet import defer
 from twisted.web import http
 
-from cyclamendale.platform import _http_attempt
-from cyclamendale.platform import faults
-from cyclamendale.platform import http_api
-from cyclamendale.platform import object_store
-from cyclamendale.platform import state as states
+from cyclamendale.store import _http_attempt
+from cyclamendale.store import faults
+from cyclamendale.store import http_api
+from cyclamendale.store import object_store
+from cyclamendale.store import state as states
 
 
 class HttpObjectStore(object_store.ObjectStore):
--- a/src/cyclamendale/platform/_http_table.py
+++ b/src/cyclamendale/store/_http_table.py
@@ -12,10 +12,10 @@
 from twisted.internet import defer
 from twisted.web import http
 
-from cyclamendale.platform import _http_attempt
-from cyclamendale.platform import faults
-from cyclamendale.platform import http_api
-from cyclamendale.platform import table
+from cyclamendale.store import _http_attempt
+from cyclamendale.store import faults
+from cyclamendale.store import http_api
+from cyclamendale.store import table
 
 T = TypeVar("T")
 Failure = _http_attempt.AttemptFailure
--- a/src/cyclamendale/platform/http_api.py
+++ b/src/cyclamendale/store/http_api.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from cyclamendale.platform import faults
-from cyclamendale.platform import table
+from cyclamendale.store import faults
+from cyclamendale.store import table
 
 TABLE_PATH = "/table/"
 OBJECTS_PATH = "/objects/"
--- a/src/cyclamendale/platform/http_client.py
+++ b/src/cyclamendale/store/http_client.py
@@ -13,14 +13,14 @@
 from twisted.web import http
 
 from cyclamendale import clocks
-from cyclamendale.platform import _http_attempt
-from cyclamendale.platform import _http_objects
-from cyclamendale.platform import _http_table
-from cyclamendale.platform import faults
-from cyclamendale.platform import http_api
-from cyclamendale.platform import load_limit
-from cyclamendale.platform import object_store
-from cyclamendale.platform import table
+from cyclamendale.store import _http_attempt
+from cyclamendale.store import _http_objects
+from cyclamendale.store import _http_table
+from cyclamendale.store import faults
+from cyclamendale.store import http_api
+from cyclamendale.store import load_limit
+from cyclamendale.store import object_store
+from cyclamendale.store import table
 
 DEFAULT_TIMEOUT_S = 1.0
 """Time allowed for one attempt, connection included."""
--- a/src/cyclamendale/platform/memory.py
+++ b/src/cyclamendale/store/memory.py
@@ -11,10 +11,10 @@
 from twisted.internet import defer
 
 from cyclamendale import clocks
-from cyclamendale.platform import faults
-from cyclamendale.platform import object_store
-from cyclamendale.platform import state as states
-from cyclamendale.platform import table
+from cyclamendale.store import faults
+from cyclamendale.store import object_store
+from cyclamendale.store import state as states
+from cyclamendale.store import table
 
 DEFAULT_TIMEOUT_S = 1.0
 """Time after which a caller stops waiting for an answer."""
--- a/src/cyclamendale/platform/stand_in.py
+++ b/src/cyclamendale/store/stand_in.py
@@ -1,6 +1,6 @@
 """Small HTTP server that stands in for the platform in demos and tests.
 
-Usage: python -m cyclamendale.platform.stand_in --port N
+Usage: python -m cyclamendale.store.stand_in --port N
 
 It listens on loopback only, prints its address as one JSON line and
 keeps everything in memory. `http_api.FAULTS_PATH` switches its faults.
@@ -23,11 +23,11 @@
 from twisted.web import server
 
 from cyclamendale import clocks
-from cyclamendale.platform import faults
-from cyclamendale.platform import http_api
-from cyclamendale.platform import object_store
-from cyclamendale.platform import state as states
-from cyclamendale.platform import table
+from cyclamendale.store import faults
+from cyclamendale.store import http_api
+from cyclamendale.store import object_store
+from cyclamendale.store import state as states
+from cyclamendale.store import table
 
 LOOPBACK = "127.0.0.1"
 MAX_BODY_BYTES = 16 * 1024 * 1024
--- a/src/cyclamendale/platform/state.py
+++ b/src/cyclamendale/store/state.py
@@ -9,8 +9,8 @@
 from expression import Ok
 from expression import Result
 
-from cyclamendale.platform import object_store
-from cyclamendale.platform import table
+from cyclamendale.store import object_store
+from cyclamendale.store import table
 
 
 class TableState:
--- a/tests/support/fake_platform.py
+++ b/tests/support/fake_platform.py
@@ -9,11 +9,11 @@
 from twisted.internet import task
 
 from cyclamendale import clocks
-from cyclamendale.platform import faults
-from cyclamendale.platform import http_client
-from cyclamendale.platform import load_limit
-from cyclamendale.platform import memory
-from cyclamendale.platform import stand_in
+from cyclamendale.store import faults
+from cyclamendale.store import http_client
+from cyclamendale.store import load_limit
+from cyclamendale.store import memory
+from cyclamendale.store import stand_in
 
 SLOW_S = 5.0
 """Delay longer than any time-out of these platforms."""
--- a/tests/support/fake_platform_cluster.py
+++ b/tests/support/fake_platform_cluster.py
@@ -10,7 +10,7 @@
 from cyclamendale import ids
 from cyclamendale.controllers import configuration
 from cyclamendale.membership import directory as directories
-from cyclamendale.platform import faults
+from cyclamendale.store import faults
 from tests.support import fake_network
 from tests.support import fake_platform_configuration as fake
 
--- a/tests/support/fake_platform_configuration.py
+++ b/tests/support/fake_platform_configuration.py
@@ -14,9 +14,9 @@
 from cyclamendale.configuration import changes
 from cyclamendale.configuration import publisher
 from cyclamendale.intents import model
-from cyclamendale.platform import faults
-from cyclamendale.platform import memory
-from cyclamendale.platform import state as states
+from cyclamendale.store import faults
+from cyclamendale.store import memory
+from cyclamendale.store import state as states
 
 EXCLUSIVE = b"exclusive"
 """Contents that only one file of a valid folder may have."""
--- a/tests/support/quota_fleet.py
+++ b/tests/support/quota_fleet.py
@@ -17,7 +17,7 @@
 from cyclamendale.controllers import quotas
 from cyclamendale.intents import model
 from cyclamendale.membership import directory
-from cyclamendale.platform import table
+from cyclamendale.store import table
 from tests.support import fake_network
 
 
--- a/tests/test_cli_changes.py
+++ b/tests/test_cli_changes.py
@@ -11,7 +11,7 @@
 
 from cyclamendale.cli import faults as cli_faults
 from cyclamendale.intents import keys
-from cyclamendale.platform import faults
+from cyclamendale.store import faults
 from tests.support import fake_operator
 
 _BUSY = 'kind = "customer"\nname = "masons"\nburst = {}\n'
--- a/tests/test_configuration_controller.py
+++ b/tests/test_configuration_controller.py
@@ -12,8 +12,8 @@
 from cyclamendale.configuration import polling
 from cyclamendale.peer import kinds
 from cyclamendale.peer.generated.configuration import ttypes
-from cyclamendale.platform import faults
-from cyclamendale.platform import table
+from cyclamendale.store import faults
+from cyclamendale.store import table
 from tests.support import fake_platform_cluster as fake_cluster
 from tests.support import fake_platform_configuration as fake
 
--- a/tests/test_configuration_machine.py
+++ b/tests/test_configuration_machine.py
@@ -14,7 +14,7 @@
 
 from cyclamendale.configuration import changes
 from cyclamendale.configuration import documents
-from cyclamendale.platform import faults
+from cyclamendale.store import faults
 from tests.support import fake_platform_cluster as fake_cluster
 
 CONVERGENCE_TARGET_S = 14.0
--- a/tests/test_configuration_publisher.py
+++ b/tests/test_configuration_publisher.py
@@ -8,8 +8,8 @@
 from cyclamendale.configuration import changes
 from cyclamendale.configuration import documents
 from cyclamendale.configuration import store
-from cyclamendale.platform import faults
-from cyclamendale.platform import table
+from cyclamendale.store import faults
+from cyclamendale.store import table
 from tests.support import fake_platform_configuration as fake
 
 KINDS = changes.PublishErrorKind
--- a/tests/test_membership_controller.py
+++ b/tests/test_membership_controller.py
@@ -19,7 +19,7 @@
 from cyclamendale.membership import contact_rows
 from cyclamendale.membership import directory
 from cyclamendale.membership import udp
-from cyclamendale.platform import table as tables
+from cyclamendale.store import table as tables
 from tests.support import fake_members
 from tests.support import fake_network
 
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -9,8 +9,8 @@
 from cyclamendale import refusals
 from cyclamendale.filters import once
 from cyclamendale.intents import model
-from cyclamendale.platform import faults
-from cyclamendale.platform import table as tables
+from cyclamendale.store import faults
+from cyclamendale.store import table as tables
 from tests.support import entry_bench
 from tests.support import fake_platform
 
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -10,9 +10,9 @@
 from twisted.internet import defer
 from twisted.trial import unittest
 
-from cyclamendale.platform import faults
-from cyclamendale.platform import object_store
-from cyclamendale.platform import table
+from cyclamendale.store import faults
+from cyclamendale.store import object_store
+from cyclamendale.store import table
 from tests.support import fake_platform
 
 KINDS = table.TableErrorKind
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -16,11 +16,11 @@
 from twisted.web import server
 
 from cyclamendale import clocks
-from cyclamendale.platform import faults
-from cyclamendale.platform import http_api
-from cyclamendale.platform import load_limit
-from cyclamendale.platform import stand_in
-from cyclamendale.platform import table
+from cyclamendale.store import faults
+from cyclamendale.store import http_api
+from cyclamendale.store import load_limit
+from cyclamendale.store import stand_in
+from cyclamendale.store import table
 from tests.support import fake_platform
 
 KINDS = table.TableErrorKind
--- a/tests/test_quota_rules.py
+++ b/tests/test_quota_rules.py
@@ -12,7 +12,6 @@
 from cyclamendale.controllers import _quota_layout
 from cyclamendale.intents import model
 from cyclamendale.peer.generated.quota import ttypes
-from cyclamendale.platform import table
 from cyclamendale.quotas import holder
 from cyclamendale.quotas import lease
 from cyclamendale.quotas import lease_rows
@@ -20,6 +19,7 @@
 from cyclamendale.quotas import shares
 from cyclamendale.quotas import token_bucket
 from cyclamendale.quotas import token_cache
+from cyclamendale.store import table
 
 ACME = model.Customer("acme", 10.0, 100.0)
 DIVISION = shares.Division(1, (shares.DomainWeight("east", 1.0),))
