--- /dev/null
+++ b/src/cyclamendale/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Nodes that find each other through the store and act together."""
--- /dev/null
+++ b/src/cyclamendale/fleet/hosts.py
@@ -0,0 +1,304 @@
+"""What a node knows of the other hosts of its fleet."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable, Iterator, Sequence
+
+import msgspec
+
+from cyclamendale import clocks
+from cyclamendale import ids
+from cyclamendale.overload import call_frequency
+from cyclamendale.overload import placement
+
+SUSPECT_AFTER_REPORTS = 5.0
+"""Missed reports after which a host is tried last."""
+
+LOST_AFTER_S = 5.0
+"""Silence after which a host's upstream is not a candidate any more; more
+than the pauses of hosts that come back with their state."""
+
+DEMAND_KEPT_S = 60.0
+"""Silence after which a host's share of the quotas is taken back. Longer
+than any cut that was planned for: a share that was freed while its owner
+still spends it would be spent twice."""
+
+FORGET_AFTER_S = 600.0
+"""Silence after which a host is sent no reports any more."""
+
+
+class UpstreamStatus(msgspec.Struct, frozen=True):
+    """What a host reports of its upstream.
+
+    Attributes:
+        upstream_id: Id of the upstream process.
+        service: Its service.
+        slots: Requests that it runs at once.
+        is_open: Whether it takes new requests.
+        cold_left_s: How much longer it is slow after its start.
+        at_gate: Requests in service and waiting.
+        pressure: How strongly roots should be refused.
+    """
+
+    upstream_id: str
+    service: ids.ServiceName
+    slots: int
+    is_open: bool
+    cold_left_s: float
+    at_gate: int
+    pressure: float
+
+
+class HostReport(msgspec.Struct, frozen=True, kw_only=True):
+    """What a node says of itself to the others.
+
+    Attributes:
+        address: Where the node listens for others.
+        incarnation: Random number of the process.
+        sequence: Rises with each report of a process.
+        failure_domain: Failure domain of the host.
+        configuration_version: Version in force; 0 before the first.
+        is_leaving: Whether the node is shutting down.
+        upstream: Its upstream, once that announced itself.
+        demands: Requests a second by customer.
+        frequencies: What the node learned of calls.
+        is_introduction: Whether an answer is wanted at once.
+    """
+
+    address: ids.PeerAddress
+    incarnation: int
+    sequence: int
+    failure_domain: ids.FailureDomainName
+    configuration_version: ids.ConfigVersion
+    is_leaving: bool = False
+    upstream: UpstreamStatus | None = None
+    demands: dict[ids.CustomerId, float] = {}
+    frequencies: list[call_frequency.Frequency] = []
+    is_introduction: bool = False
+
+
+class KnownHost:
+    """Another host, or the own one.
+
+    Attributes:
+        address: Where its node listens for others.
+        failure_domain: Its failure domain.
+        report: The last report, if any was heard.
+        heard_s: Clock time of the last report; of the first mention
+            before that.
+        demands: Last known demand of each customer.
+        candidate: Its upstream as a candidate of placement.
+    """
+
+    def __init__(
+        self,
+        address: ids.PeerAddress,
+        failure_domain: ids.FailureDomainName,
+        now_s: float,
+    ) -> None:
+        self.address = address
+        self.failure_domain = failure_domain
+        self.report: HostReport | None = None
+        self.heard_s = now_s
+        self.demands: dict[ids.CustomerId, float] = {}
+        self.candidate = placement.Candidate(address, failure_domain)
+        self.past_incarnations: set[int] = set()
+
+    def is_newer(self, report: HostReport) -> bool:
+        """Returns whether a report is not older than what is known."""
+        known = self.report
+        if known is None:
+            return True
+        if report.incarnation == known.incarnation:
+            return report.sequence > known.sequence
+        return report.incarnation not in self.past_incarnations
+
+    def take(self, report: HostReport, now_s: float) -> None:
+        """Takes a newer report."""
+        known = self.report
+        if known is not None and known.incarnation != report.incarnation:
+            self.past_incarnations.add(known.incarnation)
+            self.demands.clear()
+        self.report = report
+        self.failure_domain = report.failure_domain
+        self.heard_s = now_s
+        self.demands.update(report.demands)
+        candidate = self.candidate
+        candidate.failure_domain = report.failure_domain
+        candidate.is_suspect = False
+        upstream = report.upstream
+        if upstream is not None:
+            if candidate.upstream_id != upstream.upstream_id:
+                candidate.upstream_id = upstream.upstream_id
+                candidate.failures = 0
+                candidate.penalty_until_s = 0.0
+            candidate.slots = max(1, upstream.slots)
+            candidate.is_cold = upstream.cold_left_s > 0
+            candidate.report(upstream.at_gate)
+
+
+class HostView:
+    """All known hosts, and what follows from their reports."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        own: ids.PeerAddress,
+        own_domain: ids.FailureDomainName,
+        report_interval_s: float,
+    ) -> None:
+        self._clock = clock
+        self._own = own
+        self._own_domain = own_domain
+        self._interval_s = report_interval_s
+        self._hosts: dict[ids.PeerAddress, KnownHost] = {}
+        self._candidates: dict[ids.ServiceName, list[placement.Candidate]] = {}
+        self._pressures: dict[ids.ServiceName, float] = {}
+        self.mention(own, own_domain)
+
+    def mention(
+        self, address: ids.PeerAddress, domain: ids.FailureDomainName
+    ) -> bool:
+        """Adds a host that is known by name only; False if it was known."""
+        if address in self._hosts:
+            return False
+        self._hosts[address] = KnownHost(address, domain, self._clock.now_s())
+        return True
+
+    def hear(self, report: HostReport) -> bool:
+        """Takes a report; False if it is older than what is known."""
+        self.mention(report.address, report.failure_domain)
+        host = self._hosts[report.address]
+        if not host.is_newer(report):
+            return False
+        before = host.report
+        host.take(report, self._clock.now_s())
+        if _offer(before) != _offer(report):
+            self._rebuild()
+        return True
+
+    def refresh(self) -> None:
+        """Follows the passing of time; called once a report interval."""
+        now_s = self._clock.now_s()
+        suspect_s = SUSPECT_AFTER_REPORTS * self._interval_s
+        for host in tuple(self._hosts.values()):
+            silent_s = now_s - host.heard_s
+            if host.address == self._own:
+                continue
+            host.candidate.is_suspect = silent_s > suspect_s
+            if silent_s > FORGET_AFTER_S:
+                del self._hosts[host.address]
+        self._rebuild()
+
+    def others(self) -> Iterator[KnownHost]:
+        """Yields all hosts but the own one."""
+        for address, host in self._hosts.items():
+            if address != self._own:
+                yield host
+
+    def live_nodes(self) -> int:
+        """Returns the number of hosts heard of lately, own included."""
+        return 1 + sum(
+            1 for host in self.others() if not host.candidate.is_suspect
+        )
+
+    def known_nodes(self) -> int:
+        """Returns the number of hosts, silent ones included."""
+        return len(self._hosts)
+
+    def candidates(
+        self, service: ids.ServiceName
+    ) -> Sequence[placement.Candidate]:
+        """Returns the upstreams of a service that take new requests."""
+        return self._candidates.get(service, ())
+
+    def candidate_at(
+        self, address: ids.PeerAddress
+    ) -> placement.Candidate | None:
+        """Returns the candidate at a host, if the host is known."""
+        host = self._hosts.get(address)
+        return host.candidate if host else None
+
+    def pressure(self, service: ids.ServiceName) -> float:
+        """Returns the mean pressure of a service's open upstreams."""
+        return self._pressures.get(service, 0.0)
+
+    def demand_of_others(self) -> dict[ids.CustomerId, float]:
+        """Returns the last known demand at all other hosts together."""
+        now_s = self._clock.now_s()
+        total: dict[ids.CustomerId, float] = collections.defaultdict(float)
+        for host in self.others():
+            report = host.report
+            if now_s - host.heard_s > DEMAND_KEPT_S or (
+                report is not None and report.is_leaving
+            ):
+                continue
+            for customer, rate_per_s in host.demands.items():
+                total[customer] += rate_per_s
+        return total
+
+    def rank_in_domain(self) -> int:
+        """Returns how many live hosts of the own domain come before."""
+        return sum(
+            1
+            for host in self.others()
+            if host.failure_domain == self._own_domain
+            and host.report is not None
+            and not host.candidate.is_suspect
+            and not host.report.is_leaving
+            and host.address < self._own
+        )
+
+    def newest_configuration(
+        self,
+    ) -> tuple[ids.ConfigVersion, ids.PeerAddress] | None:
+        """Returns the highest version in force elsewhere, and where."""
+        known = [
+            (host.report.configuration_version, host.address)
+            for host in self.others()
+            if host.report is not None and not host.candidate.is_suspect
+        ]
+        return max(known, default=None)
+
+    def _rebuild(self) -> None:
+        now_s = self._clock.now_s()
+        candidates: dict[ids.ServiceName, list[placement.Candidate]] = (
+            collections.defaultdict(list)
+        )
+        pressures: dict[ids.ServiceName, list[float]] = collections.defaultdict(
+            list
+        )
+        for host in self._hosts.values():
+            offered = _offer(host.report)
+            if offered is None:
+                continue
+            if host.address != self._own and (
+                now_s - host.heard_s > LOST_AFTER_S
+            ):
+                continue
+            service, _ = offered
+            candidates[service].append(host.candidate)
+            if host.report is not None and host.report.upstream is not None:
+                pressures[service].append(host.report.upstream.pressure)
+        self._candidates = candidates
+        self._pressures = {
+            service: _mean(values) for service, values in pressures.items()
+        }
+
+
+def _offer(
+    report: HostReport | None,
+) -> tuple[ids.ServiceName, str] | None:
+    """Returns service and id of an upstream that takes new requests."""
+    if report is None or report.is_leaving:
+        return None
+    upstream = report.upstream
+    if upstream is None or not upstream.is_open:
+        return None
+    return upstream.service, upstream.upstream_id
+
+
+def _mean(values: Iterable[float]) -> float:
+    collected = list(values)
+    return sum(collected) / len(collected)
--- /dev/null
+++ b/src/cyclamendale/fleet/journal.py
@@ -0,0 +1,151 @@
+"""Structured logs of a node's decisions, bounded and never blocking."""
+
+from __future__ import annotations
+
+import collections
+import fcntl
+import logging
+import os
+from typing import Any
+
+import msgspec
+
+from cyclamendale import clocks
+
+DECISIONS_PER_S = 20.0
+DECISION_BURST = 200.0
+"""Bound on the lines about requests: some 4 KB a second, under a thousandth
+of a core."""
+
+BELIEFS_PER_S = 20.0
+BELIEF_BURST = 300.0
+"""The same for lines about what the node believes."""
+
+SUMMARY_S = 1.0
+"""Time between two lines that count what was left out."""
+
+
+class _Allowance:
+    """Token bucket of log lines."""
+
+    __slots__ = ("_burst", "_level", "_rate_per_s", "_updated_s")
+
+    def __init__(self, rate_per_s: float, burst: float) -> None:
+        self._rate_per_s = rate_per_s
+        self._burst = burst
+        self._level = burst
+        self._updated_s = 0.0
+
+    def take(self, now_s: float) -> bool:
+        elapsed_s = now_s - self._updated_s
+        self._updated_s = now_s
+        self._level = min(
+            self._burst, self._level + elapsed_s * self._rate_per_s
+        )
+        if self._level < 1.0:
+            return False
+        self._level -= 1.0
+        return True
+
+
+class NonBlockingHandler(logging.Handler):
+    """Writes lines to a descriptor and drops those that do not fit.
+
+    Attributes:
+        dropped: Lines dropped because the reader was too slow.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        flags = fcntl.fcntl(descriptor, fcntl.F_GETFL)
+        fcntl.fcntl(descriptor, fcntl.F_SETFL, flags | os.O_NONBLOCK)
+        self._descriptor = descriptor
+        self.dropped = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """See base class."""
+        try:
+            os.write(self._descriptor, self.format(record).encode() + b"\n")
+        except BlockingIOError:
+            self.dropped += 1
+
+
+class JsonFormatter(logging.Formatter):
+    """Formats a record, and the fields it carries, as one JSON object."""
+
+    def __init__(self, node: str) -> None:
+        super().__init__()
+        self._node = node
+
+    def format(self, record: logging.LogRecord) -> str:
+        """See base class."""
+        line = {
+            "time": round(record.created, 3),
+            "level": record.levelname,
+            "node": self._node,
+            "event": record.getMessage(),
+            **getattr(record, "fields", {}),
+        }
+        if record.exc_info:
+            line["exception"] = self.formatException(record.exc_info)
+        return msgspec.json.encode(line, enc_hook=str).decode()
+
+
+class Journal:
+    """Lines about requests and beliefs, each kind within its bound."""
+
+    def __init__(self, clock: clocks.Clock, logger: logging.Logger) -> None:
+        self._clock = clock
+        self._logger = logger
+        self._decisions = _Allowance(DECISIONS_PER_S, DECISION_BURST)
+        self._beliefs = _Allowance(BELIEFS_PER_S, BELIEF_BURST)
+        self._left_out: collections.Counter[str] = collections.Counter()
+        self._summary: clocks.DelayedCall | None = None
+
+    def decision(self, event: str, request_id: str, **fields: Any) -> None:
+        """Logs a decision that touches a request."""
+        if self._decisions.take(self._clock.now_s()):
+            self._write(event, {"request": request_id, **fields})
+        else:
+            self._leave_out(event)
+
+    def belief(self, event: str, **fields: Any) -> None:
+        """Logs a change of what the node believes."""
+        if self._beliefs.take(self._clock.now_s()):
+            self._write(event, fields)
+        else:
+            self._leave_out(event)
+
+    def defect(self, where: str, failure: Any) -> None:
+        """Logs a failure that no code expects; never left out."""
+        self._logger.error(
+            "defect",
+            extra={"fields": {"where": where, "error": failure.getTraceback()}},
+        )
+
+    def _write(self, event: str, fields: dict[str, Any]) -> None:
+        self._logger.info(event, extra={"fields": fields})
+
+    def _leave_out(self, event: str) -> None:
+        self._left_out[event] += 1
+        if self._summary is None:
+            self._summary = self._clock.call_later(SUMMARY_S, self._summarise)
+
+    def _summarise(self) -> None:
+        self._summary = None
+        counts = dict(self._left_out)
+        self._left_out.clear()
+        self._write("lines-left-out", {"counts": counts})
+
+
+def make_journal(
+    clock: clocks.Clock, node: str, descriptor: int = 1
+) -> Journal:
+    """Returns a journal that writes JSON lines to a descriptor."""
+    handler = NonBlockingHandler(descriptor)
+    handler.setFormatter(JsonFormatter(node))
+    logger = logging.getLogger("cyclamendale.fleet")
+    logger.setLevel(logging.INFO)
+    logger.propagate = False
+    logger.handlers = [handler]
+    return Journal(clock, logger)
--- /dev/null
+++ b/src/cyclamendale/fleet/node.py
@@ -0,0 +1,432 @@
+"""One node of a fleet: its parts and their order of life."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+from typing import Any
+
+from expression import Result
+import msgspec
+from twisted.internet import defer
+
+from cyclamendale import clocks
+from cyclamendale import ids
+from cyclamendale.fleet import announcements
+from cyclamendale.fleet import configuration as configurations
+from cyclamendale.fleet import discovery
+from cyclamendale.fleet import hosts
+from cyclamendale.fleet import journal
+from cyclamendale.fleet import observation
+from cyclamendale.fleet import reporter
+from cyclamendale.fleet import routing
+from cyclamendale.fleet import settings as settings_module
+from cyclamendale.intents import model
+from cyclamendale.membership import udp
+from cyclamendale.overload import call_frequency
+from cyclamendale.overload import placement
+from cyclamendale.overload import retry_window
+from cyclamendale.overload import root_admission
+from cyclamendale.peer import thrift_network
+from cyclamendale.proxy import dialect as dialects
+from cyclamendale.proxy import dispatcher
+from cyclamendale.proxy import gate as gates
+from cyclamendale.proxy import links
+from cyclamendale.proxy import messages
+from cyclamendale.proxy import server
+from cyclamendale.quotas import demand_share
+from cyclamendale.store import watched_rows
+
+FREQUENCY_INTERVAL_S = 0.5
+"""Interval over which runs and calls are compared."""
+
+LINGER_S = 2.3
+"""How long a stopping node serves at the least: callers are told to go
+elsewhere after two missed looks at readiness, a second apart."""
+
+LAST_MOMENT_S = 0.6
+"""Time before the end of the grace in which the node exits in any case."""
+
+DRAIN_LOOK_S = 0.05
+
+BACKLOG = 1024
+"""Connections that may wait to be accepted; the opening packets of others
+are dropped and come again only seconds later."""
+
+
+class Formats(msgspec.Struct, frozen=True):
+    """What differs from platform to platform.
+
+    Attributes:
+        dialect: Header names.
+        decode: Decodes the operator's document.
+        place: Table and key of that document.
+        announcement_site: Makes the site that upstreams announce to.
+        readiness_site: Makes the site that answers readiness.
+    """
+
+    dialect: dialects.Dialect
+    decode: Callable[[bytes], Result[model.Configuration, Any]]
+    place: tuple[str, str]
+    announcement_site: Callable[[Any], Any]
+    readiness_site: Callable[[Callable[[], bool]], Any]
+
+
+class Node:
+    """All parts of one node."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: settings_module.HostSettings,
+        formats: Formats,
+        rows: watched_rows.WatchedRows,
+    ) -> None:
+        self._reactor = reactor
+        self._settings = settings
+        self._formats = formats
+        self._clock = clock = clocks.SystemClock(reactor)
+        self._random = random.Random()
+        self.log = journal.make_journal(clock, settings.host)
+        self._observer = observation.Observer(clock, self.log)
+        self._announced = announcements.AnnouncedUpstream(settings.ip)
+        self._is_leaving = False
+        self._ports: list[Any] = []
+        self._build_fleet(rows)
+        self._build_path()
+        self._add_gauges()
+
+    # Construction, part by part.
+
+    def _build_fleet(self, rows: watched_rows.WatchedRows) -> None:
+        settings = self._settings
+        own = settings.peer_address
+        self._peers = thrift_network.ThriftPeerNetwork(
+            self._reactor,
+            self._clock,
+            b"",
+            max_frame_bytes=links.MAX_FRAME_BYTES,
+        )
+        self._view = hosts.HostView(
+            self._clock,
+            own,
+            settings.failure_domain,
+            reporter.REPORT_INTERVAL_S,
+        )
+        self._in_force = configurations.ConfigurationInForce(
+            self._formats.decode, self.log
+        )
+        self._spread = configurations.ConfigurationSpread(
+            self._clock,
+            self._random,
+            self._in_force,
+            rows,
+            self._formats.place,
+            self._view,
+            self._peers,
+            self.log,
+        )
+        self._frequencies = call_frequency.LocalFrequencies()
+        self._graph = call_frequency.CallGraph()
+        self._quotas = demand_share.make_demand_shares(self._clock)
+        source = reporter.ReportSource(
+            own,
+            settings.failure_domain,
+            lambda: self._in_force.version,
+            self._upstream_status,
+            lambda: list(self._frequencies.frequencies()),
+            lambda: self._is_leaving,
+        )
+        self._reporter = reporter.Reporter(
+            self._clock,
+            udp.UdpPort(self._reactor, settings.ip, settings.peer_port),
+            self._view,
+            source,
+            self._measure,
+            self._heard,
+            self.log,
+        )
+        self._discovery = discovery.Discovery(
+            self._clock,
+            self._random,
+            rows,
+            own,
+            settings.failure_domain,
+            self._view,
+            self._reporter.introduce,
+            self.log,
+        )
+
+    def _build_path(self) -> None:
+        settings = self._settings
+        own = settings.peer_address
+        bounds = settings.bounds
+        self._gate = gates.Gate(
+            self._reactor,
+            self._clock,
+            self._formats.dialect,
+            self.log,
+            self._door_changed,
+        )
+        self._gate.on_run = self._ran
+        self._run_server = links.RunServer(
+            self._peers, self._clock, self._gate, self._gate.load
+        )
+        self._links = links.Links(
+            self._peers, self._clock, self._load_heard, self.log
+        )
+        self._own_runner = links.LocalRunner(
+            own, self._gate, self._gate.load, self._load_heard
+        )
+        self._retries = retry_window.RetryWindow(
+            self._clock,
+            bounds.retry_ratio,
+            bounds.retry_window_s,
+            bounds.retry_slack,
+        )
+        self._dispatcher = dispatcher.Dispatcher(
+            dispatcher.DispatcherParts(
+                self._clock,
+                self._random,
+                self._formats.dialect,
+                placement.Placement(
+                    self._random,
+                    settings.failure_domain,
+                    self._view.candidates,
+                ),
+                root_admission.RootAdmission(
+                    self._random, self._graph.chain, self._view.pressure
+                ),
+                self._retries,
+                self._quotas,
+                self._frequencies,
+                self._runner,
+                self._caller_service,
+                self._observer,
+                self.log,
+            )
+        )
+        self._in_force.subscribe(self._configured)
+        self._server = server.make_caller_server(
+            self._clock, self._dispatcher, self._formats.dialect, self.log
+        )
+
+    def _add_gauges(self) -> None:
+        gauge = self._observer.add_gauge
+        gauge("configuration_version", lambda: self._in_force.version)
+        gauge("hosts_live", self._view.live_nodes)
+        gauge("gate_in_service", lambda: self._gate.load().in_service)
+        gauge("gate_queued", lambda: self._gate.load().queued)
+        gauge("gate_pressure", lambda: self._gate.pressure)
+
+    # Life.
+
+    def start(self) -> None:
+        """Begins to listen; the node is ready once it is configured."""
+        settings = self._settings
+        self.log.belief(
+            "start",
+            failure_domain=settings.failure_domain,
+            service=settings.service,
+            upstream=settings.upstream_address,
+            store=settings.store_address,
+        )
+        self._peers.listen(settings.ip, settings.peer_port)
+        self._listen(
+            settings.announcement_address,
+            self._formats.announcement_site(self),
+        )
+        self._listen(
+            settings.readiness_address,
+            self._formats.readiness_site(self.is_ready),
+        )
+        self._listen(
+            f"{settings.ip}:{settings.metrics_port}",
+            observation.make_metrics_site(self._observer),
+        )
+        self._listen(settings.caller_address, self._server)
+        self._gate.start()
+        self._links.start()
+        self._dispatcher.start()
+        self._server.start()
+        self._reporter.start()
+        self._discovery.start()
+        self._spread.start()
+        self._clock.call_later(FREQUENCY_INTERVAL_S, self._learn)
+
+    def is_ready(self) -> bool:
+        """Returns whether callers should be sent here."""
+        return self._in_force.current is not None and not self._is_leaving
+
+    @defer.inlineCallbacks
+    def stop(self) -> Any:
+        """Serves on while callers move away, then ends; cuts no request."""
+        began_s = self._clock.now_s()
+        self._is_leaving = True
+        self.log.belief("stop", in_work=self._in_work())
+        self._reporter.send_now()
+        self._server.begin_close()
+        last_s = began_s + self._settings.bounds.grace_s - LAST_MOMENT_S
+        while True:
+            yield _pause(self._clock, DRAIN_LOOK_S)
+            now_s = self._clock.now_s()
+            if now_s >= last_s:
+                break
+            if now_s - began_s >= LINGER_S and not self._in_work():
+                break
+        self.log.belief("stopped", in_work=self._in_work())
+        for port in self._ports:
+            port.stopListening()
+        self._spread.stop()
+        self._discovery.stop()
+        self._dispatcher.stop()
+        self._server.stop()
+        self._links.stop()
+        self._gate.stop()
+        yield self._reporter.stop()
+
+    def _in_work(self) -> int:
+        return (
+            self._server.in_work + self._run_server.in_work + self._gate.in_work
+        )
+
+    def _listen(self, address: str, factory: Any) -> None:
+        ip, port = settings_module.split_address(address)
+        self._ports.append(
+            self._reactor.listenTCP(
+                port, factory, interface=ip, backlog=BACKLOG
+            )
+        )
+
+    # Settings that change while the node runs.
+
+    def reload(self, settings: settings_module.HostSettings) -> None:
+        """Takes changed settings; addresses in use stay as they are."""
+        if settings == self._settings:
+            return
+        self.log.belief(
+            "reload",
+            service=settings.service,
+            upstream=settings.upstream_address,
+        )
+        self._settings = msgspec.structs.replace(
+            self._settings,
+            service=settings.service,
+            upstream_address=settings.upstream_address,
+            bounds=settings.bounds,
+        )
+
+    # What the host's upstream says.
+
+    def heard(self, heartbeat: announcements.Heartbeat) -> bool:
+        """Takes a heartbeat; returns whether to confirm it."""
+        configuration = self._in_force.current
+        if (
+            configuration is not None
+            and heartbeat.service not in configuration.services
+        ):
+            self.malformed(f"unknown service {heartbeat.service}")
+            return False
+        verdict = self._announced.hear(heartbeat)
+        if verdict is announcements.Verdict.FOREIGN:
+            self.malformed(f"foreign upstream {heartbeat.upstream_id}")
+            return False
+        if verdict is announcements.Verdict.TAKEN:
+            self._follow_announced()
+        return True
+
+    def left(self, upstream_id: str, born_ms: int | None) -> None:
+        """Takes the word of the upstream that it leaves."""
+        verdict = self._announced.leave(upstream_id, born_ms)
+        self.log.belief(
+            "upstream-leaves", upstream=upstream_id, verdict=verdict.value
+        )
+        self._follow_announced()
+
+    def malformed(self, detail: str) -> None:
+        """Takes note of an announcement that can't be used."""
+        self.log.belief("announcement-ignored", detail=detail)
+
+    def _follow_announced(self) -> None:
+        current = self._announced.current
+        if current is None:
+            return
+        if self._announced.takes_requests:
+            self._gate.open(current.upstream_id, current.address, current.slots)
+        elif self._announced.has_left:
+            self._gate.close(gates.Door.LEAVING)
+
+    def _door_changed(self) -> None:
+        self._reporter.send_now()
+
+    def _upstream_status(self) -> hosts.UpstreamStatus | None:
+        current = self._announced.current
+        if current is None:
+            return None
+        load = self._gate.load()
+        return hosts.UpstreamStatus(
+            current.upstream_id,
+            current.service,
+            load.room,
+            self._gate.door is gates.Door.OPEN,
+            current.cold_left_s,
+            load.in_service + load.queued,
+            self._gate.pressure,
+        )
+
+    # What the parts ask of each other.
+
+    def _runner(self, host: ids.PeerAddress) -> messages.Runner:
+        if host == self._settings.peer_address:
+            return self._own_runner
+        return self._links.runner(host)
+
+    def _caller_service(self) -> ids.ServiceName:
+        current = self._announced.current
+        return current.service if current else self._settings.service
+
+    def _load_heard(self, host: ids.PeerAddress, at_gate: int) -> None:
+        candidate = self._view.candidate_at(host)
+        if candidate is not None:
+            candidate.report(at_gate)
+
+    def _ran(self, work: messages.Work) -> None:
+        self._frequencies.ran(work.route)
+
+    def _configured(self, configuration: model.Configuration) -> None:
+        table = routing.RoutingTable(configuration)
+        self._graph.set_services(table.services_by_route())
+        self._dispatcher.configure(table)
+
+    def _heard(self, report: hosts.HostReport) -> None:
+        self._spread.heard(report)
+        if report.frequencies:
+            self._graph.learn(report.frequencies)
+
+    def _measure(self) -> dict[ids.CustomerId, float]:
+        demands = dict(self._quotas.measure())
+        live = self._view.live_nodes()
+        self._quotas.rebalance(self._view.demand_of_others(), live)
+        self._retries.set_nodes(live)
+        return demands
+
+    def _learn(self) -> None:
+        self._frequencies.end_interval()
+        self._graph.learn(self._frequencies.frequencies())
+        self._clock.call_later(FREQUENCY_INTERVAL_S, self._learn)
+
+
+def _pause(clock: clocks.Clock, delay_s: float) -> defer.Deferred[None]:
+    paused: defer.Deferred[None] = defer.Deferred()
+    clock.call_later(delay_s, paused.callback, None)
+    return paused
+
+
+def make_node(
+    reactor: Any,
+    settings: settings_module.HostSettings,
+    formats: Formats,
+    rows: watched_rows.WatchedRows,
+) -> Node:
+    """Returns a node that is not started yet."""
+    return Node(reactor, settings, formats, rows)
--- /dev/null
+++ b/src/cyclamendale/fleet/observation.py
@@ -0,0 +1,133 @@
+"""Counters and latency histograms of a node, served as text."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from hdrh import histogram
+from twisted.web import resource
+from twisted.web import server
+
+from cyclamendale import clocks
+from cyclamendale import ids
+from cyclamendale import refusals
+from cyclamendale.fleet import journal
+from cyclamendale.proxy import messages
+
+LONGEST_MS = 60_000
+"""Longest latency that is told apart; no request lasts longer."""
+
+DIGITS = 2
+"""Significant digits of latencies; a histogram takes 20 KB."""
+
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class Observer:
+    """Notes what becomes of requests, in counters and in the journal."""
+
+    def __init__(self, clock: clocks.Clock, log: journal.Journal) -> None:
+        self._clock = clock
+        self._log = log
+        self._counts: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._latencies: dict[str, Any] = {}
+        self._gauges: list[tuple[str, Callable[[], float]]] = []
+
+    def add_gauge(self, name: str, value: Callable[[], float]) -> None:
+        """Adds a value that is read when the metrics are asked for."""
+        self._gauges.append((name, value))
+
+    def answered(
+        self, work: messages.Work, status: int, arrived_s: float
+    ) -> None:
+        """Notes a request that an upstream answered."""
+        self._counts["answered", f"{status // 100}xx"] += 1
+        latency_ms = (self._clock.now_s() - arrived_s) * 1000
+        latencies = self._latencies.get(work.route)
+        if latencies is None:
+            latencies = histogram.HdrHistogram(1, LONGEST_MS, DIGITS)
+            self._latencies[work.route] = latencies
+        latencies.record_value(min(LONGEST_MS, max(1, int(latency_ms))))
+        if status >= 500:
+            self._log.decision(
+                "answered-with-failure",
+                work.request_id,
+                status=status,
+                route=work.route,
+                upstream=work.upstream_id,
+                latency_ms=round(latency_ms, 1),
+            )
+
+    def refused(
+        self,
+        request: messages.CallerRequest,
+        route: str,
+        customer: str,
+        refusal: refusals.Refusal,
+        version: int,
+    ) -> None:
+        """Notes a request that the fleet refused or lost."""
+        self._counts["refused", refusal.reason.value] += 1
+        self._log.decision(
+            "refused",
+            request.request_id.decode("latin-1"),
+            reason=refusal.reason.value,
+            execution=refusal.execution.value,
+            route=route,
+            customer=customer,
+            configuration=version,
+            age_ms=round((self._clock.now_s() - request.arrived_s) * 1000, 1),
+            remaining_s=request.remaining_s,
+        )
+
+    def shed(self, work: messages.Work, service: ids.ServiceName) -> None:
+        """Notes the service without room that made a root be refused."""
+        self._counts["shed-by", service] += 1
+
+    def left(self, work: messages.Work) -> None:
+        """Notes a caller that left before the answer."""
+        self._counts["caller-left", ""] += 1
+        self._log.decision("caller-left", work.request_id, route=work.route)
+
+    def text(self) -> Iterator[str]:
+        """Yields the lines of the metrics page."""
+        for (name, label), count in sorted(self._counts.items()):
+            labels = f'outcome="{name}",why="{label}"'
+            yield f"cyclamendale_requests{{{labels}}} {count}"
+        for name, value in self._gauges:
+            yield f"cyclamendale_{name} {value():.6g}"
+        for route, latencies in sorted(self._latencies.items()):
+            for quantile in QUANTILES:
+                value_ms = latencies.get_value_at_percentile(quantile)
+                yield (
+                    f'cyclamendale_latency_ms{{route="{route}",'
+                    f'quantile="{quantile / 100}"}} {value_ms}'
+                )
+            count = latencies.get_total_count()
+            yield f'cyclamendale_latency_count{{route="{route}"}} {count}'
+
+
+class _Page(resource.Resource):
+    isLeaf = True
+
+    def __init__(self, observer: Observer) -> None:
+        super().__init__()
+        self._observer = observer
+
+    def render_GET(self, request: Any) -> bytes:
+        """Answers with the metrics as text."""
+        request.setHeader(b"content-type", b"text/plain; charset=utf-8")
+        return ("\n".join(self._observer.text()) + "\n").encode()
+
+
+def make_metrics_site(observer: Observer) -> server.Site:
+    """Returns the site that serves the metrics at `/metrics`."""
+    root: Any = resource.Resource()
+    root.putChild(b"metrics", _Page(observer))
+    site = server.Site(root)
+    site.noisy = False
+    return site
--- /dev/null
+++ b/src/cyclamendale/fleet/reporter.py
@@ -0,0 +1,248 @@
+"""Spreads the reports of the nodes as datagrams."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+import itertools
+import secrets
+from typing import Any
+
+from cyclamendale import clocks
+from cyclamendale import ids
+from cyclamendale.fleet import hosts
+from cyclamendale.membership import udp
+from cyclamendale.overload import call_frequency
+from cyclamendale.peer import codec
+from cyclamendale.peer.generated.fleet import ttypes
+
+REPORT_INTERVAL_S = 0.25
+"""Time between two reports to each host of a small fleet; the delay with
+which pressure, demand and a new configuration's version travel."""
+
+INTERVAL_PER_HOST_S = 0.01
+"""The same per known host, so that a node sends about 100 a second at the
+most."""
+
+MAX_DEMANDS = 40
+"""Customers in one report; more take turns, to fit one datagram."""
+
+FREQUENCIES_EVERY = 4
+"""Reports between two that carry what was learned of calls."""
+
+MAX_FREQUENCIES = 24
+
+
+class ReportSource:
+    """Makes the reports of the own node.
+
+    Attributes:
+        configuration_version: Returns the version in force.
+        upstream: Returns the state of the own upstream.
+        demands: Returns requests a second by customer.
+        frequencies: Returns what was learned of calls.
+        is_leaving: Returns whether the node is shutting down.
+    """
+
+    def __init__(
+        self,
+        address: ids.PeerAddress,
+        failure_domain: ids.FailureDomainName,
+        configuration_version: Callable[[], ids.ConfigVersion],
+        upstream: Callable[[], hosts.UpstreamStatus | None],
+        frequencies: Callable[[], list[call_frequency.Frequency]],
+        is_leaving: Callable[[], bool],
+    ) -> None:
+        self._address = address
+        self._failure_domain = failure_domain
+        self._configuration_version = configuration_version
+        self._upstream = upstream
+        self._frequencies = frequencies
+        self._is_leaving = is_leaving
+        self._incarnation = secrets.randbits(62)
+        self._sequence = itertools.count(1)
+        self._turn = 0
+
+    def report(
+        self,
+        demands: dict[ids.CustomerId, float],
+        is_introduction: bool = False,
+    ) -> hosts.HostReport:
+        """Returns the next report."""
+        sequence = next(self._sequence)
+        frequencies: list[call_frequency.Frequency] = []
+        if sequence % FREQUENCIES_EVERY == 1:
+            frequencies = self._frequencies()[:MAX_FREQUENCIES]
+        return hosts.HostReport(
+            address=self._address,
+            incarnation=self._incarnation,
+            sequence=sequence,
+            failure_domain=self._failure_domain,
+            configuration_version=self._configuration_version(),
+            is_leaving=self._is_leaving(),
+            upstream=self._upstream(),
+            demands=dict(self._in_turn(demands)),
+            frequencies=frequencies,
+            is_introduction=is_introduction,
+        )
+
+    def _in_turn(
+        self, demands: dict[ids.CustomerId, float]
+    ) -> Iterator[tuple[ids.CustomerId, float]]:
+        if len(demands) <= MAX_DEMANDS:
+            yield from demands.items()
+            return
+        names = sorted(demands)
+        first = self._turn % len(names)
+        self._turn = first + MAX_DEMANDS
+        for name in (names[first:] + names[:first])[:MAX_DEMANDS]:
+            yield name, demands[name]
+
+
+class Reporter:
+    """Sends and receives reports, and keeps the view of the hosts."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        port: udp.DatagramPort,
+        view: hosts.HostView,
+        source: ReportSource,
+        measure: Callable[[], dict[ids.CustomerId, float]],
+        on_heard: Callable[[hosts.HostReport], None],
+        log: Any,
+    ) -> None:
+        self._clock = clock
+        self._port = port
+        self._view = view
+        self._source = source
+        self._measure = measure
+        self._on_heard = on_heard
+        self._log = log
+        self._demands: dict[ids.CustomerId, float] = {}
+        self._next: clocks.DelayedCall | None = None
+
+    def start(self) -> None:
+        """Opens the port and begins to report."""
+        self._port.open(self._received)
+        self._tick()
+
+    def stop(self) -> Any:
+        """Says that the node leaves, and stops."""
+        clocks.cancel(self._next)
+        self.send_now()
+        return self._port.close()
+
+    def send_now(self) -> None:
+        """Reports at once; for what must not wait."""
+        report = self._source.report(self._demands)
+        self._view.hear(report)
+        data = encode_report(report)
+        for host in self._view.others():
+            self._port.transmit(host.address, data)
+
+    def introduce(self, address: ids.PeerAddress) -> None:
+        """Reports to one host and asks for its report."""
+        report = self._source.report(self._demands, is_introduction=True)
+        self._port.transmit(address, encode_report(report))
+
+    def _tick(self) -> None:
+        self._demands = self._measure()
+        self._view.refresh()
+        self.send_now()
+        known = self._view.known_nodes()
+        interval_s = max(REPORT_INTERVAL_S, known * INTERVAL_PER_HOST_S)
+        self._next = self._clock.call_later(interval_s, self._tick)
+
+    def _received(self, data: bytes) -> None:
+        report = decode_report(data)
+        if report is None:
+            self._log.belief("report-malformed", size_bytes=len(data))
+            return
+        is_new = self._view.mention(report.address, report.failure_domain)
+        if not self._view.hear(report):
+            return
+        if is_new or report.is_introduction:
+            self._log.belief("host-met", host=report.address, is_new=is_new)
+            answer = self._source.report(self._demands)
+            self._port.transmit(report.address, encode_report(answer))
+        self._on_heard(report)
+
+
+def encode_report(report: hosts.HostReport) -> bytes:
+    """Returns the datagram of a report."""
+    upstream = report.upstream
+    return codec.encode(
+        ttypes.HostReport(
+            peer_address=report.address,
+            incarnation=report.incarnation,
+            sequence=report.sequence,
+            failure_domain=report.failure_domain,
+            configuration_version=report.configuration_version,
+            is_leaving=report.is_leaving,
+            upstream=None
+            if upstream is None
+            else ttypes.UpstreamReport(
+                upstream_id=upstream.upstream_id,
+                service_name=upstream.service,
+                slots=upstream.slots,
+                is_open=upstream.is_open,
+                cold_left_s=upstream.cold_left_s,
+                at_gate=upstream.at_gate,
+                pressure=upstream.pressure,
+            ),
+            demands=[
+                ttypes.CustomerDemand(customer=name, rate_per_s=rate_per_s)
+                for name, rate_per_s in report.demands.items()
+            ],
+            frequencies=[
+                ttypes.CallFrequency(
+                    caller=frequency.caller,
+                    callee=frequency.callee,
+                    calls=frequency.calls,
+                )
+                for frequency in report.frequencies
+            ],
+            is_introduction=report.is_introduction,
+        )
+    )
+
+
+def decode_report(data: bytes) -> hosts.HostReport | None:
+    """Decodes a datagram; None if it is no report."""
+    try:
+        message: Any = codec.decode(ttypes.HostReport, data)
+    except codec.DecodeError:
+        return None
+    upstream = message.upstream
+    return hosts.HostReport(
+        address=ids.PeerAddress(message.peer_address),
+        incarnation=message.incarnation,
+        sequence=message.sequence,
+        failure_domain=ids.FailureDomainName(message.failure_domain),
+        configuration_version=ids.ConfigVersion(message.configuration_version),
+        is_leaving=message.is_leaving,
+        upstream=None
+        if upstream is None
+        else hosts.UpstreamStatus(
+            upstream.upstream_id,
+            ids.ServiceName(upstream.service_name),
+            upstream.slots,
+            upstream.is_open,
+            upstream.cold_left_s,
+            upstream.at_gate,
+            upstream.pressure,
+        ),
+        demands={
+            ids.CustomerId(demand.customer): demand.rate_per_s
+            for demand in message.demands or ()
+        },
+        frequencies=[
+            call_frequency.Frequency(
+                ids.RouteName(frequency.caller),
+                ids.RouteName(frequency.callee),
+                frequency.calls,
+            )
+            for frequency in message.frequencies or ()
+        ],
+        is_introduction=message.is_introduction,
+    )
--- /dev/null
+++ b/src/cyclamendale/fleet/routing.py
@@ -0,0 +1,76 @@
+"""Finds the route, the customer and the rank of a request."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from cyclamendale import ids
+from cyclamendale.intents import keys
+from cyclamendale.intents import model
+
+
+class RoutingTable:
+    """Index of one configuration.
+
+    Attributes:
+        configuration: The configuration.
+    """
+
+    def __init__(self, configuration: model.Configuration) -> None:
+        self.configuration = configuration
+        self._by_host: dict[bytes, dict[bytes, model.Route]] = {}
+        for route in configuration.routes.values():
+            prefixes = self._by_host.setdefault(route.virtual_host.encode(), {})
+            prefixes[route.path_prefix.encode()] = route
+
+    def route(self, host: bytes, path: bytes) -> model.Route | None:
+        """Returns the route with the longest prefix of a path, or None.
+
+        Args:
+            host: Host header as sent.
+            path: Path and query as sent.
+        """
+        prefixes = self._by_host.get(_plain_host(host))
+        if prefixes is None:
+            return None
+        for prefix in _prefixes(path):
+            found = prefixes.get(prefix)
+            if found is not None:
+                return found
+        return None
+
+    def customer(self, key: bytes) -> model.Customer | None:
+        """Returns the customer that a key belongs to, or None."""
+        known = self.configuration.keys.get(
+            keys.digest_of(key.decode("latin-1"))
+        )
+        if known is None or known.state is not model.KeyState.GRANTED:
+            return None
+        return self.configuration.customers.get(known.customer)
+
+    def services_by_route(self) -> dict[ids.RouteName, ids.ServiceName]:
+        """Returns the main service of each route."""
+        return {
+            route.name: route.service
+            for route in self.configuration.routes.values()
+        }
+
+
+def rank_of(route: model.Route, customer: model.Customer | None) -> int:
+    """Returns the importance of a root; the customer's goes first."""
+    if customer is not None and customer.importance is not None:
+        return int(customer.importance)
+    return int(route.importance)
+
+
+def _plain_host(host: bytes) -> bytes:
+    return host.partition(b":")[0].strip().lower()
+
+
+def _prefixes(path: bytes) -> Iterator[bytes]:
+    """Yields the prefixes of a path that end with a slash, longest first."""
+    path = path.partition(b"?")[0]
+    end = path.rfind(b"/") + 1
+    while end > 0:
+        yield path[:end]
+        end = path.rfind(b"/", 0, end - 1) + 1
--- a/src/cyclamendale/intents/model.py
+++ b/src/cyclamendale/intents/model.py
@@ -70,6 +70,13 @@
     slow_start_s: float = 5.0
 
 
+class WeightedService(msgspec.Struct, frozen=True):
+    """One part of a route's split and its share of the requests."""
+
+    service: ids.ServiceName
+    weight: float
+
+
 class Route(msgspec.Struct, frozen=True):
     """A set of requests that are treated alike.
 
@@ -85,6 +92,10 @@
         once: How repeats of a non-idempotent request are recognised.
         deadline_s: Time allowed for a root request.
         max_body_bytes: Largest request body.
+        virtual_host: Host header that selects it; empty for any.
+        split: Services that share its requests, in place of `service`.
+        aim_s: Time within which an answer is worth most; 0 if not stated.
+        max_attempts: Most upstreams that one request is sent to.
     """
 
     name: ids.RouteName
@@ -98,6 +109,10 @@
     once: Once = Once.NONE
     deadline_s: float = DEFAULT_DEADLINE_S
     max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+    virtual_host: str = ""
+    split: tuple[WeightedService, ...] = ()
+    aim_s: float = 0.0
+    max_attempts: int = 1 + DEFAULT_RETRY_BUDGET
 
 
 class Customer(msgspec.Struct, frozen=True):
@@ -108,12 +123,14 @@
         rate_per_s: Root requests admitted per second.
         burst: Root requests admitted at once.
         weight: Share of a congested upstream, relative to others.
+        importance: Goes before the importance of the route, if stated.
     """
 
     name: ids.CustomerId
     rate_per_s: float
     burst: float
     weight: float = 1.0
+    importance: Importance | None = None
 
 
 class Key(msgspec.Struct, frozen=True):
@@ -157,6 +174,24 @@
     retained_share: float = DEFAULT_RETAINED_SHARE
 
 
+class RequestLimits(msgspec.Struct, frozen=True):
+    """What a caller may send, and how long it may take.
+
+    Attributes:
+        max_head_bytes: Longest request line and headers together.
+        max_body_bytes: Longest request body.
+        head_timeout_s: Longest time from the first byte of a head to its
+            last.
+        idle_timeout_s: Longest time that a connection may rest between
+            two requests.
+    """
+
+    max_head_bytes: int = 16 * 1024
+    max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+    head_timeout_s: float = 10.0
+    idle_timeout_s: float = 60.0
+
+
 Entry = FailureDomain | Service | Route | Customer | Key | Gone | Defaults
 
 
@@ -177,6 +212,7 @@
     keys: Mapping[ids.KeyDigest, Key] = {}
     gone: Mapping[ids.NodeId, Gone] = {}
     defaults: Defaults = Defaults()
+    limits: RequestLimits = RequestLimits()
     sources: Mapping[tuple[str, ...], ids.IntentFileName] = {}
 
     def decider(
--- /dev/null
+++ b/src/cyclamendale/overload/split.py
@@ -0,0 +1,31 @@
+"""Division of a route's requests among the parts of its split."""
+
+from __future__ import annotations
+
+from cyclamendale import ids
+from cyclamendale.intents import model
+
+
+class SplitWheel:
+    """Smooth weighted round robin; each node keeps its own."""
+
+    def __init__(self) -> None:
+        self._credits: dict[ids.RouteName, tuple[model.Route, list[float]]] = {}
+
+    def service_for(self, route: model.Route) -> ids.ServiceName:
+        """Returns the service of the next request of a route."""
+        parts = route.split
+        if not parts:
+            return route.service
+        known = self._credits.get(route.name)
+        if known is None or known[0].split != parts:
+            known = (route, [0.0] * len(parts))
+            self._credits[route.name] = known
+        credits = known[1]
+        total = 0.0
+        for index, part in enumerate(parts):
+            credits[index] += part.weight
+            total += part.weight
+        best = max(range(len(parts)), key=credits.__getitem__)
+        credits[best] -= total
+        return parts[best].service
--- a/src/cyclamendale/peer/codec.py
+++ b/src/cyclamendale/peer/codec.py
@@ -28,12 +28,17 @@
     )
 
 
-def decode(struct_type: type[_StructT], data: bytes) -> _StructT:
+def decode(
+    struct_type: type[_StructT],
+    data: bytes,
+    max_string_bytes: int = MAX_STRING_BYTES,
+) -> _StructT:
     """Reads a struct of a generated thrift class.
 
     Args:
         struct_type: The generated class.
         data: Its binary form; trailing bytes are ignored.
+        max_string_bytes: Longest string or binary field accepted.
 
     Raises:
         DecodeError: The bytes are malformed or a required field is missing.
@@ -41,7 +46,7 @@
     transport = TTransport.TMemoryBuffer(data)
     protocol = TBinaryProtocol.TBinaryProtocolAccelerated(
         transport,
-        string_length_limit=MAX_STRING_BYTES,
+        string_length_limit=max_string_bytes,
         container_length_limit=MAX_CONTAINER_ITEMS,
         fallback=False,
     )
--- a/src/cyclamendale/peer/connection.py
+++ b/src/cyclamendale/peer/connection.py
@@ -80,7 +80,9 @@
         on_closed: Callable[[PeerConnection], None],
         call_later: Callable[..., Any],
         hlc: events.HybridLogicalClock,
+        max_frame_bytes: int = MAX_FRAME_BYTES,
     ) -> None:
+        self._max_frame_bytes = max_frame_bytes
         self._secret = secret
         self._is_initiator = is_initiator
         self._on_request = on_request
@@ -247,7 +249,7 @@
             return
         self._handshake_timer.cancel()
         self._phase = _Phase.OPEN
-        self.MAX_LENGTH = MAX_FRAME_BYTES
+        self.MAX_LENGTH = self._max_frame_bytes
         self._on_open(self)
 
     def _proof(self, by_initiator: bool) -> bytes:
--- a/src/cyclamendale/peer/idl/fleet.thrift
+++ b/src/cyclamendale/peer/idl/fleet.thrift
@@ -15,6 +15,7 @@
   // Host and process that the sender believes the upstream to be.
   9: required string upstream_id,
   10: required double aim_left_s,
+  11: required string route,
 }
 
 struct RunAnswer {
@@ -25,10 +26,8 @@
   4: optional string reason,
   5: required bool may_have_run,
   6: optional double retry_after_s,
-  // State of the gate that answered.
-  7: required double busy,
-  8: required double wait_s,
-  9: required bool is_framed,
+  // Requests at the gate that answered, in service and waiting.
+  7: required i32 at_gate,
 }
 
 struct UpstreamReport {
@@ -37,10 +36,8 @@
   3: required i32 slots,
   4: required bool is_open,
   5: required double cold_left_s,
-  6: required i32 in_service,
-  7: required i32 queued,
-  8: required double service_time_s,
-  9: required double pressure,
+  6: required i32 at_gate,
+  7: required double pressure,
 }
 
 struct CustomerDemand {
@@ -48,26 +45,26 @@
   2: required double rate_per_s,
 }
 
-// Mean number of calls to a service during one run of a route.
+// Mean number of calls of one route during a run of another.
 struct CallFrequency {
   1: required string route,
   2: required string service_name,
   3: required double calls,
 }
 
+// A datagram.
 struct HostReport {
-  1: required string host,
+  1: required string peer_address,
   2: required i64 incarnation,
   3: required i32 sequence,
-  4: required string peer_address,
-  5: required string failure_domain,
-  6: required i64 configuration_version,
-  7: required bool is_leaving,
-  8: optional UpstreamReport upstream,
-  9: optional list<CustomerDemand> demands,
-  10: optional list<CallFrequency> frequencies,
+  4: required string failure_domain,
+  5: required i64 configuration_version,
+  6: required bool is_leaving,
+  7: optional UpstreamReport upstream,
+  8: optional list<CustomerDemand> demands,
+  9: optional list<CallFrequency> frequencies,
   // Whether the receiver should answer with a report of its own at once.
-  11: required bool is_introduction,
+  10: required bool is_introduction,
 }
 
 struct ConfigurationRequest {
--- a/src/cyclamendale/peer/kinds.py
+++ b/src/cyclamendale/peer/kinds.py
@@ -21,3 +21,7 @@
     MEMBERSHIP_JOIN = 40
     TIMELINE = 50
     STATUS = 51
+    RUN = 60
+    RUN_CANCEL = 61
+    PING = 62
+    CONFIGURATION_DOCUMENT = 63
--- a/src/cyclamendale/peer/thrift_network.py
+++ b/src/cyclamendale/peer/thrift_network.py
@@ -57,7 +57,9 @@
         secret: bytes,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         hlc: events.HybridLogicalClock | None = None,
+        max_frame_bytes: int = connections.MAX_FRAME_BYTES,
     ) -> None:
+        self._max_frame_bytes = max_frame_bytes
         self._reactor = reactor
         self._hlc = hlc or events.HybridLogicalClock(clock)
         self._connect_timeout_s = connect_timeout_s
@@ -175,6 +177,7 @@
             self._accepted.discard,
             self._clock.call_later,
             self._hlc,
+            self._max_frame_bytes,
         )
 
     def _dispatch(
@@ -222,6 +225,7 @@
                 closed,
                 self._clock.call_later,
                 self._hlc,
+                self._max_frame_bytes,
             ),
             failed,
         )
--- /dev/null
+++ b/src/cyclamendale/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter of the users' platform: names, formats and calls."""
--- /dev/null
+++ b/src/cyclamendale/platform/daemon.py
@@ -0,0 +1,127 @@
+"""The node as a process on the users' platform."""
+
+from __future__ import annotations
+
+import gc
+import os
+import signal
+import sys
+from typing import Any
+
+from twisted.internet import error
+from twisted.internet import reactor as default_reactor
+
+from cyclamendale import clocks
+from cyclamendale.fleet import node as nodes
+from cyclamendale.platform import exchange
+from cyclamendale.platform import interfaces
+from cyclamendale.platform import manifest
+from cyclamendale.platform import settings
+from cyclamendale.platform import store
+
+EXIT_FAILED = 1
+EXIT_WRONG_SETTINGS = 2
+
+GC_THRESHOLD_YOUNG = 50_000
+"""Allocations between collections; few objects of a call form cycles."""
+
+SETTINGS_LOOK_S = 0.5
+"""Time between two looks at the settings file, which may change without a
+signal."""
+
+FORMATS = nodes.Formats(
+    exchange.DIALECT,
+    manifest.decode,
+    (manifest.TABLE, manifest.KEY),
+    interfaces.make_announcement_site,
+    interfaces.make_readiness_site,
+)
+
+
+class Daemon:
+    """Runs a node until a signal ends it."""
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+        self._node: nodes.Node | None = None
+        self._is_stopping = False
+        self._file_state: tuple[int, int] | None = None
+        self._exit_code = 0
+
+    def run(self) -> int:
+        """Serves until SIGTERM or SIGINT; returns the exit code."""
+        loaded = settings.load()
+        if loaded.is_error():
+            sys.stderr.write(f"{loaded.error}\n")
+            return EXIT_WRONG_SETTINGS
+        clock = clocks.SystemClock(self._reactor)
+        self._node = nodes.make_node(
+            self._reactor,
+            loaded.ok,
+            FORMATS,
+            store.make_rows(self._reactor, clock, loaded.ok.store_address),
+        )
+        self._reactor.callWhenRunning(self._start)
+        self._reactor.run(installSignalHandlers=False)
+        return self._exit_code
+
+    def _start(self) -> None:
+        assert self._node is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._stop_signalled)
+        signal.signal(signal.SIGHUP, self._reload_signalled)
+        try:
+            self._node.start()
+        except (OSError, error.CannotListenError) as failure:
+            self._node.log.belief("start-failed", error=str(failure))
+            self._exit_code = EXIT_FAILED
+            self._reactor.stop()
+            return
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(GC_THRESHOLD_YOUNG)
+        self._look_at_settings()
+
+    def _stop_signalled(self, _number: int, _frame: Any) -> None:
+        self._reactor.callFromThread(self._stop)
+
+    def _reload_signalled(self, _number: int, _frame: Any) -> None:
+        self._reactor.callFromThread(self._reload)
+
+    def _stop(self) -> None:
+        if self._is_stopping or self._node is None:
+            return
+        self._is_stopping = True
+        node = self._node
+        stopped = node.stop()
+        stopped.addErrback(lambda failure: node.log.defect("stop", failure))
+        stopped.addBoth(lambda _: self._reactor.stop())
+
+    def _look_at_settings(self) -> None:
+        state = _file_state()
+        if state != self._file_state and self._file_state is not None:
+            self._reload()
+        self._file_state = state
+        self._reactor.callLater(SETTINGS_LOOK_S, self._look_at_settings)
+
+    def _reload(self) -> None:
+        if self._node is None:
+            return
+        loaded = settings.load()
+        if loaded.is_ok():
+            self._node.reload(loaded.ok)
+        else:
+            self._node.log.belief("reload-failed", error=str(loaded.error))
+
+
+def _file_state() -> tuple[int, int] | None:
+    try:
+        state = os.stat(os.environ[settings.PATH_VARIABLE])
+    except OSError:
+        return None
+    return state.st_mtime_ns, state.st_size
+
+
+def main() -> int:
+    """Runs the daemon; returns the exit code."""
+    return Daemon(default_reactor).run()
--- /dev/null
+++ b/src/cyclamendale/platform/exchange.py
@@ -0,0 +1,15 @@
+"""Header names of requests and answers on the platform."""
+
+from __future__ import annotations
+
+from cyclamendale.proxy import dialect
+
+DIALECT = dialect.Dialect(
+    request_id=b"X-Cyclamendale-Attempt-Id",
+    remaining_ms=b"X-Cyclamendale-Deadline-Ms",
+    key=b"X-Cyclamendale-Credential",
+    customer=b"X-Cyclamendale-Tenant-Id",
+    caller_service=b"X-Cyclamendale-Caller-Service",
+    expected_upstream=b"X-Cyclamendale-Expected-Instance",
+    not_run=b"X-Cyclamendale-Not-Executed",
+)
--- /dev/null
+++ b/src/cyclamendale/platform/interfaces.py
@@ -0,0 +1,161 @@
+"""HTTP interfaces towards the platform: heartbeats and readiness."""
+
+from __future__ import annotations
+
+import abc
+from typing import Any
+
+import msgspec
+from twisted.web import http
+from twisted.web import resource
+from twisted.web import server
+
+from cyclamendale import ids
+from cyclamendale.fleet import announcements
+from cyclamendale.membership import directory
+
+MAX_HEARTBEAT_BYTES = 16 * 1024
+"""Longest body of a heartbeat that is read."""
+
+_STATES = {
+    "ready": directory.UpstreamState.READY,
+    "draining": directory.UpstreamState.DRAINING,
+}
+
+
+class _Beat(msgspec.Struct):
+    """The platform's own field names."""
+
+    service: str
+    address: str
+    slots: int
+    state: str
+    sequence: int
+    # Unix millisecond at which the process started.
+    born: int
+    cold_left_s: float = 0.0
+
+
+class _Leave(msgspec.Struct):
+    born: int | None = None
+
+
+class UpstreamListener(abc.ABC):
+    """Takes what the host's upstream says of itself."""
+
+    @abc.abstractmethod
+    def heard(self, heartbeat: announcements.Heartbeat) -> bool:
+        """Takes a heartbeat; returns whether to confirm it."""
+
+    @abc.abstractmethod
+    def left(self, upstream_id: str, born_ms: int | None) -> None:
+        """Takes the word of an upstream that it leaves."""
+
+    @abc.abstractmethod
+    def malformed(self, detail: str) -> None:
+        """Takes note of an announcement that can't be read."""
+
+
+def decode_beat(
+    upstream_id: str, body: bytes
+) -> announcements.Heartbeat | None:
+    """Decodes a heartbeat; None if it names no upstream to use."""
+    try:
+        beat = msgspec.json.decode(body, type=_Beat)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
+    state = _STATES.get(beat.state)
+    if state is None or beat.slots < 1 or not upstream_id:
+        return None
+    return announcements.Heartbeat(
+        upstream_id=upstream_id,
+        born_ms=beat.born,
+        sequence=beat.sequence,
+        service=ids.ServiceName(beat.service),
+        address=beat.address,
+        slots=beat.slots,
+        state=state,
+        cold_left_s=beat.cold_left_s,
+    )
+
+
+class _Call(resource.Resource, abc.ABC):
+    """One call with an upstream's id as the last part of the path."""
+
+    isLeaf = True
+
+    def __init__(self, listener: UpstreamListener) -> None:
+        super().__init__()
+        self._listener = listener
+
+    def render_POST(self, request: Any) -> bytes:
+        """Takes one announcement."""
+        upstream_id = b"/".join(request.postpath).decode("latin-1")
+        body = request.content.read(MAX_HEARTBEAT_BYTES)
+        request.setHeader(b"content-type", b"application/json")
+        if not self._take(upstream_id, body):
+            request.setResponseCode(http.BAD_REQUEST)
+        return b"{}"
+
+    @abc.abstractmethod
+    def _take(self, upstream_id: str, body: bytes) -> bool:
+        """Takes an announcement; returns whether it was understood."""
+
+
+class _Heartbeat(_Call):
+    def _take(self, upstream_id: str, body: bytes) -> bool:
+        heartbeat = decode_beat(upstream_id, body)
+        if heartbeat is None:
+            self._listener.malformed(f"{upstream_id}: {body[:200]!r}")
+            return False
+        return self._listener.heard(heartbeat)
+
+
+class _Deregister(_Call):
+    def _take(self, upstream_id: str, body: bytes) -> bool:
+        born_ms = None
+        if body:
+            try:
+                born_ms = msgspec.json.decode(body, type=_Leave).born
+            except (msgspec.MsgspecError, UnicodeDecodeError):
+                self._listener.malformed(f"{upstream_id}: {body[:200]!r}")
+        self._listener.left(upstream_id, born_ms)
+        return True
+
+
+class _Readiness(resource.Resource):
+    isLeaf = True
+
+    def __init__(self, is_ready: Any) -> None:
+        super().__init__()
+        self._is_ready = is_ready
+
+    def render_GET(self, request: Any) -> bytes:
+        """Answers 200 when the node takes requests, else 503."""
+        if not self._is_ready():
+            request.setResponseCode(http.SERVICE_UNAVAILABLE)
+        return b""
+
+
+def make_announcement_site(listener: UpstreamListener) -> server.Site:
+    """Returns the site that the host's upstream announces itself to."""
+    calls: Any = resource.Resource()
+    calls.putChild(b"Instances.Heartbeat", _Heartbeat(listener))
+    calls.putChild(b"Instances.Deregister", _Deregister(listener))
+    return _make_site(calls)
+
+
+def make_readiness_site(is_ready: Any) -> server.Site:
+    """Returns the site that answers whether the node takes requests."""
+    calls: Any = resource.Resource()
+    calls.putChild(b"readiness", _Readiness(is_ready))
+    return _make_site(calls)
+
+
+def _make_site(calls: Any) -> server.Site:
+    root: Any = resource.Resource()
+    root.putChild(b"-", calls)
+    site = server.Site(root)
+    site.noisy = False
+    site.displayTracebacks = False
+    return site
--- /dev/null
+++ b/src/cyclamendale/platform/manifest.py
@@ -0,0 +1,240 @@
+"""Decodes the operator's manifest into the configuration of the product."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import enum
+from typing import Any
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from cyclamendale import ids
+from cyclamendale.intents import keys
+from cyclamendale.intents import model
+
+TABLE = "op"
+KEY = "config"
+
+
+class Problem(enum.Enum):
+    """Why a manifest is not put into force."""
+
+    UNREADABLE = "unreadable"
+    VERSION = "version"
+    PREFIX = "prefix"
+    SERVICE = "service"
+    SPLIT = "split"
+    NEGATIVE = "negative"
+    SHARED_KEY = "shared-key"
+
+
+class ManifestError(msgspec.Struct, frozen=True):
+    """A manifest that is left aside; the one before stays in force."""
+
+    problem: Problem
+    detail: str = ""
+
+    def __str__(self) -> str:
+        return f"manifest {self.problem.value}: {self.detail}"
+
+
+class _Part(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Path(msgspec.Struct):
+    name: str
+    prefix: str
+    kind: str
+    timeout_s: float
+    aim_s: float = 0.0
+    max_attempts: int = 1
+    priority: int = 0
+    service: str = ""
+    weighted_split: list[_Part] = []
+    auth_exempt: bool = False
+
+
+class _VirtualHost(msgspec.Struct):
+    host: str
+    paths: list[_Path]
+
+
+class _Service(msgspec.Struct):
+    name: str
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    # Goes before the priority of a route.
+    priority: int | None = None
+    # Zero or nothing stated means no limit.
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+class _Manifest(msgspec.Struct):
+    """The platform's own field names."""
+
+    version: str
+    services: list[_Service]
+    virtual_hosts: list[_VirtualHost]
+    limits: _Limits | None = None
+    tenants: list[_Tenant] = []
+
+
+class _InvalidError(Exception):
+    def __init__(self, problem: Problem, detail: str) -> None:
+        super().__init__(detail)
+        self.error = ManifestError(problem, detail)
+
+
+def decode(document: bytes) -> Result[model.Configuration, ManifestError]:
+    """Decodes and checks a manifest.
+
+    Returns:
+        The configuration it states, or the first fault found.
+    """
+    try:
+        manifest = msgspec.json.decode(document, type=_Manifest)
+        return Ok(_translate(manifest))
+    except _InvalidError as invalid:
+        return Error(invalid.error)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Error(ManifestError(Problem.UNREADABLE, str(error)))
+
+
+def _translate(manifest: _Manifest) -> model.Configuration:
+    version = _version(manifest.version)
+    services = {
+        ids.ServiceName(service.name): model.Service(
+            ids.ServiceName(service.name)
+        )
+        for service in manifest.services
+    }
+    source = ids.IntentFileName(f"manifest {manifest.version}")
+    routes = {route.name: route for route in _routes(manifest, services.keys())}
+    customers = {customer.name: customer for customer in _customers(manifest)}
+    entries = [
+        *(("route", name) for name in routes),
+        *(("service", name) for name in services),
+        *(("customer", name) for name in customers),
+    ]
+    return model.Configuration(
+        version=version,
+        services=services,
+        routes=routes,
+        customers=customers,
+        keys=_keys(manifest),
+        limits=_limits(manifest.limits),
+        sources=dict.fromkeys(entries, source),
+    )
+
+
+def _version(text: str) -> ids.ConfigVersion:
+    try:
+        return ids.ConfigVersion(int(text, 16))
+    except ValueError:
+        raise _InvalidError(Problem.VERSION, text) from None
+
+
+def _routes(manifest: _Manifest, services: Any) -> Iterator[model.Route]:
+    for virtual_host in manifest.virtual_hosts:
+        for path in virtual_host.paths:
+            yield _route(virtual_host.host, path, services)
+
+
+def _route(host: str, path: _Path, services: Any) -> model.Route:
+    if not (path.prefix.startswith("/") and path.prefix.endswith("/")):
+        raise _InvalidError(Problem.PREFIX, path.name)
+    if path.timeout_s <= 0 or path.aim_s < 0 or path.max_attempts < 1:
+        raise _InvalidError(Problem.NEGATIVE, path.name)
+    split = tuple(_split(path))
+    first = split[0].service if split else ids.ServiceName(path.service)
+    for service in {first, *(part.service for part in split)}:
+        if service not in services:
+            raise _InvalidError(Problem.SERVICE, f"{path.name}: {service}")
+    if path.kind not in ("idempotent", "non_idempotent"):
+        raise _InvalidError(Problem.UNREADABLE, f"{path.name}: {path.kind}")
+    return model.Route(
+        name=ids.RouteName(path.name),
+        service=first,
+        path_prefix=path.prefix,
+        importance=_importance(path.priority),
+        idempotent=path.kind == "idempotent",
+        open=path.auth_exempt,
+        deadline_s=path.timeout_s,
+        virtual_host=host.lower(),
+        split=split,
+        aim_s=path.aim_s,
+        max_attempts=path.max_attempts,
+    )
+
+
+def _split(path: _Path) -> Iterator[model.WeightedService]:
+    for part in path.weighted_split:
+        if part.weight < 0:
+            raise _InvalidError(Problem.SPLIT, path.name)
+        yield model.WeightedService(ids.ServiceName(part.service), part.weight)
+    if path.weighted_split and not any(
+        part.weight > 0 for part in path.weighted_split
+    ):
+        raise _InvalidError(Problem.SPLIT, path.name)
+
+
+def _customers(manifest: _Manifest) -> Iterator[model.Customer]:
+    for tenant in manifest.tenants:
+        if tenant.rate_per_s < 0 or tenant.burst < 0:
+            raise _InvalidError(Problem.NEGATIVE, tenant.name)
+        yield model.Customer(
+            ids.CustomerId(tenant.name),
+            tenant.rate_per_s,
+            tenant.burst,
+            importance=(
+                None
+                if tenant.priority is None
+                else _importance(tenant.priority)
+            ),
+        )
+
+
+def _keys(manifest: _Manifest) -> dict[ids.KeyDigest, model.Key]:
+    found: dict[ids.KeyDigest, model.Key] = {}
+    for tenant in manifest.tenants:
+        for key in tenant.api_keys:
+            digest = keys.digest_of(key)
+            other = found.get(digest)
+            if other is not None and other.customer != tenant.name:
+                raise _InvalidError(
+                    Problem.SHARED_KEY, f"{other.customer}, {tenant.name}"
+                )
+            found[digest] = model.Key(digest, ids.CustomerId(tenant.name))
+    return found
+
+
+def _importance(priority: int) -> model.Importance:
+    last = max(model.Importance)
+    return model.Importance(min(max(priority, 0), last))
+
+
+def _limits(limits: _Limits | None) -> model.RequestLimits:
+    if limits is None:
+        return model.RequestLimits()
+    return model.RequestLimits(
+        max_head_bytes=limits.max_header_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        head_timeout_s=limits.header_timeout_s,
+        idle_timeout_s=limits.idle_timeout_s,
+    )
--- /dev/null
+++ b/src/cyclamendale/platform/settings.py
@@ -0,0 +1,136 @@
+"""Reads the settings file that the platform puts on each host."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Mapping
+import enum
+import os
+from typing import Any
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import msgspec
+
+from cyclamendale import ids
+from cyclamendale.fleet import settings
+
+PATH_VARIABLE = "CYCLAMENDALE_BOOT"
+"""Environment variable that holds the path of the settings file."""
+
+_BOUND_NAMES = {
+    "drain_s": "drain_s",
+    "grace_s": "grace_s",
+    "config_apply_s": "apply_s",
+    "retry_budget_ratio": "retry_ratio",
+    "retry_window_s": "retry_window_s",
+    "retry_slack": "retry_slack",
+    "quota_window_s": "quota_window_s",
+    "quota_overrun": "quota_overrun",
+    "quota_slack": "quota_slack",
+}
+
+
+class Problem(enum.Enum):
+    """Why the settings cannot be used."""
+
+    NO_PATH = "no-path"
+    UNREADABLE = "unreadable"
+    MALFORMED = "malformed"
+
+
+class SettingsError(msgspec.Struct, frozen=True):
+    """The settings file cannot be used."""
+
+    problem: Problem
+    detail: str = ""
+
+    def __str__(self) -> str:
+        return f"settings {self.problem.value}: {self.detail}"
+
+
+class _Listen(msgspec.Struct):
+    outbound: str
+    ready: str
+    control: str
+
+
+class _Store(msgspec.Struct):
+    address: str
+
+
+class _File(msgspec.Struct):
+    """The file's own field names."""
+
+    node_name: str
+    ip: str
+    zone: str
+    zones: dict[str, str]
+    listen: _Listen
+    internal_ports: tuple[int, int]
+    app_addr: str
+    service: str
+    platform: _Store
+    heartbeat_s: float = 1.5
+    bounds: list[str] = []
+    first_start: bool = False
+
+
+def load(
+    environment: Mapping[str, str] = os.environ,
+) -> Result[settings.HostSettings, SettingsError]:
+    """Reads the settings file named by the environment.
+
+    Returns:
+        The settings, or why they cannot be used.
+    """
+    path = environment.get(PATH_VARIABLE)
+    if not path:
+        return Error(SettingsError(Problem.NO_PATH, PATH_VARIABLE))
+    try:
+        with open(path, "rb") as file:
+            data = file.read()
+    except OSError as error:
+        return Error(SettingsError(Problem.UNREADABLE, str(error)))
+    return decode(data)
+
+
+def decode(data: bytes) -> Result[settings.HostSettings, SettingsError]:
+    """Decodes the contents of a settings file."""
+    try:
+        file = msgspec.json.decode(data, type=_File, strict=False)
+        return Ok(_translate(file))
+    except (msgspec.MsgspecError, ValueError) as error:
+        return Error(SettingsError(Problem.MALFORMED, str(error)))
+
+
+def _translate(file: _File) -> settings.HostSettings:
+    first_port, last_port = file.internal_ports
+    return settings.HostSettings(
+        host=file.node_name,
+        ip=file.ip,
+        failure_domain=ids.FailureDomainName(file.zone),
+        failure_domains={
+            ids.FailureDomainName(name): region
+            for name, region in file.zones.items()
+        },
+        caller_address=file.listen.outbound,
+        readiness_address=file.listen.ready,
+        announcement_address=file.listen.control,
+        peer_port=first_port,
+        metrics_port=min(first_port + 1, last_port),
+        upstream_address=file.app_addr,
+        service=ids.ServiceName(file.service),
+        heartbeat_interval_s=file.heartbeat_s,
+        store_address=file.platform.address,
+        bounds=settings.Bounds(**dict(_bounds(file.bounds))),
+        first_start=file.first_start,
+    )
+
+
+def _bounds(texts: Iterable[str]) -> Iterator[tuple[str, Any]]:
+    for text in texts:
+        name, _, value = text.partition("=")
+        field = _BOUND_NAMES.get(name)
+        if field is not None:
+            yield field, float(value)
--- /dev/null
+++ b/src/cyclamendale/proxy/dispatcher.py
@@ -0,0 +1,488 @@
+"""The caller's side of a node: from a whole request to its answer.
+
+A request passes a chain of steps: route, key, quota, admission of roots,
+choice of an upstream, sending, and sending again where that is allowed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random as random_module
+from typing import Any
+
+from cyclamendale import clocks
+from cyclamendale import ids
+from cyclamendale import refusals
+from cyclamendale.fleet import routing
+from cyclamendale.intents import model
+from cyclamendale.overload import call_frequency
+from cyclamendale.overload import placement
+from cyclamendale.overload import retry_window
+from cyclamendale.overload import root_admission
+from cyclamendale.overload import split
+from cyclamendale.proxy import dialect as dialects
+from cyclamendale.proxy import heads
+from cyclamendale.proxy import messages
+from cyclamendale.proxy import server
+from cyclamendale.quotas import demand_share
+
+SWEEP_S = 0.05
+"""Time between two looks at deadlines; final answers are at most so late."""
+
+MOST_OFFERS = 3
+"""Gates that a request is offered to while none ran it. A refusal by a
+gate sends nothing to an upstream, so it costs no retry budget."""
+
+LEAST_LEFT_S = 0.02
+"""Time left below which sending again is of no use."""
+
+ONWARD_RESERVE = 0.0
+ROOT_RESERVE = 0.4
+"""Parts of the retry allowance left to others: a caller repeats a root by
+itself, but nobody else repeats an onward call."""
+
+NOT_READY_RETRY_S = 0.5
+"""Retry-After of a node that does not know any configuration yet."""
+
+DEFAULT_REMAINING_S = 30.0
+"""Time of callers that state none."""
+
+RETRY_AFTER_SPREAD = (0.75, 1.25)
+"""Factors on a computed Retry-After, against callers returning together."""
+
+LEAST_RETRY_AFTER_S = 0.05
+
+
+class DispatcherParts:
+    """What the dispatcher asks other parts of the node.
+
+    Attributes:
+        routing: Table in force, or None before the first.
+        runner: Returns the way to a host's gate.
+        is_from_upstream: Whether a request comes from the own upstream.
+        caller_service: Service of the own host.
+        nodes: Returns how many nodes the fleet has.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        random: random_module.Random,
+        dialect: dialects.Dialect,
+        placement: placement.Placement,
+        admission: root_admission.RootAdmission,
+        retries: retry_window.RetryWindow,
+        quotas: demand_share.DemandShares,
+        frequencies: call_frequency.LocalFrequencies,
+        runner: Callable[[ids.PeerAddress], messages.Runner],
+        caller_service: Callable[[], ids.ServiceName],
+        observer: Any,
+        log: Any,
+    ) -> None:
+        self.clock = clock
+        self.random = random
+        self.dialect = dialect
+        self.placement = placement
+        self.admission = admission
+        self.retries = retries
+        self.quotas = quotas
+        self.frequencies = frequencies
+        self.runner = runner
+        self.caller_service = caller_service
+        self.observer = observer
+        self.log = log
+
+
+class _Call:
+    """One request between its arrival and its answer."""
+
+    __slots__ = (
+        "candidate",
+        "customer",
+        "deadline_s",
+        "exchange",
+        "handle",
+        "is_over",
+        "may_have_run",
+        "offers",
+        "route",
+        "sends",
+        "sent_s",
+        "tried",
+        "work",
+    )
+
+    def __init__(self, exchange: server.Exchange, route: model.Route) -> None:
+        self.exchange = exchange
+        self.route = route
+        self.customer: model.Customer | None = None
+        self.work: Any = None
+        self.deadline_s = 0.0
+        self.handle: messages.Handle | None = None
+        self.candidate: placement.Candidate | None = None
+        self.sent_s = 0.0
+        self.tried: tuple[ids.PeerAddress, ...] = ()
+        self.offers = 0
+        self.sends = 0
+        self.may_have_run = False
+        self.is_over = False
+
+
+class Dispatcher(server.Handler):
+    """Handles the requests of callers and of the host's upstream."""
+
+    def __init__(self, parts: DispatcherParts) -> None:
+        self._parts = parts
+        self._clock = parts.clock
+        self._routing: routing.RoutingTable | None = None
+        self._split = split.SplitWheel()
+        self._calls: set[_Call] = set()
+        self._sweep: clocks.DelayedCall | None = None
+
+    def start(self) -> None:
+        """Begins to watch deadlines."""
+        self._sweep = self._clock.call_later(SWEEP_S, self._look)
+
+    def stop(self) -> None:
+        """Ends the watch."""
+        clocks.cancel(self._sweep)
+
+    def configure(self, table: routing.RoutingTable) -> None:
+        """Puts another configuration into force."""
+        self._routing = table
+
+    def limits(self) -> model.RequestLimits:
+        """See base class."""
+        if self._routing is None:
+            return model.RequestLimits()
+        return self._routing.configuration.limits
+
+    def handle(self, exchange: server.Exchange) -> None:
+        """See base class."""
+        table = self._routing
+        if table is None:
+            self._refuse(
+                exchange,
+                None,
+                refusals.Refusal(
+                    refusals.RefusalReason.NOT_READY,
+                    retry_after_s=NOT_READY_RETRY_S,
+                ),
+            )
+            return
+        request = exchange.request
+        route = table.route(request.host, request.path)
+        if route is None:
+            self._refuse(
+                exchange,
+                None,
+                refusals.Refusal(refusals.RefusalReason.ROUTE_UNKNOWN),
+            )
+            return
+        call = _Call(exchange, route)
+        refusal = self._identify(call, table)
+        if refusal is None:
+            self._prepare(call)
+            refusal = self._admit(call)
+        if refusal is not None:
+            self._refuse(exchange, call, refusal)
+            return
+        self._calls.add(call)
+        exchange.cancel = lambda: self._caller_left(call)
+        self._send(call)
+
+    # Steps before the first send.
+
+    def _identify(
+        self, call: _Call, table: routing.RoutingTable
+    ) -> refusals.Refusal | None:
+        if call.route.open or not table.configuration.customers:
+            return None
+        key = call.exchange.request.key
+        if key is None:
+            return refusals.Refusal(refusals.RefusalReason.KEY_MISSING)
+        call.customer = table.customer(key)
+        if call.customer is None:
+            return refusals.Refusal(refusals.RefusalReason.KEY_UNKNOWN)
+        return None
+
+    def _prepare(self, call: _Call) -> None:
+        request, route = call.exchange.request, call.route
+        remaining_s = request.remaining_s
+        if remaining_s is None:
+            remaining_s = DEFAULT_REMAINING_S
+        limit_s = min(remaining_s, route.deadline_s)
+        call.deadline_s = request.arrived_s + limit_s
+        aim_s = route.aim_s or limit_s
+        parts = self._parts
+        dialect = parts.dialect
+        customer = call.customer
+        service = self._split.service_for(route)
+        is_onward = route.open and call.customer is None
+        head = b"".join(
+            (
+                request.method,
+                b" ",
+                request.path,
+                b" HTTP/1.1\r\n",
+                request.lines,
+                heads.line(
+                    dialect.caller_service, parts.caller_service().encode()
+                ),
+                heads.line(dialect.customer, customer.name.encode())
+                if customer is not None
+                else b"",
+            )
+        )
+        call.work = messages.Work(
+            request.request_id.decode("latin-1"),
+            route.name,
+            service,
+            head,
+            request.body,
+            call.deadline_s,
+            request.arrived_s + aim_s,
+            routing.rank_of(route, customer),
+            route.idempotent,
+            is_onward,
+        )
+        parts.retries.request(service)
+        if is_onward:
+            parts.frequencies.called(route.name)
+
+    def _admit(self, call: _Call) -> refusals.Refusal | None:
+        work = call.work
+        if work.onward:
+            return None
+        admission = self._parts.admission
+        full = admission.refused_by(work.route, work.service, work.rank)
+        if full is not None:
+            self._parts.observer.shed(work, full)
+            return refusals.Refusal(
+                refusals.RefusalReason.SHED,
+                retry_after_s=admission.retry_after_s(),
+            )
+        if call.customer is not None:
+            wait_s = self._parts.quotas.admit(call.customer)
+            if wait_s is not None:
+                return refusals.Refusal(
+                    refusals.RefusalReason.QUOTA, retry_after_s=wait_s
+                )
+        return None
+
+    # Sending, and sending again.
+
+    def _send(self, call: _Call) -> None:
+        now_s = self._clock.now_s()
+        work = call.work
+        candidate = self._parts.placement.choose(
+            work.service, call.tried, now_s
+        )
+        if candidate is None:
+            self._give_up(
+                call, refusals.Refusal(refusals.RefusalReason.NO_TARGET)
+            )
+            return
+        call.candidate = candidate
+        call.tried = (*call.tried, candidate.host)
+        call.offers += 1
+        call.sent_s = now_s
+        work.upstream_id = candidate.upstream_id
+        candidate.in_flight += 1
+        runner = self._parts.runner(candidate.host)
+        handle = runner.run(work, lambda outcome: self._ended(call, outcome))
+        # The outcome may have come already, and with it another send.
+        if handle is not None and call.candidate is candidate:
+            call.handle = handle
+
+    def _ended(self, call: _Call, outcome: messages.Outcome) -> None:
+        candidate = call.candidate
+        assert candidate is not None
+        candidate.ended()
+        if call.is_over:
+            return
+        call.handle = None
+        if isinstance(outcome, messages.Answer):
+            self._answered(call, candidate, outcome)
+        else:
+            self._refused(call, candidate, outcome)
+
+    def _answered(
+        self,
+        call: _Call,
+        candidate: placement.Candidate,
+        answer: messages.Answer,
+    ) -> None:
+        call.sends += 1
+        call.may_have_run = True
+        if answer.status < 500:
+            candidate.failures = 0
+        elif self._should_repeat(call):
+            self._parts.log.decision(
+                "repeat",
+                call.work.request_id,
+                after_status=answer.status,
+                host=candidate.host,
+            )
+            self._send(call)
+            return
+        self._finish(call)
+        self._parts.observer.answered(
+            call.work, answer.status, call.exchange.request.arrived_s
+        )
+        call.exchange.respond(answer.status, answer.lines, answer.body)
+
+    def _refused(
+        self,
+        call: _Call,
+        candidate: placement.Candidate,
+        refusal: refusals.Refusal,
+    ) -> None:
+        now_s = self._clock.now_s()
+        if refusal.execution is refusals.Execution.NOT_RUN:
+            was_sent = refusal.reason is refusals.RefusalReason.UPSTREAM_REFUSED
+            candidate.penalty_until_s = now_s + _PENALTY_S[refusal.reason]
+            if was_sent:
+                call.sends += 1
+            again = (
+                self._should_repeat(call)
+                if was_sent
+                else self._may_offer_again(call)
+            )
+        else:
+            call.sends += 1
+            call.may_have_run = True
+            candidate.failures += 1
+            if candidate.failures >= FAILURES_IN_A_ROW:
+                candidate.penalty_until_s = now_s + FAILURE_PENALTY_S
+            again = self._should_repeat(call)
+        self._parts.log.decision(
+            "repeat" if again else "gave-up",
+            call.work.request_id,
+            reason=refusal.reason.value,
+            execution=refusal.execution.value,
+            host=candidate.host,
+            offers=call.offers,
+        )
+        if again:
+            self._send(call)
+        else:
+            self._give_up(call, refusal)
+
+    def _may_offer_again(self, call: _Call) -> bool:
+        return (
+            call.offers < MOST_OFFERS
+            and call.deadline_s - self._clock.now_s() > LEAST_LEFT_S
+        )
+
+    def _should_repeat(self, call: _Call) -> bool:
+        work = call.work
+        if call.may_have_run and not work.idempotent:
+            return False
+        if call.sends >= call.route.max_attempts:
+            return False
+        if not self._may_offer_again(call):
+            return False
+        if (
+            self._parts.placement.choose(
+                work.service, call.tried, self._clock.now_s()
+            )
+            is None
+        ):
+            return False
+        reserve = ONWARD_RESERVE if work.onward else ROOT_RESERVE
+        return self._parts.retries.may_repeat(work.service, reserve)
+
+    # The end of a request.
+
+    def _give_up(self, call: _Call, refusal: refusals.Refusal) -> None:
+        """Answers with a refusal that is true of all sends together."""
+        self._finish(call)
+        if call.may_have_run and (
+            refusal.execution is refusals.Execution.NOT_RUN
+        ):
+            refusal = refusals.Refusal(
+                refusals.RefusalReason.LOST, refusals.Execution.UNKNOWN
+            )
+        self._refuse(call.exchange, call, refusal)
+
+    def _refuse(
+        self,
+        exchange: server.Exchange,
+        call: _Call | None,
+        refusal: refusals.Refusal,
+    ) -> None:
+        status = refusal.http_status
+        lines = b""
+        if status in (429, 503):
+            lines = heads.line(
+                b"Retry-After", b"%.3f" % self._retry_after_s(refusal)
+            )
+        request = exchange.request
+        table = self._routing
+        self._parts.observer.refused(
+            request,
+            call.route.name if call else "",
+            call.customer.name if call and call.customer else "",
+            refusal,
+            table.configuration.version if table else 0,
+        )
+        lines += heads.line(self._parts.dialect.request_id, request.request_id)
+        exchange.respond(status, lines, b"")
+
+    def _retry_after_s(self, refusal: refusals.Refusal) -> float:
+        wait_s = refusal.retry_after_s
+        if wait_s is None or wait_s <= 0:
+            wait_s = LEAST_RETRY_AFTER_S * 2
+        spread = self._parts.random.uniform(*RETRY_AFTER_SPREAD)
+        return max(LEAST_RETRY_AFTER_S, wait_s * spread)
+
+    def _finish(self, call: _Call) -> None:
+        call.is_over = True
+        self._calls.discard(call)
+        call.exchange.cancel = None
+
+    def _caller_left(self, call: _Call) -> None:
+        if call.is_over:
+            return
+        self._finish(call)
+        self._parts.observer.left(call.work)
+        if call.handle is not None and call.candidate is not None:
+            call.candidate.ended()
+            call.handle.cancel()
+            call.handle = None
+
+    def _look(self) -> None:
+        now_s = self._clock.now_s()
+        for call in tuple(self._calls):
+            if now_s >= call.deadline_s and not call.is_over:
+                self._time_out(call)
+        self.start()
+
+    def _time_out(self, call: _Call) -> None:
+        # The gate gives up by itself at the same time; whether the
+        # upstream had begun is not known here.
+        self._finish(call)
+        self._refuse(
+            call.exchange,
+            call,
+            refusals.Refusal(
+                refusals.RefusalReason.DEADLINE, refusals.Execution.UNKNOWN
+            ),
+        )
+
+
+FAILURES_IN_A_ROW = 3
+"""Failures of one upstream, none answered between, after which it is tried
+last."""
+
+FAILURE_PENALTY_S = 1.0
+"""How long it is tried last then; one heartbeat of most upstreams."""
+
+_PENALTY_S = {reason: 0.3 for reason in refusals.RefusalReason} | {
+    refusals.RefusalReason.LEAVING: 2.0,
+    refusals.RefusalReason.NO_TARGET: 1.0,
+    refusals.RefusalReason.QUEUE_FULL: 0.1,
+}
+"""How long a host is tried last after it refused; reports of the other
+hosts correct it sooner."""
--- /dev/null
+++ b/src/cyclamendale/proxy/messages.py
@@ -0,0 +1,151 @@
+"""Requests and outcomes as they pass through a node."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Callable
+from typing import TypeAlias
+
+from cyclamendale import ids
+from cyclamendale import refusals
+
+
+class CallerRequest:
+    """A whole request, as read from a caller or the host's upstream.
+
+    Attributes:
+        method: HTTP method.
+        path: Path and query, as sent.
+        host: Host header, as sent.
+        request_id: Id of the caller's attempt; empty if it sent none.
+        remaining_s: Time that the caller goes on waiting, if it said so.
+        key: The caller's key, if it sent one.
+        lines: Header lines to pass on, each ended by CRLF.
+        body: The body.
+        arrived_s: Clock time at which the request was whole.
+    """
+
+    __slots__ = (
+        "arrived_s",
+        "body",
+        "host",
+        "key",
+        "lines",
+        "method",
+        "path",
+        "remaining_s",
+        "request_id",
+    )
+
+    def __init__(self) -> None:
+        self.method = b""
+        self.path = b""
+        self.host = b""
+        self.request_id = b""
+        self.remaining_s: float | None = None
+        self.key: bytes | None = None
+        self.lines = b""
+        self.body = b""
+        self.arrived_s = 0.0
+
+
+class Work:
+    """A request on its way to an upstream.
+
+    Attributes:
+        request_id: Id of the caller's attempt.
+        route: Route that it came by.
+        service: Service that is to run it.
+        head: Request line and header lines, each ended by CRLF, without
+            what only the upstream's own node knows.
+        body: The body.
+        deadline_s: Clock time after which nobody waits for the answer.
+        aim_s: Clock time until which the answer is worth most.
+        rank: Place in the order of shedding; the lowest is shed last.
+        idempotent: Whether it may run more than once.
+        onward: Whether an upstream made it while it ran another request.
+        upstream_id: Upstream process that is to run it, if chosen.
+    """
+
+    __slots__ = (
+        "aim_s",
+        "body",
+        "deadline_s",
+        "head",
+        "idempotent",
+        "onward",
+        "rank",
+        "request_id",
+        "route",
+        "service",
+        "upstream_id",
+    )
+
+    def __init__(
+        self,
+        request_id: str,
+        route: ids.RouteName,
+        service: ids.ServiceName,
+        head: bytes,
+        body: bytes,
+        deadline_s: float,
+        aim_s: float,
+        rank: int,
+        idempotent: bool,
+        onward: bool,
+        upstream_id: str = "",
+    ) -> None:
+        self.request_id = request_id
+        self.route = route
+        self.service = service
+        self.head = head
+        self.body = body
+        self.deadline_s = deadline_s
+        self.aim_s = aim_s
+        self.rank = rank
+        self.idempotent = idempotent
+        self.onward = onward
+        self.upstream_id = upstream_id
+
+
+class Answer:
+    """A whole answer of an upstream.
+
+    Attributes:
+        status: HTTP status.
+        lines: Header lines to pass on, each ended by CRLF.
+        body: The body.
+    """
+
+    __slots__ = ("body", "lines", "status")
+
+    def __init__(self, status: int, lines: bytes, body: bytes) -> None:
+        self.status = status
+        self.lines = lines
+        self.body = body
+
+
+Outcome: TypeAlias = Answer | refusals.Refusal
+
+OutcomeReceiver: TypeAlias = Callable[[Outcome], None]
+"""Called once with what became of a request."""
+
+
+class Handle(abc.ABC):
+    """A request that was handed on and has no outcome yet."""
+
+    @abc.abstractmethod
+    def cancel(self) -> None:
+        """Gives the request up; its receiver is not called any more."""
+
+
+class Runner(abc.ABC):
+    """Something that gets requests run by one upstream."""
+
+    @abc.abstractmethod
+    def run(self, work: Work, receiver: OutcomeReceiver) -> Handle | None:
+        """Hands a request on.
+
+        Returns:
+            A handle, or None if `receiver` was called already.
+        """
--- /dev/null
+++ b/src/cyclamendale/proxy/server.py
@@ -0,0 +1,457 @@
+"""HTTP/1.1 towards callers, on the parser of `httptools`.
+
+Requests of one connection run side by side and their answers keep the
+order of the requests. A request is handed on once it is whole.
+"""
+
+from __future__ import annotations
+
+import abc
+import collections
+from typing import Any
+
+import httptools
+from twisted.internet import protocol
+from twisted.python import failure
+
+from cyclamendale import _immediate_write
+from cyclamendale import clocks
+from cyclamendale import refusals
+from cyclamendale.intents import model
+from cyclamendale.proxy import dialect as dialects
+from cyclamendale.proxy import heads
+from cyclamendale.proxy import messages
+
+MAX_PIPELINED = 64
+"""Requests of one connection in work at once; reading pauses beyond."""
+
+LINGER_S = 1.0
+"""How long a connection is drained after a refusal that closes it; a
+close with unread bytes would reset it and destroy the refusal."""
+
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class Exchange:
+    """One request of a caller, from whole to answered.
+
+    Attributes:
+        request: The request.
+        cancel: Gives its work up; set by whoever handles it.
+        is_over: Whether it was answered or the caller is gone.
+    """
+
+    __slots__ = ("_close", "_connection", "_output", "cancel", "is_over",
+                 "request")  # fmt: skip
+
+    def __init__(
+        self,
+        connection: CallerConnection,
+        request: messages.CallerRequest,
+        close: bool,
+    ) -> None:
+        self.request = request
+        self.cancel: Any = None
+        self.is_over = False
+        self._connection = connection
+        self._close = close
+        self._output: bytes | None = None
+
+    def respond(self, status: int, lines: bytes, body: bytes) -> None:
+        """Answers; does nothing if the caller is gone.
+
+        Args:
+            status: HTTP status.
+            lines: Header lines, each ended by CRLF.
+            body: The whole body.
+        """
+        if self.is_over:
+            return
+        self.is_over = True
+        self.cancel = None
+        close = self._close or self._connection.is_closing
+        parts = [heads.status_line(status), lines]
+        if heads.has_body(status):
+            parts.append(b"Content-Length: %d\r\n" % len(body))
+        if close:
+            parts.append(b"Connection: close\r\n")
+            self._close = True
+        parts.append(heads.CRLF)
+        if self.request.method != b"HEAD":
+            parts.append(body)
+        self._output = b"".join(parts)
+        self._connection.flush()
+
+    @property
+    def output(self) -> bytes | None:
+        """Returns the bytes of the answer once there is one."""
+        return self._output
+
+    @property
+    def closes(self) -> bool:
+        """Returns whether the connection ends behind the answer."""
+        return self._close
+
+
+class Handler(abc.ABC):
+    """Takes the whole requests of callers."""
+
+    @abc.abstractmethod
+    def handle(self, exchange: Exchange) -> None:
+        """Handles a request; calls its `respond` now or later."""
+
+    @abc.abstractmethod
+    def limits(self) -> model.RequestLimits:
+        """Returns what callers may send at present."""
+
+
+class CallerConnection(protocol.Protocol):
+    """One connection of a caller."""
+
+    # Twisted's interfaces need a mypy plugin to be checked.
+    transport: Any
+
+    def __init__(self, server: CallerServer) -> None:
+        self._server = server
+        self._parser: Any = httptools.HttpRequestParser(self)
+        self._exchanges: collections.deque[Exchange] = collections.deque()
+        self._limits = server.handler.limits()
+        self._request = messages.CallerRequest()
+        self._lines: list[bytes] = []
+        self._connection_values: list[bytes] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._in_head = False
+        self._in_body = False
+        self._is_paused = False
+        self._is_draining = False
+        self._is_refused = False
+        self._since_s = server.clock.now_s()
+        self.is_closing = False
+
+    # What the server's sweep and the daemon ask.
+
+    def check_time(self, now_s: float) -> None:
+        """Ends a connection that is idle or slow for too long."""
+        limits = self._server.handler.limits()
+        elapsed_s = now_s - self._since_s
+        if self._is_draining:
+            if self._is_refused and self._is_idle() and elapsed_s > LINGER_S:
+                self.transport.abortConnection()
+        elif self._in_head or self._in_body:
+            longest_s = (
+                limits.head_timeout_s
+                if self._in_head
+                else limits.idle_timeout_s
+            )
+            if elapsed_s > longest_s:
+                self._refuse(408)
+        elif self._is_idle() and elapsed_s > limits.idle_timeout_s:
+            self.transport.loseConnection()
+
+    def begin_close(self) -> None:
+        """Ends the connection behind what is in work; at once if idle."""
+        self.is_closing = True
+        if self._is_idle():
+            self.transport.loseConnection()
+
+    def _is_idle(self) -> bool:
+        return not (self._exchanges or self._in_head or self._in_body)
+
+    @property
+    def in_work(self) -> int:
+        """Returns the number of requests without an answer."""
+        return len(self._exchanges)
+
+    # Twisted.
+
+    def connectionMade(self) -> None:
+        """Begins to read requests."""
+        self.transport.setTcpNoDelay(True)
+        self._server.connections.add(self)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Parses what arrived."""
+        if self._is_draining:
+            return
+        if self._in_head:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400)
+        except httptools.HttpParserError as error:
+            if not self._is_draining:
+                self._server.log_malformed(str(error))
+                self._refuse(400)
+        if self._in_head and self._head_bytes > self._limits.max_head_bytes:
+            self._refuse(431)
+
+    def connectionLost(
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Gives up the work that nobody waits for any more."""
+        self._server.connections.discard(self)
+        exchanges, self._exchanges = self._exchanges, collections.deque()
+        for exchange in exchanges:
+            exchange.is_over = True
+            if exchange.cancel is not None:
+                exchange.cancel()
+                exchange.cancel = None
+        # The parser holds this object; together they form a cycle.
+        self._parser = None
+
+    # Parser callbacks.
+
+    def on_message_begin(self) -> None:
+        """Begins a request."""
+        self._request = messages.CallerRequest()
+        self._lines = []
+        self._connection_values = []
+        self._body = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._in_head = True
+        self._limits = self._server.handler.limits()
+        self._since_s = self._server.clock.now_s()
+
+    def on_url(self, url: bytes) -> None:
+        """Takes the next part of the request target."""
+        self._request.path += url
+        self._head_bytes += len(url)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes one header."""
+        self._head_bytes += len(name) + len(value) + 4
+        if self._head_bytes > self._limits.max_head_bytes:
+            self._refuse(431)
+            return
+        lower = name.lower()
+        take = self._server.special.get(lower)
+        if take is None:
+            self._lines.append(heads.line(name, value))
+        else:
+            take(self, name, value)
+
+    def on_headers_complete(self) -> None:
+        """Ends the head of a request."""
+        self._in_head = False
+        self._in_body = True
+        if not self._request.path.startswith(b"/") and not self._is_draining:
+            self._refuse(400)
+
+    def on_body(self, data: bytes) -> None:
+        """Takes the next part of a body."""
+        if self._is_draining:
+            return
+        self._body_bytes += len(data)
+        self._since_s = self._server.clock.now_s()
+        if self._body_bytes > self._limits.max_body_bytes:
+            self._refuse(413)
+            return
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Hands a whole request on."""
+        self._in_body = False
+        if self._is_draining:
+            return
+        request = self._request
+        request.method = self._parser.get_method()
+        request.body = b"".join(self._body)
+        nominated = heads.nominated(self._connection_values)
+        request.lines = heads.without(self._lines, nominated) if (
+            nominated - {b"close", b"keep-alive"}
+        ) else b"".join(self._lines)  # fmt: skip
+        now_s = self._server.clock.now_s()
+        request.arrived_s = self._since_s = now_s
+        exchange = Exchange(self, request, not self._parser.should_keep_alive())
+        self._exchanges.append(exchange)
+        if len(self._exchanges) >= MAX_PIPELINED and not self._is_paused:
+            self._is_paused = True
+            self.transport.pauseProducing()
+        self._server.handler.handle(exchange)
+
+    # Headers that are not just passed on.
+
+    def take_host(self, name: bytes, value: bytes) -> None:
+        """Takes the Host header, which is passed on too."""
+        self._request.host = value
+        self._lines.append(heads.line(name, value))
+
+    def take_request_id(self, name: bytes, value: bytes) -> None:
+        """Takes the id, which is passed on as it is."""
+        self._request.request_id = value
+        self._lines.append(heads.line(name, value))
+
+    def take_remaining(self, name: bytes, value: bytes) -> None:
+        """Takes the caller's time; what is left is stated anew."""
+        try:
+            self._request.remaining_s = max(0.0, float(value) / 1000.0)
+        except ValueError:
+            self._server.log_malformed(f"{name!r}: {value!r}")
+
+    def take_key(self, name: bytes, value: bytes) -> None:
+        """Takes the key, which goes no further."""
+        if self._request.key is None:
+            self._request.key = value
+
+    def take_connection(self, name: bytes, value: bytes) -> None:
+        """Takes a Connection header."""
+        self._connection_values.append(value)
+
+    def take_expect(self, name: bytes, value: bytes) -> None:
+        """Asks for the body; it is passed on only when it is whole."""
+        if value.lower() == b"100-continue" and not self._exchanges:
+            self.transport.write(_CONTINUE)
+
+    def drop(self, name: bytes, value: bytes) -> None:
+        """Drops a header of the connection, or one that nodes set."""
+
+    # Output.
+
+    def flush(self) -> None:
+        """Writes the answers whose turn it is."""
+        exchanges = self._exchanges
+        ready: list[bytes] = []
+        closes = False
+        while exchanges and not closes:
+            output = exchanges[0].output
+            if output is None:
+                break
+            ready.append(output)
+            closes = exchanges.popleft().closes
+        if not ready:
+            return
+        self._since_s = self._server.clock.now_s()
+        _immediate_write.write_now(self.transport, b"".join(ready))
+        if closes:
+            self._end()
+        elif self._is_paused and len(exchanges) < MAX_PIPELINED:
+            self._is_paused = False
+            self.transport.resumeProducing()
+
+    def _refuse(self, status: int) -> None:
+        """Answers a request that cannot be read, behind those before it."""
+        if self._is_draining:
+            return
+        self._is_draining = self._is_refused = True
+        self._in_head = self._in_body = False
+        exchange = Exchange(self, self._request, True)
+        self._exchanges.append(exchange)
+        self._server.log_refused(self._request, status)
+        exchange.respond(status, b"", b"")
+
+    def _end(self) -> None:
+        """Closes behind what was written."""
+        for exchange in self._exchanges:
+            exchange.is_over = True
+            if exchange.cancel is not None:
+                exchange.cancel()
+        self._exchanges.clear()
+        if self._is_refused:
+            self.transport.loseWriteConnection()
+        else:
+            self._is_draining = True
+            self.transport.loseConnection()
+
+
+class CallerServer(protocol.Factory):
+    """Accepts the connections of callers.
+
+    Attributes:
+        special: Methods that take the headers that are not just passed
+            on, by lower-case name.
+        connections: Open connections.
+    """
+
+    noisy = False
+    SWEEP_S = 0.25
+    """Time between two looks for idle and slow connections."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        handler: Handler,
+        dialect: dialects.Dialect,
+        log: Any,
+    ) -> None:
+        self.clock = clock
+        self.handler = handler
+        self.connections: set[CallerConnection] = set()
+        self.special = _special_headers(dialect)
+        self._log = log
+        self._sweep: clocks.DelayedCall | None = None
+
+    def buildProtocol(self, addr: Any) -> CallerConnection:
+        """See base class."""
+        return CallerConnection(self)
+
+    def start(self) -> None:
+        """Begins to look for idle and slow connections."""
+        self._sweep = self.clock.call_later(self.SWEEP_S, self._look)
+
+    def stop(self) -> None:
+        """Ends the sweep."""
+        clocks.cancel(self._sweep)
+
+    def begin_close(self) -> None:
+        """Ends each connection behind what it has in work."""
+        for connection in tuple(self.connections):
+            connection.begin_close()
+
+    @property
+    def in_work(self) -> int:
+        """Returns the number of requests without an answer."""
+        return sum(connection.in_work for connection in self.connections)
+
+    def log_malformed(self, detail: str) -> None:
+        """Logs bytes of a caller that are no request."""
+        self._log.decision("malformed", "", detail=detail)
+
+    def log_refused(self, request: messages.CallerRequest, status: int) -> None:
+        """Logs a request that was refused before it was whole."""
+        self._log.decision(
+            "refused",
+            request.request_id.decode("latin-1"),
+            reason=refusals.RefusalReason.BAD_REQUEST.value,
+            status=status,
+        )
+
+    def _look(self) -> None:
+        now_s = self.clock.now_s()
+        for connection in tuple(self.connections):
+            connection.check_time(now_s)
+        self.start()
+
+
+def _special_headers(dialect: dialects.Dialect) -> dict[bytes, Any]:
+    connection = CallerConnection
+    special: dict[bytes, Any] = dict.fromkeys(
+        heads.CONNECTION_HEADERS, connection.drop
+    )
+    special[b"connection"] = connection.take_connection
+    special[b"expect"] = connection.take_expect
+    special[b"host"] = connection.take_host
+    special[dialect.request_id.lower()] = connection.take_request_id
+    special[dialect.remaining_ms.lower()] = connection.take_remaining
+    special[dialect.key.lower()] = connection.take_key
+    for name in (
+        dialect.customer,
+        dialect.caller_service,
+        dialect.expected_upstream,
+        dialect.not_run,
+    ):
+        special[name.lower()] = connection.drop
+    return special
+
+
+def make_caller_server(
+    clock: clocks.Clock,
+    handler: Handler,
+    dialect: dialects.Dialect,
+    log: Any,
+) -> CallerServer:
+    """Returns the factory of caller connections."""
+    return CallerServer(clock, handler, dialect, log)
--- /dev/null
+++ b/src/cyclamendale/proxy/upstream_connection.py
@@ -0,0 +1,296 @@
+"""One HTTP/1.1 connection to the host's upstream.
+
+An answer belongs to a request only if it echoes the request's id. Bytes
+that no request waits for end the connection.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import enum
+from typing import Any
+
+import httptools
+from twisted.internet import error
+from twisted.internet import protocol
+from twisted.python import failure
+
+from cyclamendale import _immediate_write
+from cyclamendale.proxy import dialect as dialects
+from cyclamendale.proxy import heads
+from cyclamendale.proxy import messages
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+"""Longest answer held; the largest request body that the platform's
+manifests allow."""
+
+
+class Failure(enum.Enum):
+    """How an exchange with the upstream failed."""
+
+    NOT_CONNECTED = "not-connected"
+    """No byte was sent."""
+    BROKEN = "broken"
+    """The connection ended within the exchange."""
+    GARBLED = "garbled"
+    """What arrived is not the whole answer to the request."""
+
+
+class UpstreamAnswer(messages.Answer):
+    """An answer, with what only the node beside the upstream needs.
+
+    Attributes:
+        not_run: Whether the upstream states that it did not run it.
+    """
+
+    __slots__ = ("not_run",)
+
+    def __init__(
+        self, status: int, lines: bytes, body: bytes, not_run: bool
+    ) -> None:
+        super().__init__(status, lines, body)
+        self.not_run = not_run
+
+
+ExchangeReceiver = Callable[["UpstreamAnswer | Failure"], None]
+
+
+class UpstreamConnection(protocol.Protocol):
+    """Runs one request at a time.
+
+    Attributes:
+        idle_since_s: Clock time since which nothing was in work.
+        keep_s: Idle time that the upstream allows, if it says so.
+    """
+
+    transport: Any
+
+    def __init__(
+        self,
+        dialect: dialects.Dialect,
+        on_open: Callable[[UpstreamConnection], None],
+        on_idle: Callable[[UpstreamConnection], None],
+        on_closed: Callable[[UpstreamConnection], None],
+    ) -> None:
+        self._dialect = dialect
+        self._id_header = dialect.request_id.lower()
+        self._not_run_header = dialect.not_run.lower()
+        self._on_open = on_open
+        self._on_idle = on_idle
+        self._on_closed = on_closed
+        self._parser: Any = None
+        self._receiver: ExchangeReceiver | None = None
+        self._request_id = b""
+        self._is_head_request = False
+        self._reusable = True
+        self.idle_since_s = 0.0
+        self.keep_s: float | None = None
+        self._echoed: bytes | None = None
+        self._begin_answer()
+
+    @property
+    def is_busy(self) -> bool:
+        """Returns whether a request waits for its answer."""
+        return self._receiver is not None
+
+    def send(
+        self,
+        data: bytes,
+        request_id: bytes,
+        is_head_request: bool,
+        receiver: ExchangeReceiver,
+    ) -> None:
+        """Sends a request.
+
+        Args:
+            data: The whole request.
+            request_id: Id that the answer must echo.
+            is_head_request: Whether the answer has no body by definition.
+            receiver: Called once with the answer or the failure.
+        """
+        self._receiver = receiver
+        self._request_id = request_id
+        self._is_head_request = is_head_request
+        self._begin_answer()
+        _immediate_write.write_now(self.transport, data)
+
+    def abort(self) -> None:
+        """Ends the connection at once; the receiver is not called."""
+        self._receiver = None
+        self._reusable = False
+        self.transport.abortConnection()
+
+    # Twisted.
+
+    def connectionMade(self) -> None:
+        """Prepares for short messages."""
+        self.transport.setTcpNoDelay(True)
+        self._on_open(self)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Parses what arrived."""
+        if self._receiver is None:
+            # Bytes that belong to no request.
+            self._drop()
+            return
+        if self._parser is None:
+            self._parser = httptools.HttpResponseParser(self)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._reusable = False
+            if self._receiver is not None:
+                self._fail(Failure.GARBLED)
+            else:
+                self._drop()
+        else:
+            if self._receiver is None and not self._reusable:
+                self._drop()
+
+    def connectionLost(
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Ends the exchange; a body without length is whole at an end."""
+        self._reusable = False
+        if self._receiver is not None:
+            clean = reason.check(error.ConnectionDone) is not None
+            if clean and self._ends_with_connection():
+                self._finish()
+            else:
+                self._fail(Failure.BROKEN)
+        self._parser = None
+        self._on_closed(self)
+
+    # Parser callbacks.
+
+    def on_message_begin(self) -> None:
+        """Begins an answer; a second one behind the first is dropped."""
+        if self._receiver is None:
+            self._reusable = False
+            return
+        self._begin_answer()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes one header."""
+        lower = name.lower()
+        if lower == self._id_header:
+            self._echoed = value
+        elif lower == self._not_run_header:
+            self._not_run = True
+            return
+        if lower in heads.CONNECTION_HEADERS:
+            self._connection_header(lower, value)
+            return
+        if lower == b"content-encoding":
+            self._is_encoded = True
+        self._lines.append(heads.line(name, value))
+
+    def on_headers_complete(self) -> None:
+        """Ends the head of an answer."""
+        self._status = self._parser.get_status_code()
+        self._has_head = True
+        if self._is_head_request and self._status >= 200:
+            # The parser would wait for the body that the head announces.
+            self._reusable = False
+            self._complete()
+
+    def on_body(self, data: bytes) -> None:
+        """Takes the next part of a body."""
+        if self._receiver is None:
+            return
+        self._body_bytes += len(data)
+        if self._body_bytes > MAX_ANSWER_BYTES:
+            self._fail(Failure.GARBLED)
+            return
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Ends an answer."""
+        if self._receiver is not None and self._status >= 200:
+            self._complete()
+
+    # Parts.
+
+    def _begin_answer(self) -> None:
+        self._lines: list[bytes] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._status = 0
+        self._echoed = None
+        self._has_head = False
+        self._has_length = False
+        self._not_run = False
+        self._is_encoded = False
+        self._connection_values: list[bytes] = []
+
+    def _connection_header(self, lower: bytes, value: bytes) -> None:
+        if lower in (b"content-length", b"transfer-encoding"):
+            self._has_length = True
+        elif lower == b"connection":
+            self._connection_values.append(value)
+            if b"close" in value.lower():
+                self._reusable = False
+        elif lower == b"keep-alive":
+            self.keep_s = _keep_alive_s(value) or self.keep_s
+
+    def _ends_with_connection(self) -> bool:
+        return (
+            self._has_head
+            and not self._has_length
+            and self._echoed == self._request_id
+        )
+
+    def _complete(self) -> None:
+        if self._request_id and self._echoed != self._request_id:
+            if self._echoed is None and not self._not_run:
+                self._fail(Failure.GARBLED)
+                return
+            if self._echoed is not None:
+                # A late answer to an earlier request; the own one follows.
+                self._reusable = False
+                return
+        if not self._parser.should_keep_alive():
+            self._reusable = False
+        self._finish()
+
+    def _finish(self) -> None:
+        receiver = self._receiver
+        if receiver is None:
+            return
+        if self._is_encoded:
+            self._fail(Failure.GARBLED)
+            return
+        nominated = heads.nominated(self._connection_values)
+        answer = UpstreamAnswer(
+            self._status,
+            heads.without(self._lines, nominated)
+            if nominated - {b"close", b"keep-alive"}
+            else b"".join(self._lines),
+            b"".join(self._body),
+            self._not_run,
+        )
+        self._receiver = None
+        if self._reusable:
+            self._on_idle(self)
+        else:
+            self.transport.loseConnection()
+        receiver(answer)
+
+    def _fail(self, reason: Failure) -> None:
+        receiver, self._receiver = self._receiver, None
+        self._drop()
+        if receiver is not None:
+            receiver(reason)
+
+    def _drop(self) -> None:
+        self._reusable = False
+        self.transport.abortConnection()
+
+
+def _keep_alive_s(value: bytes) -> float | None:
+    """Returns the timeout stated by a Keep-Alive header."""
+    for part in value.split(b","):
+        name, _, text = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and text.strip().isdigit():
+            return float(text)
+    return None
--- /dev/null
+++ b/src/cyclamendale/proxy/upstream_pool.py
@@ -0,0 +1,216 @@
+"""Connections to the host's own upstream, kept open between requests."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import protocol
+from twisted.python import failure
+
+from cyclamendale import clocks
+from cyclamendale.proxy import dialect as dialects
+from cyclamendale.proxy import upstream_connection as connections
+
+CONNECT_TIMEOUT_S = 1.0
+"""Longest wait for a connection; the upstream is on the same host, and
+one that is out of connections drops the opening packet for a second."""
+
+IDLE_REUSE_S = 4.0
+"""Longest idle time after which a connection is used again; upstreams seen
+so far close after 10 s, some sooner than they state."""
+
+STATED_SHARE = 0.7
+"""Part of the stated idle time that is used, against a close that
+crosses a request."""
+
+UNREPEATABLE_IDLE_S = 2.0
+"""The same for a request that must not run twice: if its connection turns
+out to be gone, nobody can say whether it ran."""
+
+
+class Lease:
+    """The use of a connection for one request."""
+
+    __slots__ = ("_connection", "_is_over")
+
+    def __init__(self) -> None:
+        self._connection: connections.UpstreamConnection | None = None
+        self._is_over = False
+
+    @property
+    def is_over(self) -> bool:
+        """Returns whether it was cancelled."""
+        return self._is_over
+
+    def connected(self, connection: connections.UpstreamConnection) -> None:
+        """Notes the connection that carries the request."""
+        self._connection = connection
+
+    def cancel(self) -> bool:
+        """Breaks the request off; its receiver is not called.
+
+        Returns:
+            Whether it may have been sent.
+        """
+        self._is_over = True
+        if self._connection is None:
+            return False
+        self._connection.abort()
+        return True
+
+
+class UpstreamPool:
+    """Connections to one upstream process, the most recently used first."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: clocks.Clock,
+        dialect: dialects.Dialect,
+        host: str,
+        port: int,
+    ) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._dialect = dialect
+        self._host = host
+        self._port = port
+        self._idle: list[connections.UpstreamConnection] = []
+        self._is_closed = False
+        self.opened = 0
+
+    def send(
+        self,
+        make_data: Callable[[], bytes],
+        request_id: bytes,
+        is_head_request: bool,
+        repeatable: bool,
+        receiver: connections.ExchangeReceiver,
+    ) -> Lease:
+        """Sends a request over an idle or a new connection.
+
+        Args:
+            make_data: Makes the request at the moment of sending.
+            request_id: Id that the answer must echo.
+            is_head_request: Whether the answer has no body by definition.
+            repeatable: Whether the request may run more than once.
+            receiver: Called once unless the lease is cancelled.
+        """
+        lease = Lease()
+        connection = self._take(repeatable)
+        if connection is not None:
+            lease.connected(connection)
+            connection.send(make_data(), request_id, is_head_request, receiver)
+            return lease
+
+        def opened(new: connections.UpstreamConnection) -> None:
+            if lease.is_over:
+                self._put(new)
+                return
+            lease.connected(new)
+            new.send(make_data(), request_id, is_head_request, receiver)
+
+        def failed() -> None:
+            if not lease.is_over:
+                receiver(connections.Failure.NOT_CONNECTED)
+
+        self._connect(opened, failed)
+        return lease
+
+    def close(self) -> None:
+        """Closes idle connections now and the others behind their work."""
+        self._is_closed = True
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.abort()
+
+    def _take(self, repeatable: bool) -> connections.UpstreamConnection | None:
+        now_s = self._clock.now_s()
+        while self._idle:
+            connection = self._idle[-1]
+            idle_s = now_s - connection.idle_since_s
+            if idle_s > _longest_idle_s(connection):
+                # All below it rest longer.
+                stale, self._idle = self._idle, []
+                for old in stale:
+                    old.abort()
+                return None
+            if not repeatable and idle_s > UNREPEATABLE_IDLE_S:
+                return None
+            return self._idle.pop()
+        return None
+
+    def _put(self, connection: connections.UpstreamConnection) -> None:
+        if self._is_closed:
+            connection.abort()
+            return
+        connection.idle_since_s = self._clock.now_s()
+        self._idle.append(connection)
+        if connection.idle_since_s - self._idle[0].idle_since_s > (
+            _longest_idle_s(self._idle[0])
+        ):
+            self._idle.pop(0).abort()
+
+    def _lost(self, connection: connections.UpstreamConnection) -> None:
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    def _connect(
+        self,
+        opened: Callable[[connections.UpstreamConnection], None],
+        failed: Callable[[], None],
+    ) -> None:
+        self.opened += 1
+        factory = _ConnectFactory(
+            lambda: connections.UpstreamConnection(
+                self._dialect, opened, self._put, self._lost
+            ),
+            failed,
+        )
+        self._reactor.connectTCP(
+            self._host, self._port, factory, timeout=CONNECT_TIMEOUT_S
+        )
+
+
+class _ConnectFactory(protocol.ClientFactory):
+    """Opens one connection, once."""
+
+    noisy = False
+
+    def __init__(
+        self,
+        make: Callable[[], connections.UpstreamConnection],
+        failed: Callable[[], None],
+    ) -> None:
+        self._make = make
+        self._failed = failed
+
+    def buildProtocol(self, addr: Any) -> protocol.Protocol:
+        return self._make()
+
+    def clientConnectionFailed(
+        self, connector: Any, reason: failure.Failure
+    ) -> None:
+        self._failed()
+
+
+def _longest_idle_s(connection: connections.UpstreamConnection) -> float:
+    if connection.keep_s is None:
+        return IDLE_REUSE_S
+    return min(IDLE_REUSE_S, connection.keep_s * STATED_SHARE)
+
+
+def make_upstream_pool(
+    reactor: Any, clock: clocks.Clock, dialect: dialects.Dialect, address: str
+) -> UpstreamPool:
+    """Returns a pool without open connections.
+
+    Args:
+        reactor: The twisted reactor.
+        clock: Clock for idle times.
+        dialect: Header names of the upstream.
+        address: Where the upstream listens, `ip:port`.
+    """
+    host, _, port = address.rpartition(":")
+    return UpstreamPool(reactor, clock, dialect, host, int(port))
--- a/src/cyclamendale/refusals.py
+++ b/src/cyclamendale/refusals.py
@@ -36,6 +36,7 @@
     RETRY_BUDGET = "retry-budget"
     LOST = "lost"
     UPSTREAM_FAILED = "upstream-failed"
+    UPSTREAM_REFUSED = "upstream-refused"
     ALREADY_RUN = "already-run"
     MAY_HAVE_RUN = "may-have-run"
     ONCE_UNAVAILABLE = "once-unavailable"
@@ -63,6 +64,7 @@
     RefusalReason.RETRY_BUDGET: 503,
     RefusalReason.LOST: 502,
     RefusalReason.UPSTREAM_FAILED: 502,
+    RefusalReason.UPSTREAM_REFUSED: 503,
     RefusalReason.ALREADY_RUN: 409,
     RefusalReason.MAY_HAVE_RUN: 409,
     RefusalReason.ONCE_UNAVAILABLE: 503,
--- a/src/cyclamendale/store/_http_objects.py
+++ b/src/cyclamendale/store/_http_objects.py
@@ -10,9 +10,9 @@
 from twisted.internet import defer
 from twisted.web import http
 
-from cyclamendale.store import _http_attempt
 from cyclamendale.store import faults
 from cyclamendale.store import http_api
+from cyclamendale.store import http_attempt
 from cyclamendale.store import object_store
 from cyclamendale.store import state as states
 
@@ -20,7 +20,7 @@
 class HttpObjectStore(object_store.ObjectStore):
     """Object store of the platform, over HTTP."""
 
-    def __init__(self, send: _http_attempt.Send) -> None:
+    def __init__(self, send: http_attempt.Send) -> None:
         self._send = send
 
     def put(
--- a/src/cyclamendale/store/_http_table.py
+++ b/src/cyclamendale/store/_http_table.py
@@ -12,19 +12,19 @@
 from twisted.internet import defer
 from twisted.web import http
 
-from cyclamendale.store import _http_attempt
 from cyclamendale.store import faults
 from cyclamendale.store import http_api
+from cyclamendale.store import http_attempt
 from cyclamendale.store import table
 
 T = TypeVar("T")
-Failure = _http_attempt.AttemptFailure
+Failure = http_attempt.AttemptFailure
 
 
 class HttpTable(table.Table):
     """Table of the platform, over HTTP."""
 
-    def __init__(self, send: _http_attempt.Send) -> None:
+    def __init__(self, send: http_attempt.Send) -> None:
         self._send_operation = send
 
     def read(
@@ -143,7 +143,7 @@
         return self._error(table.TableErrorKind.UNAVAILABLE)
 
     def settle(
-        self, answer: _http_attempt.HttpAnswer
+        self, answer: http_attempt.HttpAnswer
     ) -> Result[Any, table.TableError]:
         """Returns the meaning of an answer."""
         if answer.status == http.OK:
--- a/src/cyclamendale/store/http_client.py
+++ b/src/cyclamendale/store/http_client.py
@@ -13,11 +13,11 @@
 from twisted.web import http
 
 from cyclamendale import clocks
-from cyclamendale.store import _http_attempt
 from cyclamendale.store import _http_objects
 from cyclamendale.store import _http_table
 from cyclamendale.store import faults
 from cyclamendale.store import http_api
+from cyclamendale.store import http_attempt
 from cyclamendale.store import load_limit
 from cyclamendale.store import object_store
 from cyclamendale.store import table
@@ -32,7 +32,7 @@
 BACKOFF_BASE_S = 0.05
 BACKOFF_CAP_S = 1.0
 
-Failure = _http_attempt.AttemptFailure
+Failure = http_attempt.AttemptFailure
 
 
 class HttpSettings(msgspec.Struct, frozen=True):
@@ -74,7 +74,7 @@
         self._random = randomness
         self._settings = settings
         self._limiter = load_limit.LoadLimiter(clock, settings.share)
-        self._sender = _http_attempt.Sender(
+        self._sender = http_attempt.Sender(
             reactor,
             clock,
             settings.base_url,
@@ -89,7 +89,7 @@
         method: str,
         path: str,
         body: bytes | None,
-    ) -> Result[_http_attempt.HttpAnswer, Failure]:
+    ) -> Result[http_attempt.HttpAnswer, Failure]:
         """Sends an operation until it is answered or must not be resent.
 
         A table write is sent again only while it certainly had no
@@ -109,7 +109,7 @@
         method: str,
         path: str,
         body: bytes | None,
-    ) -> Result[_http_attempt.HttpAnswer, Failure]:
+    ) -> Result[http_attempt.HttpAnswer, Failure]:
         is_write = operation in faults.WRITES
         if not await self._limiter.acquire(is_write=is_write):
             return Error(Failure.NOT_SENT)
@@ -137,7 +137,7 @@
 
 
 def _is_answer(
-    result: Result[_http_attempt.HttpAnswer, Failure],
+    result: Result[http_attempt.HttpAnswer, Failure],
 ) -> bool:
     match result:
         case Result(tag="ok", ok=answer):
@@ -148,7 +148,7 @@
 
 def _may_repeat(
     operation: faults.Operation,
-    result: Result[_http_attempt.HttpAnswer, Failure],
+    result: Result[http_attempt.HttpAnswer, Failure],
 ) -> bool:
     match result:
         case Result(tag="ok", ok=answer):
