--- a/src/cyclamendale/fleet/hosts.py
+++ b/src/cyclamendale/fleet/hosts.py
@@ -11,6 +11,7 @@
 from cyclamendale import ids
 from cyclamendale.overload import call_frequency
 from cyclamendale.overload import placement
+from cyclamendale.quotas import fleet_levels
 
 SUSPECT_AFTER_REPORTS = 5.0
 """Missed reports after which a host is tried last."""
@@ -61,7 +62,7 @@
         configuration_version: Version in force; 0 before the first.
         is_leaving: Whether the node is shutting down.
         upstream: Its upstream, once that announced itself.
-        demands: Requests a second by customer.
+        spendings: Demand and admissions by customer.
         frequencies: What the node learned of calls.
         is_introduction: Whether an answer is wanted at once.
     """
@@ -73,7 +74,7 @@
     configuration_version: ids.ConfigVersion
     is_leaving: bool = False
     upstream: UpstreamStatus | None = None
-    demands: dict[ids.CustomerId, float] = {}
+    spendings: dict[ids.CustomerId, fleet_levels.Spending] = {}
     frequencies: list[call_frequency.Frequency] = []
     is_introduction: bool = False
 
@@ -87,7 +88,6 @@
         report: The last report, if any was heard.
         heard_s: Clock time of the last report; of the first mention
             before that.
-        demands: Last known demand of each customer.
         candidate: Its upstream as a candidate of placement.
     """
 
@@ -101,7 +101,6 @@
         self.failure_domain = failure_domain
         self.report: HostReport | None = None
         self.heard_s = now_s
-        self.demands: dict[ids.CustomerId, float] = {}
         self.candidate = placement.Candidate(address, failure_domain)
         self.past_incarnations: set[int] = set()
 
@@ -119,11 +118,9 @@
         known = self.report
         if known is not None and known.incarnation != report.incarnation:
             self.past_incarnations.add(known.incarnation)
-            self.demands.clear()
         self.report = report
         self.failure_domain = report.failure_domain
         self.heard_s = now_s
-        self.demands.update(report.demands)
         candidate = self.candidate
         candidate.failure_domain = report.failure_domain
         candidate.is_suspect = False
@@ -224,19 +221,23 @@
         """Returns the mean pressure of a service's open upstreams."""
         return self._pressures.get(service, 0.0)
 
-    def demand_of_others(self) -> dict[ids.CustomerId, float]:
-        """Returns the last known demand at all other hosts together."""
+    def live_others(self) -> set[ids.PeerAddress]:
+        """Returns the other hosts heard of lately."""
+        return {
+            host.address
+            for host in self.others()
+            if not host.candidate.is_suspect
+        }
+
+    def gone_others(self) -> set[ids.PeerAddress]:
+        """Returns the hosts whose part of the quotas is taken back."""
         now_s = self._clock.now_s()
-        total: dict[ids.CustomerId, float] = collections.defaultdict(float)
-        for host in self.others():
-            report = host.report
-            if now_s - host.heard_s > DEMAND_KEPT_S or (
-                report is not None and report.is_leaving
-            ):
-                continue
-            for customer, rate_per_s in host.demands.items():
-                total[customer] += rate_per_s
-        return total
+        return {
+            host.address
+            for host in self.others()
+            if now_s - host.heard_s > DEMAND_KEPT_S
+            or (host.report is not None and host.report.is_leaving)
+        }
 
     def rank_in_domain(self) -> int:
         """Returns how many live hosts of the own domain come before."""
--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -34,7 +34,7 @@
 from cyclamendale.proxy import links
 from cyclamendale.proxy import messages
 from cyclamendale.proxy import server
-from cyclamendale.quotas import demand_share
+from cyclamendale.quotas import fleet_levels
 from cyclamendale.store import watched_rows
 
 FREQUENCY_INTERVAL_S = 0.5
@@ -128,7 +128,7 @@
         )
         self._frequencies = call_frequency.LocalFrequencies()
         self._graph = call_frequency.CallGraph()
-        self._quotas = demand_share.make_demand_shares(self._clock)
+        self._quotas = fleet_levels.make_fleet_quotas(self._clock, self._random)
         source = reporter.ReportSource(
             own,
             settings.failure_domain,
@@ -396,24 +396,27 @@
     def _configured(self, configuration: model.Configuration) -> None:
         table = routing.RoutingTable(configuration)
         self._graph.set_services(table.services_by_route())
+        self._quotas.set_customers(configuration.customers)
         self._dispatcher.configure(table)
 
     def _heard(self, report: hosts.HostReport) -> None:
         self._spread.heard(report)
+        self._quotas.hear(report.address, report.incarnation, report.spendings)
         if report.frequencies:
             self._graph.learn(report.frequencies)
 
-    def _measure(self) -> dict[ids.CustomerId, float]:
-        demands = dict(self._quotas.measure())
-        live = self._view.live_nodes()
-        self._quotas.rebalance(self._view.demand_of_others(), live)
-        self._retries.set_nodes(live)
-        return demands
+    def _measure(self) -> dict[ids.CustomerId, fleet_levels.Spending]:
+        spendings = self._quotas.spending()
+        self._quotas.share_out(
+            self._view.live_others(), self._view.gone_others()
+        )
+        self._retries.set_nodes(self._view.live_nodes())
+        return spendings
 
     def _learn(self) -> None:
+        self._clock.call_later(FREQUENCY_INTERVAL_S, self._learn)
         self._frequencies.end_interval()
         self._graph.learn(self._frequencies.frequencies())
-        self._clock.call_later(FREQUENCY_INTERVAL_S, self._learn)
 
 
 def _pause(clock: clocks.Clock, delay_s: float) -> defer.Deferred[None]:
--- a/src/cyclamendale/fleet/reporter.py
+++ b/src/cyclamendale/fleet/reporter.py
@@ -14,6 +14,7 @@
 from cyclamendale.overload import call_frequency
 from cyclamendale.peer import codec
 from cyclamendale.peer.generated.fleet import ttypes
+from cyclamendale.quotas import fleet_levels
 
 REPORT_INTERVAL_S = 0.25
 """Time between two reports to each host of a small fleet; the delay with
@@ -23,7 +24,7 @@
 """The same per known host, so that a node sends about 100 a second at the
 most."""
 
-MAX_DEMANDS = 40
+MAX_SPENDINGS = 40
 """Customers in one report; more take turns, to fit one datagram."""
 
 FREQUENCIES_EVERY = 4
@@ -38,7 +39,6 @@
     Attributes:
         configuration_version: Returns the version in force.
         upstream: Returns the state of the own upstream.
-        demands: Returns requests a second by customer.
         frequencies: Returns what was learned of calls.
         is_leaving: Returns whether the node is shutting down.
     """
@@ -64,7 +64,7 @@
 
     def report(
         self,
-        demands: dict[ids.CustomerId, float],
+        spendings: dict[ids.CustomerId, fleet_levels.Spending],
         is_introduction: bool = False,
     ) -> hosts.HostReport:
         """Returns the next report."""
@@ -80,22 +80,22 @@
             configuration_version=self._configuration_version(),
             is_leaving=self._is_leaving(),
             upstream=self._upstream(),
-            demands=dict(self._in_turn(demands)),
+            spendings=dict(self._in_turn(spendings)),
             frequencies=frequencies,
             is_introduction=is_introduction,
         )
 
     def _in_turn(
-        self, demands: dict[ids.CustomerId, float]
-    ) -> Iterator[tuple[ids.CustomerId, float]]:
-        if len(demands) <= MAX_DEMANDS:
-            yield from demands.items()
+        self, spendings: dict[ids.CustomerId, fleet_levels.Spending]
+    ) -> Iterator[tuple[ids.CustomerId, fleet_levels.Spending]]:
+        if len(spendings) <= MAX_SPENDINGS:
+            yield from spendings.items()
             return
-        names = sorted(demands)
+        names = sorted(spendings)
         first = self._turn % len(names)
-        self._turn = first + MAX_DEMANDS
-        for name in (names[first:] + names[:first])[:MAX_DEMANDS]:
-            yield name, demands[name]
+        self._turn = first + MAX_SPENDINGS
+        for name in (names[first:] + names[:first])[:MAX_SPENDINGS]:
+            yield name, spendings[name]
 
 
 class Reporter:
@@ -107,7 +107,7 @@
         port: udp.DatagramPort,
         view: hosts.HostView,
         source: ReportSource,
-        measure: Callable[[], dict[ids.CustomerId, float]],
+        measure: Callable[[], dict[ids.CustomerId, fleet_levels.Spending]],
         on_heard: Callable[[hosts.HostReport], None],
         log: Any,
     ) -> None:
@@ -118,7 +118,7 @@
         self._measure = measure
         self._on_heard = on_heard
         self._log = log
-        self._demands: dict[ids.CustomerId, float] = {}
+        self._spendings: dict[ids.CustomerId, fleet_levels.Spending] = {}
         self._next: clocks.DelayedCall | None = None
 
     def start(self) -> None:
@@ -134,7 +134,7 @@
 
     def send_now(self) -> None:
         """Reports at once; for what must not wait."""
-        report = self._source.report(self._demands)
+        report = self._source.report(self._spendings)
         self._view.hear(report)
         data = encode_report(report)
         for host in self._view.others():
@@ -142,16 +142,16 @@
 
     def introduce(self, address: ids.PeerAddress) -> None:
         """Reports to one host and asks for its report."""
-        report = self._source.report(self._demands, is_introduction=True)
+        report = self._source.report(self._spendings, is_introduction=True)
         self._port.transmit(address, encode_report(report))
 
     def _tick(self) -> None:
-        self._demands = self._measure()
-        self._view.refresh()
-        self.send_now()
         known = self._view.known_nodes()
         interval_s = max(REPORT_INTERVAL_S, known * INTERVAL_PER_HOST_S)
         self._next = self._clock.call_later(interval_s, self._tick)
+        self._spendings = self._measure()
+        self._view.refresh()
+        self.send_now()
 
     def _received(self, data: bytes) -> None:
         report = decode_report(data)
@@ -163,7 +163,7 @@
             return
         if is_new or report.is_introduction:
             self._log.belief("host-met", host=report.address, is_new=is_new)
-            answer = self._source.report(self._demands)
+            answer = self._source.report(self._spendings)
             self._port.transmit(report.address, encode_report(answer))
         self._on_heard(report)
 
@@ -190,9 +190,13 @@
                 at_gate=upstream.at_gate,
                 pressure=upstream.pressure,
             ),
-            demands=[
-                ttypes.CustomerDemand(customer=name, rate_per_s=rate_per_s)
-                for name, rate_per_s in report.demands.items()
+            spendings=[
+                ttypes.CustomerSpending(
+                    customer=name,
+                    demand_per_s=spending.demand_per_s,
+                    admitted=spending.admitted,
+                )
+                for name, spending in report.spendings.items()
             ],
             frequencies=[
                 ttypes.CallFrequency(
@@ -232,9 +236,11 @@
             upstream.at_gate,
             upstream.pressure,
         ),
-        demands={
-            ids.CustomerId(demand.customer): demand.rate_per_s
-            for demand in message.demands or ()
+        spendings={
+            ids.CustomerId(spending.customer): fleet_levels.Spending(
+                spending.demand_per_s, spending.admitted
+            )
+            for spending in message.spendings or ()
         },
         frequencies=[
             call_frequency.Frequency(
--- a/src/cyclamendale/peer/idl/fleet.thrift
+++ b/src/cyclamendale/peer/idl/fleet.thrift
@@ -40,15 +40,17 @@
   7: required double pressure,
 }
 
-struct CustomerDemand {
+struct CustomerSpending {
   1: required string customer,
-  2: required double rate_per_s,
+  2: required double demand_per_s,
+  // Requests admitted since the process started.
+  3: required i64 admitted,
 }
 
 // Mean number of calls of one route during a run of another.
 struct CallFrequency {
-  1: required string route,
-  2: required string service_name,
+  1: required string caller,
+  2: required string callee,
   3: required double calls,
 }
 
@@ -61,7 +63,7 @@
   5: required i64 configuration_version,
   6: required bool is_leaving,
   7: optional UpstreamReport upstream,
-  8: optional list<CustomerDemand> demands,
+  8: optional list<CustomerSpending> spendings,
   9: optional list<CallFrequency> frequencies,
   // Whether the receiver should answer with a report of its own at once.
   10: required bool is_introduction,
--- a/src/cyclamendale/proxy/dispatcher.py
+++ b/src/cyclamendale/proxy/dispatcher.py
@@ -24,7 +24,7 @@
 from cyclamendale.proxy import heads
 from cyclamendale.proxy import messages
 from cyclamendale.proxy import server
-from cyclamendale.quotas import demand_share
+from cyclamendale.quotas import fleet_levels
 
 SWEEP_S = 0.05
 """Time between two looks at deadlines; final answers are at most so late."""
@@ -72,7 +72,7 @@
         placement: placement.Placement,
         admission: root_admission.RootAdmission,
         retries: retry_window.RetryWindow,
-        quotas: demand_share.DemandShares,
+        quotas: fleet_levels.FleetQuotas,
         frequencies: call_frequency.LocalFrequencies,
         runner: Callable[[ids.PeerAddress], messages.Runner],
         caller_service: Callable[[], ids.ServiceName],
@@ -263,7 +263,7 @@
                 retry_after_s=admission.retry_after_s(),
             )
         if call.customer is not None:
-            wait_s = self._parts.quotas.admit(call.customer)
+            wait_s = self._parts.quotas.admit(call.customer.name)
             if wait_s is not None:
                 return refusals.Refusal(
                     refusals.RefusalReason.QUOTA, retry_after_s=wait_s
@@ -404,6 +404,8 @@
             refusal = refusals.Refusal(
                 refusals.RefusalReason.LOST, refusals.Execution.UNKNOWN
             )
+        if call.customer is not None and not call.may_have_run:
+            self._parts.quotas.give_back(call.customer.name)
         self._refuse(call.exchange, call, refusal)
 
     def _refuse(
@@ -453,11 +455,11 @@
             call.handle = None
 
     def _look(self) -> None:
+        self.start()
         now_s = self._clock.now_s()
         for call in tuple(self._calls):
             if now_s >= call.deadline_s and not call.is_over:
                 self._time_out(call)
-        self.start()
 
     def _time_out(self, call: _Call) -> None:
         # The gate gives up by itself at the same time; whether the
--- a/src/cyclamendale/proxy/gate.py
+++ b/src/cyclamendale/proxy/gate.py
@@ -316,6 +316,7 @@
     # Time.
 
     def _look(self) -> None:
+        self.start()
         now_s = self._clock.now_s()
         for ticket in tuple(self._queue.expired(now_s)):
             self._refuse(ticket, refusals.RefusalReason.QUEUE_FULL)
@@ -328,7 +329,6 @@
                 self._overdue(run)
         load = self._queue.load()
         self._pressure.update(load.wait_s, load.service_time_s, now_s)
-        self.start()
 
     def _overdue(self, run: _Run) -> None:
         self._lost_in_a_row += 1
--- a/src/cyclamendale/proxy/links.py
+++ b/src/cyclamendale/proxy/links.py
@@ -218,10 +218,10 @@
         return link
 
     def _look(self) -> None:
+        self.start()
         now_s = self._clock.now_s()
         for link in self._links.values():
             link.check(now_s)
-        self.start()
 
 
 class LocalRunner(messages.Runner):
--- a/src/cyclamendale/proxy/server.py
+++ b/src/cyclamendale/proxy/server.py
@@ -420,10 +420,10 @@
         )
 
     def _look(self) -> None:
+        self.start()
         now_s = self.clock.now_s()
         for connection in tuple(self.connections):
             connection.check_time(now_s)
-        self.start()
 
 
 def _special_headers(dialect: dialects.Dialect) -> dict[bytes, Any]:
--- /dev/null
+++ b/src/cyclamendale/quotas/fleet_levels.py
@@ -0,0 +1,241 @@
+"""Quotas of customers that all nodes spend together.
+
+Every node keeps, for each customer, the level of one bucket that the whole
+fleet shares: it refills at the customer's rate, and what any node admitted
+is taken off as the reports tell of it. Between two reports a node spends
+at most its part of the level, by its part of the demand, so all nodes
+together spend at most the level. What was spent beyond it nevertheless,
+while reports were late, is a debt that the fleet pays back first.
+
+A host that falls silent keeps the part that its demand had: its level and
+its refill are left to it, and the hosts that hear each other share the
+rest. So the sum holds on both sides of a cut.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Set
+import math
+import random as random_module
+
+import msgspec
+
+from cyclamendale import clocks
+from cyclamendale import ids
+from cyclamendale.intents import model
+
+BURST_SHARE = 0.8
+"""Part of the burst that the level may reach; the rest covers requests
+that are admitted while reports are under way."""
+
+DEMAND_TIME_S = 2.0
+"""Time over which a node's demand is averaged; eight reports."""
+
+PRIOR_REQUESTS = 6.0
+"""Requests that count as spread evenly over the nodes, so that a few
+arrivals do not move the shares."""
+
+DEEPEST_DEBT_S = 2.0
+"""Refill time of the deepest debt that is remembered; more would refuse
+for longer than the window of the bound needs."""
+
+
+class Spending(msgspec.Struct, frozen=True):
+    """What one process reports of one customer.
+
+    Attributes:
+        demand_per_s: Requests a second that came with its keys.
+        admitted: Requests admitted since the process started.
+    """
+
+    demand_per_s: float
+    admitted: int
+
+
+class _HostSpending:
+    """Last known spending at another host."""
+
+    __slots__ = ("admitted", "demand_per_s", "incarnation")
+
+    def __init__(self, incarnation: int) -> None:
+        self.incarnation = incarnation
+        self.admitted = 0
+        self.demand_per_s = 0.0
+
+
+class _Quota:
+    """One customer's bucket, as this node sees it."""
+
+    __slots__ = (
+        "admitted",
+        "demand_per_s",
+        "grant",
+        "level",
+        "others",
+        "reachable",
+        "seen",
+        "updated_s",
+    )
+
+    def __init__(self, now_s: float) -> None:
+        self.level = 0.0
+        self.grant = 0
+        self.admitted = 0
+        self.seen = 0
+        self.demand_per_s = 0.0
+        self.reachable = 1.0
+        self.updated_s = now_s
+        self.others: dict[ids.PeerAddress, _HostSpending] = {}
+
+
+class FleetQuotas:
+    """The quotas of all customers, as one node may spend them."""
+
+    def __init__(
+        self, clock: clocks.Clock, random: random_module.Random
+    ) -> None:
+        self._clock = clock
+        self._random = random
+        self._quotas: dict[ids.CustomerId, _Quota] = {}
+        self._customers: Mapping[ids.CustomerId, model.Customer] = {}
+        self._measured_s = clock.now_s()
+        self._interval_s = 0.25
+
+    def set_customers(
+        self, customers: Mapping[ids.CustomerId, model.Customer]
+    ) -> None:
+        """Takes the customers in force; levels stay, capped anew."""
+        self._customers = customers
+        for name in customers:
+            self._of(name)
+
+    def admit(self, name: ids.CustomerId) -> float | None:
+        """Spends one request of a customer.
+
+        Returns:
+            None if it is admitted, or the seconds until one may be.
+        """
+        customer = self._customers.get(name)
+        if customer is None or customer.rate_per_s <= 0:
+            return None
+        quota = self._of(name)
+        quota.seen += 1
+        if quota.grant <= 0:
+            return self._wait_s(quota, customer)
+        quota.grant -= 1
+        quota.level -= 1.0
+        quota.admitted += 1
+        return None
+
+    def give_back(self, name: ids.CustomerId) -> None:
+        """Takes an admission back: the request certainly did not run."""
+        quota = self._quotas.get(name)
+        if quota is not None and quota.admitted > 0:
+            quota.admitted -= 1
+            quota.level += 1.0
+
+    def spending(self) -> dict[ids.CustomerId, Spending]:
+        """Averages the demand since the last call; for the reports."""
+        now_s = self._clock.now_s()
+        elapsed_s = max(1e-3, now_s - self._measured_s)
+        self._measured_s = now_s
+        self._interval_s = elapsed_s
+        weight = 1.0 - math.exp(-elapsed_s / DEMAND_TIME_S)
+        for quota in self._quotas.values():
+            rate_per_s = quota.seen / elapsed_s
+            quota.seen = 0
+            quota.demand_per_s += weight * (rate_per_s - quota.demand_per_s)
+        return {
+            name: Spending(quota.demand_per_s, quota.admitted)
+            for name, quota in self._quotas.items()
+        }
+
+    def hear(
+        self,
+        host: ids.PeerAddress,
+        incarnation: int,
+        spendings: Mapping[ids.CustomerId, Spending],
+    ) -> None:
+        """Takes off what another process admitted since its last report."""
+        for name, spending in spendings.items():
+            quota = self._of(name)
+            known = quota.others.get(host)
+            if known is None or known.incarnation != incarnation:
+                is_first = known is None
+                known = quota.others[host] = _HostSpending(incarnation)
+                if is_first:
+                    # What it admitted before this node knew of it is not
+                    # in the level either.
+                    known.admitted = spending.admitted
+            quota.level -= spending.admitted - known.admitted
+            known.admitted = spending.admitted
+            known.demand_per_s = spending.demand_per_s
+
+    def share_out(
+        self, live: Set[ids.PeerAddress], gone: Set[ids.PeerAddress]
+    ) -> None:
+        """Sets what this node may spend until the next call.
+
+        Args:
+            live: Other hosts that were heard of lately.
+            gone: Hosts that certainly spend nothing any more.
+        """
+        now_s = self._clock.now_s()
+        for name, quota in self._quotas.items():
+            customer = self._customers.get(name)
+            if customer is None or customer.rate_per_s <= 0:
+                continue
+            for host in gone:
+                quota.others.pop(host, None)
+            own, reachable = self._parts(quota, live)
+            quota.reachable = reachable
+            self._refill(quota, customer, now_s)
+            part = max(0.0, quota.level) * own / reachable
+            quota.grant = int(part + self._random.random())
+
+    def _parts(
+        self, quota: _Quota, live: Set[ids.PeerAddress]
+    ) -> tuple[float, float]:
+        """Returns the own part and that of all reachable hosts."""
+        nodes = 1 + len(live | quota.others.keys())
+        even = PRIOR_REQUESTS / nodes
+        own = quota.demand_per_s * DEMAND_TIME_S + even
+        silent = 0.0
+        reached = own
+        for host, spending in quota.others.items():
+            part = spending.demand_per_s * DEMAND_TIME_S + even
+            if host in live:
+                reached += part
+            else:
+                silent += part
+        reached += even * len(live - quota.others.keys())
+        total = reached + silent
+        return own / total, reached / total
+
+    def _refill(
+        self, quota: _Quota, customer: model.Customer, now_s: float
+    ) -> None:
+        elapsed_s = max(0.0, now_s - quota.updated_s)
+        quota.updated_s = now_s
+        rate_per_s = customer.rate_per_s * quota.reachable
+        most = max(1.0, customer.burst * BURST_SHARE) * quota.reachable
+        least = -DEEPEST_DEBT_S * customer.rate_per_s
+        risen = quota.level + elapsed_s * rate_per_s
+        quota.level = max(least, min(most, risen))
+
+    def _wait_s(self, quota: _Quota, customer: model.Customer) -> float:
+        rate_per_s = max(0.1, customer.rate_per_s * quota.reachable)
+        return max(self._interval_s, (1.0 - quota.level) / rate_per_s)
+
+    def _of(self, name: ids.CustomerId) -> _Quota:
+        quota = self._quotas.get(name)
+        if quota is None:
+            quota = self._quotas[name] = _Quota(self._clock.now_s())
+        return quota
+
+
+def make_fleet_quotas(
+    clock: clocks.Clock, random: random_module.Random
+) -> FleetQuotas:
+    """Returns the quotas of a node that knows of no customer yet."""
+    return FleetQuotas(clock, random)
