--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -200,6 +200,7 @@
                 self._retries,
                 self._quotas,
                 self._frequencies,
+                self._graph.chain,
                 self._runner,
                 self._caller_service,
                 self._observer,
--- a/src/cyclamendale/proxy/dispatcher.py
+++ b/src/cyclamendale/proxy/dispatcher.py
@@ -74,6 +74,7 @@
         retries: retry_window.RetryWindow,
         quotas: fleet_levels.FleetQuotas,
         frequencies: call_frequency.LocalFrequencies,
+        chain_of: root_admission.ChainOf,
         runner: Callable[[ids.PeerAddress], messages.Runner],
         caller_service: Callable[[], ids.ServiceName],
         observer: Any,
@@ -87,6 +88,7 @@
         self.retries = retries
         self.quotas = quotas
         self.frequencies = frequencies
+        self.chain_of = chain_of
         self.runner = runner
         self.caller_service = caller_service
         self.observer = observer
@@ -246,7 +248,7 @@
             route.idempotent,
             is_onward,
         )
-        parts.retries.request(service)
+        parts.retries.request(service, parts.chain_of(route.name))
         if is_onward:
             parts.frequencies.called(route.name)
 
@@ -389,7 +391,9 @@
         ):
             return False
         reserve = ONWARD_RESERVE if work.onward else ROOT_RESERVE
-        return self._parts.retries.may_repeat(work.service, reserve)
+        return self._parts.retries.may_repeat(
+            work.service, self._parts.chain_of(work.route), reserve
+        )
 
     # The end of a request.
 
