--- a/src/cyclamendale/overload/room_queue.py
+++ b/src/cyclamendale/overload/room_queue.py
@@ -57,7 +57,7 @@
     Attributes:
         work: The request.
         arrived_s: Clock time of its arrival at the gate.
-        started_s: Clock time of its hand-over; 0 while it waits.
+        started_s: Clock time of its hand-over, or None while it waits.
         place: Rank, and 1 if it is late anyway, else 0.
         is_withdrawn: Whether it left the queue without being run.
     """
@@ -67,7 +67,7 @@
     def __init__(self, work: messages.Work, now_s: float) -> None:
         self.work = work
         self.arrived_s = now_s
-        self.started_s = 0.0
+        self.started_s: float | None = None
         self.place = (-1 if work.onward else work.rank, 0)
         self.is_withdrawn = False
 
@@ -146,7 +146,7 @@
 
     def withdraw(self, ticket: Ticket) -> bool:
         """Takes a waiting request out; False if it is not waiting."""
-        if ticket.started_s or ticket.is_withdrawn:
+        if ticket.started_s is not None or ticket.is_withdrawn:
             return False
         ticket.is_withdrawn = True
         self._left(ticket)
@@ -163,6 +163,7 @@
                 taken longer still.
         """
         self._in_service -= 1
+        assert ticket.started_s is not None
         took_s = now_s - ticket.started_s
         if not (counts or took_s > self._service_time_s):
             return
--- a/src/cyclamendale/proxy/gate.py
+++ b/src/cyclamendale/proxy/gate.py
@@ -281,7 +281,7 @@
             work.request_id,
             failure=reason.value,
             upstream=self.upstream_id,
-            in_service_s=round(self._clock.now_s() - run.ticket.started_s, 3),
+            age_s=round(self._clock.now_s() - run.ticket.arrived_s, 3),
         )
         if reason is connections.Failure.NOT_CONNECTED:
             self.close(Door.LOST)
@@ -323,7 +323,7 @@
         for run in tuple(self._runs.values()):
             ticket = run.ticket
             if (
-                ticket.started_s
+                ticket.started_s is not None
                 and now_s > ticket.work.deadline_s + ANSWER_GRACE_S
             ):
                 self._overdue(run)
--- /dev/null
+++ b/tests/test_fleet_hosts.py
@@ -0,0 +1,137 @@
+"""What follows from the reports of other hosts, in every order."""
+
+from __future__ import annotations
+
+import testtools
+from twisted.internet import task
+
+from cyclamendale import clocks
+from cyclamendale.fleet import hosts
+from cyclamendale.fleet import reporter
+from cyclamendale.overload import call_frequency
+from cyclamendale.quotas import fleet_levels
+
+OWN = "10.0.0.1:7"
+OTHER = "10.0.0.2:7"
+
+
+def upstream(name="i-1", is_open=True, pressure=0.0, **more):
+    values = {"service": "wash", "slots": 10, "cold_left_s": 0.0,
+              "at_gate": 0, "service_time_s": 0.1, **more}  # fmt: skip
+    return hosts.UpstreamStatus(
+        upstream_id=name, is_open=is_open, pressure=pressure, **values
+    )
+
+
+def report(sequence=1, incarnation=1, address=OTHER, **more):
+    values = {"failure_domain": "south", "configuration_version": 4,
+              "upstream": upstream(), **more}  # fmt: skip
+    return hosts.HostReport(
+        address=address, incarnation=incarnation, sequence=sequence, **values
+    )
+
+
+class ViewCase(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.reactor = task.Clock()
+        self.view = hosts.HostView(
+            clocks.ReactorClock(self.reactor), OWN, "north", 0.25
+        )
+
+    def names(self):
+        return [found.upstream_id for found in self.view.candidates("wash")]
+
+
+class OrderTest(ViewCase):
+    scenarios = [
+        ("newer", {"reports": [report(1), report(2, upstream=None)],
+                   "names": []}),
+        ("late", {"reports": [report(2), report(1, upstream=None)],
+                  "names": ["i-1"]}),
+        ("repeated", {"reports": [report(2), report(2, upstream=None)],
+                      "names": ["i-1"]}),
+        ("of a new process", {
+            "reports": [report(9), report(1, 2, upstream=upstream("i-2"))],
+            "names": ["i-2"]}),
+        ("late of the process before", {
+            "reports": [report(9), report(1, 2, upstream=upstream("i-2")),
+                        report(10)],
+            "names": ["i-2"]}),
+        ("closed", {"reports": [report(1, upstream=upstream(is_open=False))],
+                    "names": []}),
+        ("leaving", {"reports": [report(1, is_leaving=True)], "names": []}),
+    ]  # fmt: skip
+
+    def test_the_newest_report_counts(self):
+        for heard in self.reports:
+            self.view.hear(heard)
+        self.assertEqual(self.names, ViewCase.names(self))
+
+
+class SilenceTest(ViewCase):
+    def test_a_silent_host_is_suspected_then_left_out(self):
+        self.view.hear(report())
+        self.reactor.advance(1.0)
+        self.view.refresh()
+        self.assertEqual({OTHER}, self.view.live_others())
+        self.reactor.advance(0.5)
+        self.view.refresh()
+        self.assertEqual(set(), self.view.live_others())
+        self.assertEqual(["i-1"], self.names())
+        self.reactor.advance(4.0)
+        self.view.refresh()
+        self.assertEqual([], self.names())
+
+    def test_its_share_of_quotas_is_kept_for_long(self):
+        self.view.hear(report())
+        self.reactor.advance(30.0)
+        self.assertEqual(set(), self.view.gone_others())
+        self.reactor.advance(31.0)
+        self.assertEqual({OTHER}, self.view.gone_others())
+
+
+class PressureTest(ViewCase):
+    def test_is_the_mean_of_the_open_upstreams(self):
+        for index, pressure in enumerate((0.0, 2.0)):
+            self.view.hear(
+                report(
+                    address=f"10.0.1.{index}:7",
+                    upstream=upstream(pressure=pressure),
+                )
+            )
+        self.view.refresh()
+        self.assertEqual(1.0, self.view.pressure("wash"))
+
+
+class WatcherTest(ViewCase):
+    def test_the_first_addresses_of_a_domain_come_first(self):
+        self.view.hear(report(address="10.0.0.0:7", failure_domain="north"))
+        self.view.hear(report(address="10.0.0.9:7", failure_domain="north"))
+        self.view.hear(report(address="10.0.0.0:8", failure_domain="south"))
+        self.assertEqual(1, self.view.rank_in_domain())
+        self.reactor.advance(3.0)
+        self.view.refresh()
+        self.assertEqual(0, self.view.rank_in_domain())
+
+
+class DatagramTest(testtools.TestCase):
+    scenarios = [
+        ("bare", {"report": report(upstream=None)}),
+        ("full", {
+            "report": report(
+                spendings={"c": fleet_levels.Spending(2.5, 77)},
+                frequencies=[call_frequency.Frequency("a", "b", 1.5)],
+                is_introduction=True,
+                is_leaving=True,
+            )}),
+    ]  # fmt: skip
+
+    def test_decodes_to_what_was_encoded(self):
+        data = reporter.encode_report(self.report)
+        self.assertEqual(self.report, reporter.decode_report(data))
+
+    def test_any_cut_of_it_is_no_report(self):
+        data = reporter.encode_report(self.report)
+        for length in range(len(data)):
+            self.assertIsNone(reporter.decode_report(data[:length]))
