Split large modules; test two whole nodes in one process

The exchange, the parts of a call, the codec of runs and the own upstream stand in modules of their own. Stopping closes the links to other nodes too.

--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -12,12 +12,12 @@
 
 from cyclamendale import clocks
 from cyclamendale import ids
-from cyclamendale.fleet import announcements
 from cyclamendale.fleet import configuration as configurations
 from cyclamendale.fleet import discovery
 from cyclamendale.fleet import hosts
 from cyclamendale.fleet import journal
 from cyclamendale.fleet import observation
+from cyclamendale.fleet import own_upstream
 from cyclamendale.fleet import reporter
 from cyclamendale.fleet import routing
 from cyclamendale.fleet import settings as settings_module
@@ -28,6 +28,7 @@
 from cyclamendale.overload import retry_window
 from cyclamendale.overload import root_admission
 from cyclamendale.peer import thrift_network
+from cyclamendale.proxy import calls
 from cyclamendale.proxy import dialect as dialects
 from cyclamendale.proxy import dispatcher
 from cyclamendale.proxy import gate as gates
@@ -81,17 +82,18 @@
         settings: settings_module.HostSettings,
         formats: Formats,
         rows: watched_rows.WatchedRows,
+        log: journal.Journal,
     ) -> None:
         self._reactor = reactor
         self._settings = settings
         self._formats = formats
         self._clock = clock = clocks.SystemClock(reactor)
         self._random = random.Random()
-        self.log = journal.make_journal(clock, settings.host)
+        self.log = log
         self._observer = observation.Observer(clock, self.log)
-        self._announced = announcements.AnnouncedUpstream(settings.ip)
         self._is_leaving = False
         self._ports: list[Any] = []
+        self._next_learning: clocks.DelayedCall | None = None
         self._build_fleet(rows)
         self._build_path()
         self._add_gauges()
@@ -133,7 +135,7 @@
             own,
             settings.failure_domain,
             lambda: self._in_force.version,
-            self._upstream_status,
+            lambda: self._own_upstream.status(),
             lambda: list(self._frequencies.frequencies()),
             lambda: self._is_leaving,
         )
@@ -166,9 +168,12 @@
             self._clock,
             self._formats.dialect,
             self.log,
-            self._door_changed,
+            self._reporter.send_now,
         )
         self._gate.on_run = self._ran
+        self._own_upstream = own_upstream.OwnUpstream(
+            settings.ip, self._gate, self._in_force, self.log
+        )
         self._run_server = links.RunServer(
             self._peers, self._clock, self._gate, self._gate.load
         )
@@ -185,7 +190,7 @@
             bounds.retry_slack,
         )
         self._dispatcher = dispatcher.Dispatcher(
-            dispatcher.DispatcherParts(
+            calls.DispatcherParts(
                 self._clock,
                 self._random,
                 self._formats.dialect,
@@ -235,7 +240,7 @@
         self._peers.listen(settings.ip, settings.peer_port)
         self._listen(
             settings.announcement_address,
-            self._formats.announcement_site(self),
+            self._formats.announcement_site(self._own_upstream),
         )
         self._listen(
             settings.readiness_address,
@@ -253,7 +258,7 @@
         self._reporter.start()
         self._discovery.start()
         self._spread.start()
-        self._clock.call_later(FREQUENCY_INTERVAL_S, self._learn)
+        self._learn()
 
     def is_ready(self) -> bool:
         """Returns whether callers should be sent here."""
@@ -276,8 +281,10 @@
             if now_s - began_s >= LINGER_S and not self._in_work():
                 break
         self.log.belief("stopped", in_work=self._in_work())
-        for port in self._ports:
-            port.stopListening()
+        closing = [
+            defer.maybeDeferred(port.stopListening) for port in self._ports
+        ]
+        clocks.cancel(self._next_learning)
         self._spread.stop()
         self._discovery.stop()
         self._dispatcher.stop()
@@ -285,6 +292,8 @@
         self._links.stop()
         self._gate.stop()
         yield self._reporter.stop()
+        closing.append(self._peers.close())
+        yield defer.gatherResults(closing)
 
     def _in_work(self) -> int:
         return (
@@ -317,65 +326,6 @@
             bounds=settings.bounds,
         )
 
-    # What the host's upstream says.
-
-    def heard(self, heartbeat: announcements.Heartbeat) -> bool:
-        """Takes a heartbeat; returns whether to confirm it."""
-        configuration = self._in_force.current
-        if (
-            configuration is not None
-            and heartbeat.service not in configuration.services
-        ):
-            self.malformed(f"unknown service {heartbeat.service}")
-            return False
-        verdict = self._announced.hear(heartbeat)
-        if verdict is announcements.Verdict.FOREIGN:
-            self.malformed(f"foreign upstream {heartbeat.upstream_id}")
-            return False
-        if verdict is announcements.Verdict.TAKEN:
-            self._follow_announced()
-        return True
-
-    def left(self, upstream_id: str, born_ms: int | None) -> None:
-        """Takes the word of the upstream that it leaves."""
-        verdict = self._announced.leave(upstream_id, born_ms)
-        self.log.belief(
-            "upstream-leaves", upstream=upstream_id, verdict=verdict.value
-        )
-        self._follow_announced()
-
-    def malformed(self, detail: str) -> None:
-        """Takes note of an announcement that can't be used."""
-        self.log.belief("announcement-ignored", detail=detail)
-
-    def _follow_announced(self) -> None:
-        current = self._announced.current
-        if current is None:
-            return
-        if self._announced.takes_requests:
-            self._gate.open(current.upstream_id, current.address, current.slots)
-        elif self._announced.has_left:
-            self._gate.close(gates.Door.LEAVING)
-
-    def _door_changed(self) -> None:
-        self._reporter.send_now()
-
-    def _upstream_status(self) -> hosts.UpstreamStatus | None:
-        current = self._announced.current
-        if current is None:
-            return None
-        load = self._gate.load()
-        return hosts.UpstreamStatus(
-            current.upstream_id,
-            current.service,
-            load.room,
-            self._gate.door is gates.Door.OPEN,
-            current.cold_left_s,
-            load.in_service + load.queued,
-            self._gate.pressure,
-            load.service_time_s,
-        )
-
     # What the parts ask of each other.
 
     def _runner(self, host: ids.PeerAddress) -> messages.Runner:
@@ -384,8 +334,7 @@
         return self._links.runner(host)
 
     def _caller_service(self) -> ids.ServiceName:
-        current = self._announced.current
-        return current.service if current else self._settings.service
+        return self._own_upstream.service or self._settings.service
 
     def _load_heard(self, host: ids.PeerAddress, at_gate: int) -> None:
         candidate = self._view.candidate_at(host)
@@ -416,7 +365,9 @@
         return spendings
 
     def _learn(self) -> None:
-        self._clock.call_later(FREQUENCY_INTERVAL_S, self._learn)
+        self._next_learning = self._clock.call_later(
+            FREQUENCY_INTERVAL_S, self._learn
+        )
         self._frequencies.end_interval()
         self._graph.learn(self._frequencies.frequencies())
 
@@ -432,6 +383,7 @@
     settings: settings_module.HostSettings,
     formats: Formats,
     rows: watched_rows.WatchedRows,
+    log: journal.Journal,
 ) -> Node:
     """Returns a node that is not started yet."""
-    return Node(reactor, settings, formats, rows)
+    return Node(reactor, settings, formats, rows, log)
--- /dev/null
+++ b/src/cyclamendale/fleet/own_upstream.py
@@ -0,0 +1,88 @@
+"""The host's own upstream: what it announces opens and closes the gate."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from cyclamendale import ids
+from cyclamendale.fleet import announcements
+from cyclamendale.fleet import configuration as configurations
+from cyclamendale.fleet import hosts
+from cyclamendale.proxy import gate as gates
+
+
+class OwnUpstream:
+    """Follows the announcements of the host's upstream."""
+
+    def __init__(
+        self,
+        ip: str,
+        gate: gates.Gate,
+        in_force: configurations.ConfigurationInForce,
+        log: Any,
+    ) -> None:
+        self._announced = announcements.AnnouncedUpstream(ip)
+        self._gate = gate
+        self._in_force = in_force
+        self._log = log
+
+    @property
+    def service(self) -> ids.ServiceName | None:
+        """Returns the service that it announced, if it did."""
+        current = self._announced.current
+        return current.service if current else None
+
+    def heard(self, heartbeat: announcements.Heartbeat) -> bool:
+        """Takes a heartbeat; returns whether to confirm it."""
+        configuration = self._in_force.current
+        if (
+            configuration is not None
+            and heartbeat.service not in configuration.services
+        ):
+            self.malformed(f"unknown service {heartbeat.service}")
+            return False
+        verdict = self._announced.hear(heartbeat)
+        if verdict is announcements.Verdict.FOREIGN:
+            self.malformed(f"foreign upstream {heartbeat.upstream_id}")
+            return False
+        if verdict is announcements.Verdict.TAKEN:
+            self._follow()
+        return True
+
+    def left(self, upstream_id: str, born_ms: int | None) -> None:
+        """Takes the word of the upstream that it leaves."""
+        verdict = self._announced.leave(upstream_id, born_ms)
+        self._log.belief(
+            "upstream-leaves", upstream=upstream_id, verdict=verdict.value
+        )
+        self._follow()
+
+    def malformed(self, detail: str) -> None:
+        """Takes note of an announcement that can't be used."""
+        self._log.belief("announcement-ignored", detail=detail)
+
+    def status(self) -> hosts.UpstreamStatus | None:
+        """Returns what to report of it, once it announced itself."""
+        current = self._announced.current
+        if current is None:
+            return None
+        load = self._gate.load()
+        return hosts.UpstreamStatus(
+            current.upstream_id,
+            current.service,
+            load.room,
+            self._gate.door is gates.Door.OPEN,
+            current.cold_left_s,
+            load.in_service + load.queued,
+            self._gate.pressure,
+            load.service_time_s,
+        )
+
+    def _follow(self) -> None:
+        current = self._announced.current
+        if current is None:
+            return
+        if self._announced.takes_requests:
+            self._gate.open(current.upstream_id, current.address, current.slots)
+        elif self._announced.has_left:
+            self._gate.close(gates.Door.LEAVING)
--- a/src/cyclamendale/platform/daemon.py
+++ b/src/cyclamendale/platform/daemon.py
@@ -12,6 +12,7 @@
 
 from cyclamendale import clocks
 from cyclamendale import lean_reactor
+from cyclamendale.fleet import journal
 from cyclamendale.fleet import node as nodes
 from cyclamendale.platform import exchange
 from cyclamendale.platform import interfaces
@@ -60,6 +61,7 @@
             loaded.ok,
             FORMATS,
             store.make_rows(self._reactor, clock, loaded.ok.store_address),
+            journal.make_journal(clock, loaded.ok.host),
         )
         self._reactor.callWhenRunning(self._start)
         self._reactor.run(installSignalHandlers=False)
--- /dev/null
+++ b/src/cyclamendale/proxy/calls.py
@@ -0,0 +1,98 @@
+"""State of a request at the caller's node, and what its steps need."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random as random_module
+from typing import Any
+
+from cyclamendale import clocks
+from cyclamendale import ids
+from cyclamendale.intents import model
+from cyclamendale.overload import call_frequency
+from cyclamendale.overload import placement
+from cyclamendale.overload import retry_window
+from cyclamendale.overload import root_admission
+from cyclamendale.proxy import dialect as dialects
+from cyclamendale.proxy import exchange as exchanges
+from cyclamendale.proxy import messages
+from cyclamendale.quotas import fleet_levels
+
+
+class DispatcherParts:
+    """What the dispatcher asks other parts of the node.
+
+    Attributes:
+        routing: Table in force, or None before the first.
+        runner: Returns the way to a host's gate.
+        is_from_upstream: Whether a request comes from the own upstream.
+        caller_service: Service of the own host.
+        nodes: Returns how many nodes the fleet has.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        random: random_module.Random,
+        dialect: dialects.Dialect,
+        placement: placement.Placement,
+        admission: root_admission.RootAdmission,
+        retries: retry_window.RetryWindow,
+        quotas: fleet_levels.FleetQuotas,
+        frequencies: call_frequency.LocalFrequencies,
+        chain_of: root_admission.ChainOf,
+        runner: Callable[[ids.PeerAddress], messages.Runner],
+        caller_service: Callable[[], ids.ServiceName],
+        observer: Any,
+        log: Any,
+    ) -> None:
+        self.clock = clock
+        self.random = random
+        self.dialect = dialect
+        self.placement = placement
+        self.admission = admission
+        self.retries = retries
+        self.quotas = quotas
+        self.frequencies = frequencies
+        self.chain_of = chain_of
+        self.runner = runner
+        self.caller_service = caller_service
+        self.observer = observer
+        self.log = log
+
+
+class Call:
+    """One request between its arrival and its answer."""
+
+    __slots__ = (
+        "candidate",
+        "customer",
+        "deadline_s",
+        "exchange",
+        "handle",
+        "is_over",
+        "may_have_run",
+        "offers",
+        "route",
+        "sends",
+        "sent_s",
+        "tried",
+        "work",
+    )
+
+    def __init__(
+        self, exchange: exchanges.Exchange, route: model.Route
+    ) -> None:
+        self.exchange = exchange
+        self.route = route
+        self.customer: model.Customer | None = None
+        self.work: Any = None
+        self.deadline_s = 0.0
+        self.handle: messages.Handle | None = None
+        self.candidate: placement.Candidate | None = None
+        self.sent_s = 0.0
+        self.tried: tuple[ids.PeerAddress, ...] = ()
+        self.offers = 0
+        self.sends = 0
+        self.may_have_run = False
+        self.is_over = False
--- a/src/cyclamendale/proxy/dispatcher.py
+++ b/src/cyclamendale/proxy/dispatcher.py
@@ -6,25 +6,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-import random as random_module
-from typing import Any
-
 from cyclamendale import clocks
-from cyclamendale import ids
 from cyclamendale import refusals
 from cyclamendale.fleet import routing
 from cyclamendale.intents import model
-from cyclamendale.overload import call_frequency
 from cyclamendale.overload import placement
-from cyclamendale.overload import retry_window
-from cyclamendale.overload import root_admission
 from cyclamendale.overload import split
-from cyclamendale.proxy import dialect as dialects
+from cyclamendale.proxy import calls
+from cyclamendale.proxy import exchange as exchanges
 from cyclamendale.proxy import heads
 from cyclamendale.proxy import messages
-from cyclamendale.proxy import server
-from cyclamendale.quotas import fleet_levels
 
 SWEEP_S = 0.05
 """Time between two looks at deadlines; final answers are at most so late."""
@@ -36,10 +27,9 @@
 LEAST_LEFT_S = 0.02
 """Time left below which sending again is of no use."""
 
-ONWARD_RESERVE = 0.0
 ROOT_RESERVE = 0.4
-"""Parts of the retry allowance left to others: a caller repeats a root by
-itself, but nobody else repeats an onward call."""
+"""Part of the retry allowance that roots leave to onward calls: a caller
+repeats a root by itself, but nobody else repeats an onward call."""
 
 NOT_READY_RETRY_S = 0.5
 """Retry-After of a node that does not know any configuration yet."""
@@ -53,92 +43,15 @@
 LEAST_RETRY_AFTER_S = 0.05
 
 
-class DispatcherParts:
-    """What the dispatcher asks other parts of the node.
-
-    Attributes:
-        routing: Table in force, or None before the first.
-        runner: Returns the way to a host's gate.
-        is_from_upstream: Whether a request comes from the own upstream.
-        caller_service: Service of the own host.
-        nodes: Returns how many nodes the fleet has.
-    """
-
-    def __init__(
-        self,
-        clock: clocks.Clock,
-        random: random_module.Random,
-        dialect: dialects.Dialect,
-        placement: placement.Placement,
-        admission: root_admission.RootAdmission,
-        retries: retry_window.RetryWindow,
-        quotas: fleet_levels.FleetQuotas,
-        frequencies: call_frequency.LocalFrequencies,
-        chain_of: root_admission.ChainOf,
-        runner: Callable[[ids.PeerAddress], messages.Runner],
-        caller_service: Callable[[], ids.ServiceName],
-        observer: Any,
-        log: Any,
-    ) -> None:
-        self.clock = clock
-        self.random = random
-        self.dialect = dialect
-        self.placement = placement
-        self.admission = admission
-        self.retries = retries
-        self.quotas = quotas
-        self.frequencies = frequencies
-        self.chain_of = chain_of
-        self.runner = runner
-        self.caller_service = caller_service
-        self.observer = observer
-        self.log = log
-
-
-class _Call:
-    """One request between its arrival and its answer."""
-
-    __slots__ = (
-        "candidate",
-        "customer",
-        "deadline_s",
-        "exchange",
-        "handle",
-        "is_over",
-        "may_have_run",
-        "offers",
-        "route",
-        "sends",
-        "sent_s",
-        "tried",
-        "work",
-    )
-
-    def __init__(self, exchange: server.Exchange, route: model.Route) -> None:
-        self.exchange = exchange
-        self.route = route
-        self.customer: model.Customer | None = None
-        self.work: Any = None
-        self.deadline_s = 0.0
-        self.handle: messages.Handle | None = None
-        self.candidate: placement.Candidate | None = None
-        self.sent_s = 0.0
-        self.tried: tuple[ids.PeerAddress, ...] = ()
-        self.offers = 0
-        self.sends = 0
-        self.may_have_run = False
-        self.is_over = False
-
-
-class Dispatcher(server.Handler):
+class Dispatcher(exchanges.Handler):
     """Handles the requests of callers and of the host's upstream."""
 
-    def __init__(self, parts: DispatcherParts) -> None:
+    def __init__(self, parts: calls.DispatcherParts) -> None:
         self._parts = parts
         self._clock = parts.clock
         self._routing: routing.RoutingTable | None = None
         self._split = split.SplitWheel()
-        self._calls: set[_Call] = set()
+        self._calls: set[calls.Call] = set()
         self._sweep: clocks.DelayedCall | None = None
 
     def start(self) -> None:
@@ -159,7 +72,7 @@
             return model.RequestLimits()
         return self._routing.configuration.limits
 
-    def handle(self, exchange: server.Exchange) -> None:
+    def handle(self, exchange: exchanges.Exchange) -> None:
         """See base class."""
         table = self._routing
         if table is None:
@@ -181,7 +94,7 @@
                 refusals.Refusal(refusals.RefusalReason.ROUTE_UNKNOWN),
             )
             return
-        call = _Call(exchange, route)
+        call = calls.Call(exchange, route)
         refusal = self._identify(call, table)
         if refusal is None:
             self._prepare(call)
@@ -196,7 +109,7 @@
     # Steps before the first send.
 
     def _identify(
-        self, call: _Call, table: routing.RoutingTable
+        self, call: calls.Call, table: routing.RoutingTable
     ) -> refusals.Refusal | None:
         if call.route.open or not table.configuration.customers:
             return None
@@ -208,7 +121,7 @@
             return refusals.Refusal(refusals.RefusalReason.KEY_UNKNOWN)
         return None
 
-    def _prepare(self, call: _Call) -> None:
+    def _prepare(self, call: calls.Call) -> None:
         request, route = call.exchange.request, call.route
         remaining_s = request.remaining_s
         if remaining_s is None:
@@ -252,7 +165,7 @@
         if is_onward:
             parts.frequencies.called(route.name)
 
-    def _admit(self, call: _Call) -> refusals.Refusal | None:
+    def _admit(self, call: calls.Call) -> refusals.Refusal | None:
         work = call.work
         if work.onward:
             return None
@@ -274,7 +187,7 @@
 
     # Sending, and sending again.
 
-    def _send(self, call: _Call) -> None:
+    def _send(self, call: calls.Call) -> None:
         now_s = self._clock.now_s()
         work = call.work
         candidate = self._parts.placement.choose(
@@ -297,7 +210,7 @@
         if handle is not None and call.candidate is candidate:
             call.handle = handle
 
-    def _ended(self, call: _Call, outcome: messages.Outcome) -> None:
+    def _ended(self, call: calls.Call, outcome: messages.Outcome) -> None:
         candidate = call.candidate
         assert candidate is not None
         candidate.ended()
@@ -311,7 +224,7 @@
 
     def _answered(
         self,
-        call: _Call,
+        call: calls.Call,
         candidate: placement.Candidate,
         answer: messages.Answer,
     ) -> None:
@@ -336,7 +249,7 @@
 
     def _refused(
         self,
-        call: _Call,
+        call: calls.Call,
         candidate: placement.Candidate,
         refusal: refusals.Refusal,
     ) -> None:
@@ -370,13 +283,13 @@
         else:
             self._give_up(call, refusal)
 
-    def _may_offer_again(self, call: _Call) -> bool:
+    def _may_offer_again(self, call: calls.Call) -> bool:
         return (
             call.offers < MOST_OFFERS
             and call.deadline_s - self._clock.now_s() > LEAST_LEFT_S
         )
 
-    def _should_repeat(self, call: _Call) -> bool:
+    def _should_repeat(self, call: calls.Call) -> bool:
         work = call.work
         if call.may_have_run and not work.idempotent:
             return False
@@ -390,14 +303,14 @@
             work.service, call.tried, limit_s, now_s
         ):
             return False
-        reserve = ONWARD_RESERVE if work.onward else ROOT_RESERVE
+        reserve = 0.0 if work.onward else ROOT_RESERVE
         return self._parts.retries.may_repeat(
             work.service, self._parts.chain_of(work.route), reserve
         )
 
     # The end of a request.
 
-    def _give_up(self, call: _Call, refusal: refusals.Refusal) -> None:
+    def _give_up(self, call: calls.Call, refusal: refusals.Refusal) -> None:
         """Answers with a refusal that is true of all sends together."""
         self._finish(call)
         if call.may_have_run and (
@@ -412,8 +325,8 @@
 
     def _refuse(
         self,
-        exchange: server.Exchange,
-        call: _Call | None,
+        exchange: exchanges.Exchange,
+        call: calls.Call | None,
         refusal: refusals.Refusal,
     ) -> None:
         status = refusal.http_status
@@ -441,12 +354,12 @@
         spread = self._parts.random.uniform(*RETRY_AFTER_SPREAD)
         return max(LEAST_RETRY_AFTER_S, wait_s * spread)
 
-    def _finish(self, call: _Call) -> None:
+    def _finish(self, call: calls.Call) -> None:
         call.is_over = True
         self._calls.discard(call)
         call.exchange.cancel = None
 
-    def _caller_left(self, call: _Call) -> None:
+    def _caller_left(self, call: calls.Call) -> None:
         if call.is_over:
             return
         self._finish(call)
@@ -463,7 +376,7 @@
             if now_s >= call.deadline_s and not call.is_over:
                 self._time_out(call)
 
-    def _time_out(self, call: _Call) -> None:
+    def _time_out(self, call: calls.Call) -> None:
         # The gate gives up by itself at the same time; whether the
         # upstream had begun is not known here.
         self._finish(call)
--- a/src/cyclamendale/proxy/links.py
+++ b/src/cyclamendale/proxy/links.py
@@ -16,6 +16,7 @@
 from cyclamendale.peer import thrift_network
 from cyclamendale.peer.generated.fleet import ttypes
 from cyclamendale.proxy import messages
+from cyclamendale.proxy import run_codec
 
 MAX_FRAME_BYTES = 72 * 1024 * 1024
 """Longest frame: the longest body, its head and the struct around them."""
@@ -61,7 +62,7 @@
         connection.request(
             kinds.MessageKind.RUN,
             self._call_id,
-            _encode_work(self._work, self._link.clock.now_s()),
+            run_codec.encode_work(self._work, self._link.clock.now_s()),
             self._replied,
         )
 
@@ -81,15 +82,15 @@
     def _replied(self, reply: bytes | network.PeerErrorKind) -> None:
         self._link.heard()
         if isinstance(reply, network.PeerErrorKind):
-            self._finish(_lost())
+            self._finish(run_codec.lost())
             return
         try:
             answer = codec.decode(ttypes.RunAnswer, reply, MAX_FRAME_BYTES)
         except codec.DecodeError:
-            self._finish(_lost())
+            self._finish(run_codec.lost())
             return
         self._link.load(answer.at_gate)
-        self._finish(_decode_outcome(answer))
+        self._finish(run_codec.decode_outcome(answer))
 
     def _finish(self, outcome: messages.Outcome) -> None:
         receiver, self._receiver = self._receiver, None
@@ -298,10 +299,10 @@
             connection.reply(
                 kinds.MessageKind.RUN,
                 call_id,
-                _encode_outcome(outcome, self._load()),
+                run_codec.encode_outcome(outcome, self._load()),
             )
 
-        work = _decode_work(message, self._clock.now_s())
+        work = run_codec.decode_work(message, self._clock.now_s())
         handle = self._gate.run(work, ended)
         if handle is not None:
             runs[call_id] = handle
@@ -327,88 +328,3 @@
     def _lost(self, connection: connections.PeerConnection) -> None:
         for handle in self._runs.pop(connection, {}).values():
             handle.cancel()
-
-
-def _lost() -> refusals.Refusal:
-    return refusals.Refusal(
-        refusals.RefusalReason.LOST, refusals.Execution.UNKNOWN
-    )
-
-
-def _encode_work(work: messages.Work, now_s: float) -> bytes:
-    return codec.encode(
-        ttypes.RunRequest(
-            request_id=work.request_id,
-            service_name=work.service,
-            head=work.head,
-            body=work.body,
-            remaining_s=work.deadline_s - now_s,
-            rank=work.rank,
-            idempotent=work.idempotent,
-            onward=work.onward,
-            upstream_id=work.upstream_id,
-            aim_left_s=work.aim_s - now_s,
-            route=work.route,
-        )
-    )
-
-
-def _decode_work(message: Any, now_s: float) -> messages.Work:
-    return messages.Work(
-        request_id=message.request_id,
-        route=ids.RouteName(message.route),
-        service=ids.ServiceName(message.service_name),
-        head=message.head,
-        body=message.body,
-        deadline_s=now_s + message.remaining_s,
-        aim_s=now_s + message.aim_left_s,
-        rank=message.rank,
-        idempotent=message.idempotent,
-        onward=message.onward,
-        upstream_id=message.upstream_id,
-    )
-
-
-def _encode_outcome(
-    outcome: messages.Outcome, load: room_queue.GateLoad
-) -> bytes:
-    at_gate = load.in_service + load.queued
-    if isinstance(outcome, messages.Answer):
-        return codec.encode(
-            ttypes.RunAnswer(
-                status=outcome.status,
-                head=outcome.lines,
-                body=outcome.body,
-                may_have_run=True,
-                at_gate=at_gate,
-            )
-        )
-    return codec.encode(
-        ttypes.RunAnswer(
-            status=0,
-            head=b"",
-            body=b"",
-            reason=outcome.reason.value,
-            may_have_run=outcome.execution is refusals.Execution.UNKNOWN,
-            retry_after_s=outcome.retry_after_s,
-            at_gate=at_gate,
-        )
-    )
-
-
-def _decode_outcome(answer: Any) -> messages.Outcome:
-    if answer.status:
-        return messages.Answer(answer.status, answer.head, answer.body)
-    execution = (
-        refusals.Execution.UNKNOWN
-        if answer.may_have_run
-        else refusals.Execution.NOT_RUN
-    )
-    try:
-        reason = refusals.RefusalReason(answer.reason)
-    except ValueError:
-        # A newer peer's reason; what it says of the execution holds.
-        reason = refusals.RefusalReason.LOST
-    return refusals.Refusal(
-        reason, execution, retry_after_s=answer.retry_after_s
-    )
--- a/src/cyclamendale/proxy/server.py
+++ b/src/cyclamendale/proxy/server.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import abc
 import collections
 from typing import Any
 
@@ -17,8 +16,8 @@
 from cyclamendale import _immediate_write
 from cyclamendale import clocks
 from cyclamendale import refusals
-from cyclamendale.intents import model
 from cyclamendale.proxy import dialect as dialects
+from cyclamendale.proxy import exchange as exchanges
 from cyclamendale.proxy import heads
 from cyclamendale.proxy import messages
 
@@ -32,79 +31,6 @@
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class Exchange:
-    """One request of a caller, from whole to answered.
-
-    Attributes:
-        request: The request.
-        cancel: Gives its work up; set by whoever handles it.
-        is_over: Whether it was answered or the caller is gone.
-    """
-
-    __slots__ = ("_close", "_connection", "_output", "cancel", "is_over",
-                 "request")  # fmt: skip
-
-    def __init__(
-        self,
-        connection: CallerConnection,
-        request: messages.CallerRequest,
-        close: bool,
-    ) -> None:
-        self.request = request
-        self.cancel: Any = None
-        self.is_over = False
-        self._connection = connection
-        self._close = close
-        self._output: bytes | None = None
-
-    def respond(self, status: int, lines: bytes, body: bytes) -> None:
-        """Answers; does nothing if the caller is gone.
-
-        Args:
-            status: HTTP status.
-            lines: Header lines, each ended by CRLF.
-            body: The whole body.
-        """
-        if self.is_over:
-            return
-        self.is_over = True
-        self.cancel = None
-        close = self._close or self._connection.is_closing
-        parts = [heads.status_line(status), lines]
-        if heads.has_body(status):
-            parts.append(b"Content-Length: %d\r\n" % len(body))
-        if close:
-            parts.append(b"Connection: close\r\n")
-            self._close = True
-        parts.append(heads.CRLF)
-        if self.request.method != b"HEAD":
-            parts.append(body)
-        self._output = b"".join(parts)
-        self._connection.flush()
-
-    @property
-    def output(self) -> bytes | None:
-        """Returns the bytes of the answer once there is one."""
-        return self._output
-
-    @property
-    def closes(self) -> bool:
-        """Returns whether the connection ends behind the answer."""
-        return self._close
-
-
-class Handler(abc.ABC):
-    """Takes the whole requests of callers."""
-
-    @abc.abstractmethod
-    def handle(self, exchange: Exchange) -> None:
-        """Handles a request; calls its `respond` now or later."""
-
-    @abc.abstractmethod
-    def limits(self) -> model.RequestLimits:
-        """Returns what callers may send at present."""
-
-
 class CallerConnection(protocol.Protocol):
     """One connection of a caller."""
 
@@ -114,7 +40,9 @@
     def __init__(self, server: CallerServer) -> None:
         self._server = server
         self._parser: Any = httptools.HttpRequestParser(self)
-        self._exchanges: collections.deque[Exchange] = collections.deque()
+        self._exchanges: collections.deque[exchanges.Exchange] = (
+            collections.deque()
+        )
         self._limits = server.handler.limits()
         self._request = messages.CallerRequest()
         self._lines: list[bytes] = []
@@ -197,8 +125,8 @@
     ) -> None:
         """Gives up the work that nobody waits for any more."""
         self._server.connections.discard(self)
-        exchanges, self._exchanges = self._exchanges, collections.deque()
-        for exchange in exchanges:
+        given_up, self._exchanges = self._exchanges, collections.deque()
+        for exchange in given_up:
             exchange.is_over = True
             if exchange.cancel is not None:
                 exchange.cancel()
@@ -274,7 +202,7 @@
         now_s = self._server.clock.now_s()
         request.arrived_s = self._since_s = now_s
         self._is_last = not self._parser.should_keep_alive()
-        exchange = Exchange(self, request, self._is_last)
+        exchange = exchanges.Exchange(self, request, self._is_last)
         self._exchanges.append(exchange)
         if len(self._exchanges) >= MAX_PIPELINED and not self._is_paused:
             self._is_paused = True
@@ -321,22 +249,22 @@
 
     def flush(self) -> None:
         """Writes the answers whose turn it is."""
-        exchanges = self._exchanges
+        waiting = self._exchanges
         ready: list[bytes] = []
         closes = False
-        while exchanges and not closes:
-            output = exchanges[0].output
+        while waiting and not closes:
+            output = waiting[0].output
             if output is None:
                 break
             ready.append(output)
-            closes = exchanges.popleft().closes
+            closes = waiting.popleft().closes
         if not ready:
             return
         self._since_s = self._server.clock.now_s()
         _immediate_write.write_now(self.transport, b"".join(ready))
         if closes:
             self._end()
-        elif self._is_paused and len(exchanges) < MAX_PIPELINED:
+        elif self._is_paused and len(waiting) < MAX_PIPELINED:
             self._is_paused = False
             self.transport.resumeProducing()
 
@@ -346,7 +274,7 @@
             return
         self._is_draining = self._is_refused = True
         self._in_head = self._in_body = False
-        exchange = Exchange(self, self._request, True)
+        exchange = exchanges.Exchange(self, self._request, True)
         self._exchanges.append(exchange)
         self._server.log_refused(self._request, status)
         exchange.respond(status, b"", b"")
@@ -381,7 +309,7 @@
     def __init__(
         self,
         clock: clocks.Clock,
-        handler: Handler,
+        handler: exchanges.Handler,
         dialect: dialects.Dialect,
         log: Any,
     ) -> None:
@@ -457,7 +385,7 @@
 
 def make_caller_server(
     clock: clocks.Clock,
-    handler: Handler,
+    handler: exchanges.Handler,
     dialect: dialects.Dialect,
     log: Any,
 ) -> CallerServer:
--- /dev/null
+++ b/tests/test_fleet_node.py
@@ -0,0 +1,221 @@
+"""Two whole nodes in one process: found, configured, announced, served."""
+
+from __future__ import annotations
+
+import http.client
+import itertools
+import json
+import os
+
+import msgspec
+from twisted.internet import defer
+from twisted.internet import protocol
+from twisted.internet import reactor
+from twisted.internet import task
+from twisted.internet import threads
+from twisted.trial import unittest
+
+from cyclamendale.fleet import node as nodes
+from cyclamendale.fleet import settings
+from cyclamendale.platform import daemon
+from cyclamendale.platform import manifest
+from tests.support import fake_log
+from tests.support import memory_rows
+
+PATIENCE_S = 20.0
+_blocks = itertools.count(1)
+
+
+def manifest_bytes(version=7, service="wash"):
+    return msgspec.json.encode(
+        {
+            "version": f"{version:08x}",
+            "services": [{"name": "wash"}, {"name": "dry"}],
+            "tenants": [{"name": "big", "api_keys": ["k1"]}],
+            "virtual_hosts": [
+                {
+                    "host": "one",
+                    "paths": [
+                        {"name": "read", "prefix": "/read/",
+                         "kind": "idempotent", "timeout_s": 5,
+                         "service": service, "max_attempts": 2}
+                    ],
+                }
+            ],
+        }
+    )  # fmt: skip
+
+
+class EchoUpstream(protocol.Protocol):
+    """Answers each request with what it received."""
+
+    open = set()
+
+    def __init__(self):
+        self.data = b""
+
+    def connectionMade(self):
+        self.open.add(self)
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        self.open.discard(self)
+
+    def dataReceived(self, data):
+        self.data += data
+        while b"\r\n\r\n" in self.data:
+            head, _, self.data = self.data.partition(b"\r\n\r\n")
+            lines = head.split(b"\r\n")
+            echoed = [line for line in lines if b"attempt-id" in line.lower()]
+            body = json.dumps([line.decode() for line in lines]).encode()
+            self.transport.write(
+                b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s\r\n\r\n%s"
+                % (len(body), b"\r\n".join(echoed), body)
+            )
+
+
+class FleetNodeTest(unittest.TestCase):
+    timeout = 60
+
+    def setUp(self):
+        # An address block of its own: nodes may not meet those of another.
+        self.block = f"127.{os.getpid() % 200 + 20}.{next(_blocks)}"
+        self.rows = memory_rows.MemoryRows()
+        self.log = fake_log.FakeLog()
+        self.nodes = [self.make_node(index) for index in (1, 2)]
+        factory = protocol.Factory.forProtocol(EchoUpstream)
+        factory.noisy = False
+        self.upstream = reactor.listenTCP(
+            9009, factory, interface=f"{self.block}.2"
+        )
+        for node in self.nodes:
+            node.start()
+
+    @defer.inlineCallbacks
+    def tearDown(self):
+        for node in self.nodes:
+            yield node.stop()
+        yield self.upstream.stopListening()
+        for connection in tuple(EchoUpstream.open):
+            connection.transport.abortConnection()
+        # The ends of closed connections arrive in the next turns.
+        yield task.deferLater(reactor, 0.05)
+
+    def make_node(self, index):
+        ip = f"{self.block}.{index}"
+        return nodes.make_node(
+            reactor,
+            settings.HostSettings(
+                host=f"host-{index}",
+                ip=ip,
+                failure_domain="north",
+                failure_domains={"north": "r"},
+                caller_address=f"{ip}:9001",
+                readiness_address=f"{ip}:9002",
+                announcement_address=f"{ip}:9003",
+                peer_port=9004,
+                metrics_port=9005,
+                upstream_address=f"{ip}:9009",
+                service="wash",
+                heartbeat_interval_s=1.5,
+                store_address="unused:1",
+                bounds=settings.Bounds(grace_s=0.7),
+                first_start=True,
+            ),
+            daemon.FORMATS,
+            self.rows,
+            self.log,
+        )
+
+    def ask(self, index, port, method, path, headers=(), body=None):
+        """Returns status and body; runs in a thread, as a caller would."""
+
+        def exchange():
+            connection = http.client.HTTPConnection(
+                f"{self.block}.{index}", port, timeout=PATIENCE_S
+            )
+            try:
+                connection.request(method, path, body, dict(headers))
+                answer = connection.getresponse()
+                return answer.status, answer.read()
+            finally:
+                connection.close()
+
+        return threads.deferToThread(exchange)
+
+    def read(self, index=1, key="k1"):
+        headers = {
+            "Host": "one",
+            "X-Cyclamendale-Attempt-Id": "r1",
+            "X-Cyclamendale-Deadline-Ms": "5000",
+            "X-Cyclamendale-Credential": key,
+        }
+        return self.ask(index, 9001, "GET", "/read/x", headers)
+
+    def announce(self, state="ready", sequence=1):
+        beat = {"service": "wash", "address": f"{self.block}.2:9009",
+                "slots": 10, "state": state, "sequence": sequence,
+                "born": 5, "cold_left_s": 0}  # fmt: skip
+        return self.ask(
+            2, 9003, "POST", "/-/Instances.Heartbeat/i-1",
+            body=json.dumps(beat),
+        )  # fmt: skip
+
+    @defer.inlineCallbacks
+    def until(self, ask, wanted):
+        """Asks until the status is the wanted one."""
+        for _ in range(int(PATIENCE_S / 0.1)):
+            status, body = yield ask()
+            if status == wanted:
+                return body
+            yield task.deferLater(reactor, 0.1)
+        self.fail(f"still {status}")
+
+    def publish(self, document):
+        self.rows.put(manifest.TABLE, manifest.KEY, document)
+
+    def ready(self, index):
+        return self.ask(index, 9002, "GET", "/-/readiness")
+
+    @defer.inlineCallbacks
+    def test_a_request_is_run_by_the_upstream_of_another_host(self):
+        status, _ = yield self.ready(1)
+        self.assertEqual(503, status)
+        status, _ = yield self.read()
+        self.assertEqual(503, status)
+        self.publish(manifest_bytes())
+        for index in (1, 2):
+            yield self.until(lambda index=index: self.ready(index), 200)
+        status, _ = yield self.announce()
+        self.assertEqual(200, status)
+        body = yield self.until(self.read, 200)
+        lines = json.loads(body)
+        self.assertIn("X-Cyclamendale-Tenant-Id: big", lines)
+        self.assertIn("X-Cyclamendale-Caller-Service: wash", lines)
+        self.assertIn("X-Cyclamendale-Expected-Instance: i-1", lines)
+        self.assertNotIn("k1", body.decode())
+        status, _ = yield self.read(key="other")
+        self.assertEqual(401, status)
+        _, metrics = yield self.ask(1, 9005, "GET", "/metrics")
+        self.assertIn(b'outcome="answered",why="2xx"', metrics)
+
+    @defer.inlineCallbacks
+    def test_a_draining_upstream_gets_nothing_after_its_confirmation(self):
+        self.publish(manifest_bytes())
+        yield self.announce()
+        yield self.until(self.read, 200)
+        status, _ = yield self.announce("draining", 2)
+        self.assertEqual(200, status)
+        status, _ = yield self.read()
+        self.assertEqual(503, status)
+
+    @defer.inlineCallbacks
+    def test_a_change_is_in_force_and_an_invalid_one_is_not(self):
+        self.publish(manifest_bytes())
+        yield self.announce()
+        yield self.until(self.read, 200)
+        self.publish(manifest_bytes(9)[:-9])
+        self.publish(manifest_bytes(8, service="dry"))
+        # No upstream of the other service was announced.
+        yield self.until(self.read, 503)
+        self.assertIn("configuration-invalid", self.log.events())
+        self.assertNotIn("defect", self.log.events())
--- a/tests/test_proxy_dispatcher.py
+++ b/tests/test_proxy_dispatcher.py
@@ -17,6 +17,7 @@
 from cyclamendale.overload import retry_window
 from cyclamendale.overload import root_admission
 from cyclamendale.platform import exchange as names
+from cyclamendale.proxy import calls
 from cyclamendale.proxy import dispatcher
 from cyclamendale.proxy import messages
 from cyclamendale.quotas import fleet_levels
@@ -123,7 +124,7 @@
             found.slots = 100
         graph = call_frequency.CallGraph()
         self.dispatcher = dispatcher.Dispatcher(
-            dispatcher.DispatcherParts(
+            calls.DispatcherParts(
                 clock,
                 randomness,
                 names.DIALECT,
--- a/tests/test_proxy_server.py
+++ b/tests/test_proxy_server.py
@@ -11,6 +11,7 @@
 from cyclamendale import clocks
 from cyclamendale.intents import model
 from cyclamendale.platform import exchange
+from cyclamendale.proxy import exchange as exchanges
 from cyclamendale.proxy import server
 from tests.support import fake_log
 
@@ -23,7 +24,7 @@
 GET = b"GET /a/b?q HTTP/1.1\r\nHost: one\r\n\r\n"
 
 
-class HoldingHandler(server.Handler):
+class HoldingHandler(exchanges.Handler):
     """Keeps the exchanges; the test answers them."""
 
     def __init__(self):
