--- a/src/cyclamendale/platform/store.py
+++ b/src/cyclamendale/platform/store.py
@@ -110,6 +110,11 @@
         )
         return answer.map(_to_rows)
 
+    async def close(self) -> None:
+        """Closes the kept-open connections."""
+        for sender in (self._sender, *self._watchers.values()):
+            await sender.close()
+
     async def _call(
         self,
         sender: http_attempt.Sender,
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,120 @@
+"""Contract of the platform's store, against the stand-in with faults."""
+
+from __future__ import annotations
+
+import testscenarios
+from twisted.internet import defer
+from twisted.internet import reactor
+from twisted.internet import task
+from twisted.trial import unittest
+
+from cyclamendale import clocks
+from cyclamendale.platform import store
+from cyclamendale.store import watched_rows
+from tests.support import platform_store
+
+KINDS = watched_rows.RowsErrorKind
+FAULT = platform_store.Fault
+LOOPBACK = "127.0.0.1"
+
+
+class StoreCase(testscenarios.WithScenarios, unittest.TestCase):
+    timeout = 20
+
+    def setUp(self):
+        super().setUp()
+        self.store = platform_store.PlatformStore()
+        self.port = reactor.listenTCP(
+            0, platform_store.make_site(self.store), interface=LOOPBACK
+        )
+        # Time-outs come when the test says so, however busy the host is.
+        self.clock = task.Clock()
+        self.rows = store.make_rows(
+            reactor,
+            clocks.ReactorClock(self.clock),
+            f"{LOOPBACK}:{self.port.getHost().port}",
+        )
+
+    @defer.inlineCallbacks
+    def tearDown(self):
+        yield self.call(self.rows.close())
+        yield self.port.stopListening()
+        yield task.deferLater(reactor, 0.02)
+
+    def call(self, coroutine):
+        return defer.Deferred.fromCoroutine(coroutine)
+
+
+class RowsTest(StoreCase):
+    @defer.inlineCallbacks
+    def test_a_written_row_is_read(self):
+        written = yield self.call(self.rows.write("t", "k", b"v", None))
+        self.assertEqual(1, written.ok.version)
+        found = yield self.call(self.rows.read("t"))
+        self.assertEqual((watched_rows.TableRow("k", b"v", 1),), found.ok.rows)
+
+    @defer.inlineCallbacks
+    def test_a_row_that_must_not_exist_conflicts(self):
+        self.store.write("t", "k", b"v")
+        written = yield self.call(
+            self.rows.write("t", "k", b"w", watched_rows.ABSENT_VERSION)
+        )
+        self.assertEqual(KINDS.CONFLICT, written.error.kind)
+
+    @defer.inlineCallbacks
+    def test_all_pages_are_read(self):
+        for index in range(1203):
+            self.store.write("t", f"k{index:04}", b"v")
+        found = yield self.call(self.rows.read("t"))
+        self.assertEqual(1203, len(found.ok.rows))
+        self.assertEqual(1203, len({row.key for row in found.ok.rows}))
+
+    @defer.inlineCallbacks
+    def test_a_watch_gives_what_changed(self):
+        self.store.write("t", "a", b"1")
+        self.store.write("t", "b", b"2")
+        found = yield self.call(self.rows.watch("t", 1, 0.5))
+        self.assertEqual(["b"], [row.key for row in found.ok.rows])
+        self.assertEqual(2, found.ok.version)
+
+
+class FaultTest(StoreCase):
+    scenarios = testscenarios.multiply_scenarios(
+        [
+            ("read", {"make": lambda rows: rows.read("t")}),
+            ("watch", {"make": lambda rows: rows.watch("t", 0, 0.5)}),
+            ("write", {"make": lambda rows: rows.write("t", "k", b"", None)}),
+        ],
+        [
+            ("busy", {"fault": FAULT.BUSY, "kind": KINDS.UNAVAILABLE}),
+            ("many", {"fault": FAULT.MANY, "kind": KINDS.UNAVAILABLE}),
+            ("reset", {"fault": FAULT.RESET, "kind": KINDS.OUTCOME_UNKNOWN}),
+            ("silent", {"fault": FAULT.SILENT,
+                        "kind": KINDS.OUTCOME_UNKNOWN}),
+            ("lost", {"fault": FAULT.LOST, "kind": KINDS.OUTCOME_UNKNOWN}),
+            ("compacted", {"fault": FAULT.COMPACTED,
+                           "kind": KINDS.HISTORY_GONE}),
+            ("garbage", {"fault": FAULT.GARBAGE, "kind": KINDS.MALFORMED}),
+            ("refused", {"fault": FAULT.REFUSED, "kind": KINDS.MALFORMED}),
+        ],
+    )  # fmt: skip
+
+    @defer.inlineCallbacks
+    def test_gives_a_typed_error(self):
+        self.store.fault = self.fault
+        result = self.call(self.make(self.rows))
+        for _ in range(200):
+            if result.called:
+                break
+            yield task.deferLater(reactor, 0.01)
+            if self.fault in (FAULT.SILENT, FAULT.LOST):
+                self.clock.advance(0.1)
+        found = yield result
+        self.assertEqual(self.kind, found.error.kind)
+
+    @defer.inlineCallbacks
+    def test_the_next_call_works(self):
+        yield self.test_gives_a_typed_error()
+        self.store.fault = None
+        found = yield self.call(self.make(self.rows))
+        self.assertTrue(found.is_ok())
