Close connections opened during a stop; state the service of the settings

Cause: a connection that callers open after SIGTERM was kept open, so its caller did not move away (new test, failed first). The service on whose host a request began is that of the settings: after an address was given to another service, the announcement of the old one may be the last heard.

--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -334,7 +334,7 @@
         return self._links.runner(host)
 
     def _caller_service(self) -> ids.ServiceName:
-        return self._own_upstream.service or self._settings.service
+        return self._settings.service
 
     def _load_heard(self, host: ids.PeerAddress, at_gate: int) -> None:
         candidate = self._view.candidate_at(host)
--- a/src/cyclamendale/fleet/own_upstream.py
+++ b/src/cyclamendale/fleet/own_upstream.py
@@ -4,7 +4,6 @@
 
 from typing import Any
 
-from cyclamendale import ids
 from cyclamendale.fleet import announcements
 from cyclamendale.fleet import configuration as configurations
 from cyclamendale.fleet import hosts
@@ -26,12 +25,6 @@
         self._in_force = in_force
         self._log = log
 
-    @property
-    def service(self) -> ids.ServiceName | None:
-        """Returns the service that it announced, if it did."""
-        current = self._announced.current
-        return current.service if current else None
-
     def heard(self, heartbeat: announcements.Heartbeat) -> bool:
         """Takes a heartbeat; returns whether to confirm it."""
         configuration = self._in_force.current
--- a/src/cyclamendale/proxy/server.py
+++ b/src/cyclamendale/proxy/server.py
@@ -58,7 +58,7 @@
         self._is_last = False
         self._is_refused = False
         self._since_s = server.clock.now_s()
-        self.is_closing = False
+        self.is_closing = server.is_closing
 
     # What the server's sweep and the daemon ask.
 
@@ -300,6 +300,7 @@
         special: Methods that take the headers that are not just passed
             on, by lower-case name.
         connections: Open connections.
+        is_closing: Whether connections end behind what they have in work.
     """
 
     noisy = False
@@ -316,6 +317,7 @@
         self.clock = clock
         self.handler = handler
         self.connections: set[CallerConnection] = set()
+        self.is_closing = False
         self.special = _special_headers(dialect)
         self._log = log
         self._sweep: clocks.DelayedCall | None = None
@@ -333,7 +335,11 @@
         clocks.cancel(self._sweep)
 
     def begin_close(self) -> None:
-        """Ends each connection behind what it has in work."""
+        """Ends each connection behind what it has in work.
+
+        New ones are still accepted, for callers that did not hear yet.
+        """
+        self.is_closing = True
         for connection in tuple(self.connections):
             connection.begin_close()
 
--- a/tests/test_proxy_server.py
+++ b/tests/test_proxy_server.py
@@ -240,6 +240,16 @@
         self.reactor.pump([0.25] * 100)
         self.assertFalse(self.transport.disconnecting)
 
+    def test_a_connection_opened_during_the_close_ends_too(self):
+        self.factory.begin_close()
+        late = self.factory.buildProtocol(None)
+        transport = Transport()
+        late.makeConnection(transport)
+        late.dataReceived(GET)
+        self.handler.exchanges[0].respond(200, b"", b"")
+        self.assertIn(b"Connection: close\r\n", transport.value())
+        self.assertTrue(transport.disconnecting)
+
     def test_a_graceful_close_waits_for_the_work(self):
         self.receive(GET)
         self.factory.begin_close()
