Offer a request elsewhere when a link does not open; suspect by report interval

Now 0.35 s, then it certainly did not leave and is offered elsewhere. A broken connection no longer counts as a sign of life.

--- a/src/cyclamendale/fleet/hosts.py
+++ b/src/cyclamendale/fleet/hosts.py
@@ -13,7 +13,15 @@
 from cyclamendale.overload import placement
 from cyclamendale.quotas import fleet_levels
 
-SUSPECT_AFTER_REPORTS = 5.0
+REPORT_INTERVAL_S = 0.25
+"""Time between two reports to each host of a small fleet; the delay with
+which pressure, demand and a new configuration's version travel."""
+
+INTERVAL_PER_HOST_S = 0.01
+"""The same per known host, so that a node sends about 100 a second at the
+most."""
+
+SUSPECT_AFTER_REPORTS = 3.0
 """Missed reports after which a host is tried last."""
 
 LOST_AFTER_S = 5.0
@@ -144,12 +152,10 @@
         clock: clocks.Clock,
         own: ids.PeerAddress,
         own_domain: ids.FailureDomainName,
-        report_interval_s: float,
     ) -> None:
         self._clock = clock
         self._own = own
         self._own_domain = own_domain
-        self._interval_s = report_interval_s
         self._hosts: dict[ids.PeerAddress, KnownHost] = {}
         self._candidates: dict[ids.ServiceName, list[placement.Candidate]] = {}
         self._pressures: dict[ids.ServiceName, float] = {}
@@ -179,7 +185,7 @@
     def refresh(self) -> None:
         """Follows the passing of time; called once a report interval."""
         now_s = self._clock.now_s()
-        suspect_s = SUSPECT_AFTER_REPORTS * self._interval_s
+        suspect_s = SUSPECT_AFTER_REPORTS * self.report_interval_s()
         for host in tuple(self._hosts.values()):
             silent_s = now_s - host.heard_s
             if host.address == self._own:
@@ -189,6 +195,10 @@
                 del self._hosts[host.address]
         self._rebuild()
 
+    def report_interval_s(self) -> float:
+        """Returns the time between two reports to each host."""
+        return max(REPORT_INTERVAL_S, len(self._hosts) * INTERVAL_PER_HOST_S)
+
     def others(self) -> Iterator[KnownHost]:
         """Yields all hosts but the own one."""
         for address, host in self._hosts.items():
@@ -201,10 +211,6 @@
             1 for host in self.others() if not host.candidate.is_suspect
         )
 
-    def known_nodes(self) -> int:
-        """Returns the number of hosts, silent ones included."""
-        return len(self._hosts)
-
     def candidates(
         self, service: ids.ServiceName
     ) -> Sequence[placement.Candidate]:
--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -113,7 +113,6 @@
             self._clock,
             own,
             settings.failure_domain,
-            reporter.REPORT_INTERVAL_S,
         )
         self._in_force = configurations.ConfigurationInForce(
             self._formats.decode, self.log
--- a/src/cyclamendale/fleet/reporter.py
+++ b/src/cyclamendale/fleet/reporter.py
@@ -16,14 +16,6 @@
 from cyclamendale.peer.generated.fleet import ttypes
 from cyclamendale.quotas import fleet_levels
 
-REPORT_INTERVAL_S = 0.25
-"""Time between two reports to each host of a small fleet; the delay with
-which pressure, demand and a new configuration's version travel."""
-
-INTERVAL_PER_HOST_S = 0.01
-"""The same per known host, so that a node sends about 100 a second at the
-most."""
-
 MAX_SPENDINGS = 40
 """Customers in one report; more take turns, to fit one datagram."""
 
@@ -146,9 +138,9 @@
         self._port.transmit(address, encode_report(report))
 
     def _tick(self) -> None:
-        known = self._view.known_nodes()
-        interval_s = max(REPORT_INTERVAL_S, known * INTERVAL_PER_HOST_S)
-        self._next = self._clock.call_later(interval_s, self._tick)
+        self._next = self._clock.call_later(
+            self._view.report_interval_s(), self._tick
+        )
         self._spendings = self._measure()
         self._view.refresh()
         self.send_now()
--- a/src/cyclamendale/proxy/links.py
+++ b/src/cyclamendale/proxy/links.py
@@ -21,12 +21,18 @@
 MAX_FRAME_BYTES = 72 * 1024 * 1024
 """Longest frame: the longest body, its head and the struct around them."""
 
-SILENCE_S = 0.4
+SILENCE_S = 0.3
 """Silence of a peer with requests in work after which it is pinged."""
 
-PING_TIMEOUT_S = 0.8
+PING_TIMEOUT_S = 0.6
 """Wait for the answer; behind it the connection is taken to be dead, since
-it may go silent without a reset while a new one would work."""
+it may go silent without a reset while a new one would work. A host that
+runs several times slower still answers."""
+
+CONNECT_PATIENCE_S = 0.35
+"""How long a request waits for a connection to a host; many round trips,
+and a part of the shortest time that routes allow. Behind it the request
+certainly did not leave and is offered elsewhere."""
 
 LoadListener = Callable[[ids.PeerAddress, int], None]
 """Called with a host and the number of requests at its gate."""
@@ -35,7 +41,14 @@
 class _RemoteRun(messages.Handle):
     """A request at another host's gate."""
 
-    __slots__ = ("_call_id", "_connection", "_link", "_receiver", "_work")
+    __slots__ = (
+        "_call_id",
+        "_connection",
+        "_link",
+        "_receiver",
+        "_work",
+        "began_s",
+    )
 
     def __init__(
         self,
@@ -48,9 +61,15 @@
         self._receiver: messages.OutcomeReceiver | None = receiver
         self._connection: connections.PeerConnection | None = None
         self._call_id = 0
+        self.began_s = link.clock.now_s()
+
+    def give_up_connecting(self) -> None:
+        """Ends a request that never left."""
+        self._finish(refusals.Refusal(refusals.RefusalReason.NO_TARGET))
 
     def connected(self, connection: connections.PeerConnection | None) -> None:
         """Sends the request once there is a connection."""
+        self._link.unsent.discard(self)
         if self._receiver is None:
             return
         if connection is None:
@@ -69,6 +88,7 @@
     def cancel(self) -> None:
         """See base class."""
         self._receiver = None
+        self._link.unsent.discard(self)
         self._link.ended(self)
         connection = self._connection
         if connection is None:
@@ -80,10 +100,10 @@
             )
 
     def _replied(self, reply: bytes | network.PeerErrorKind) -> None:
-        self._link.heard()
         if isinstance(reply, network.PeerErrorKind):
             self._finish(run_codec.lost())
             return
+        self._link.heard()
         try:
             answer = codec.decode(ttypes.RunAnswer, reply, MAX_FRAME_BYTES)
         except codec.DecodeError:
@@ -94,6 +114,7 @@
 
     def _finish(self, outcome: messages.Outcome) -> None:
         receiver, self._receiver = self._receiver, None
+        self._link.unsent.discard(self)
         self._link.ended(self)
         if receiver is not None:
             receiver(outcome)
@@ -116,6 +137,7 @@
         self._on_load = on_load
         self._log = log
         self._in_work: set[_RemoteRun] = set()
+        self.unsent: set[_RemoteRun] = set()
         self._heard_s = 0.0
         self._pinged_s: float | None = None
 
@@ -124,6 +146,7 @@
     ) -> messages.Handle | None:
         """See base class."""
         run = _RemoteRun(self, work, receiver)
+        self.unsent.add(run)
         self._peers.with_connection(self._peer, run.connected)
         return run
 
@@ -148,6 +171,9 @@
 
     def check(self, now_s: float) -> None:
         """Pings a silent peer; ends a connection that stays silent."""
+        for run in tuple(self.unsent):
+            if now_s - run.began_s > CONNECT_PATIENCE_S:
+                run.give_up_connecting()
         if not self._in_work:
             self._pinged_s = None
         elif self._pinged_s is not None:
--- a/tests/test_fleet_hosts.py
+++ b/tests/test_fleet_hosts.py
@@ -36,7 +36,7 @@
         super().setUp()
         self.reactor = task.Clock()
         self.view = hosts.HostView(
-            clocks.ReactorClock(self.reactor), OWN, "north", 0.25
+            clocks.ReactorClock(self.reactor), OWN, "north"
         )
 
     def names(self):
@@ -72,14 +72,14 @@
 class SilenceTest(ViewCase):
     def test_a_silent_host_is_suspected_then_left_out(self):
         self.view.hear(report())
-        self.reactor.advance(1.0)
+        self.reactor.advance(0.7)
         self.view.refresh()
         self.assertEqual({OTHER}, self.view.live_others())
-        self.reactor.advance(0.5)
+        self.reactor.advance(0.1)
         self.view.refresh()
         self.assertEqual(set(), self.view.live_others())
         self.assertEqual(["i-1"], self.names())
-        self.reactor.advance(4.0)
+        self.reactor.advance(4.5)
         self.view.refresh()
         self.assertEqual([], self.names())
 
@@ -91,6 +91,18 @@
         self.assertEqual({OTHER}, self.view.gone_others())
 
 
+class LargeFleetTest(ViewCase):
+    def test_silence_is_counted_in_reports_of_the_fleets_size(self):
+        for index in range(100):
+            self.view.hear(report(address=f"10.0.1.{index}:7"))
+        self.reactor.advance(2.0)
+        self.view.refresh()
+        self.assertEqual(100, len(self.view.live_others()))
+        self.reactor.advance(1.5)
+        self.view.refresh()
+        self.assertEqual(0, len(self.view.live_others()))
+
+
 class PressureTest(ViewCase):
     def test_is_the_mean_of_the_open_upstreams(self):
         for index, pressure in enumerate((0.0, 2.0)):
--- /dev/null
+++ b/tests/test_proxy_links.py
@@ -0,0 +1,167 @@
+"""Requests to other hosts over connections that break or fall silent."""
+
+from __future__ import annotations
+
+import testtools
+from twisted.internet import task
+
+from cyclamendale import clocks
+from cyclamendale import refusals
+from cyclamendale.overload import room_queue
+from cyclamendale.peer import codec
+from cyclamendale.peer import kinds
+from cyclamendale.peer import network
+from cyclamendale.peer.generated.fleet import ttypes
+from cyclamendale.proxy import links
+from cyclamendale.proxy import messages
+from cyclamendale.proxy import run_codec
+from tests.support import fake_log
+from tests.support import works
+
+REASON = refusals.RefusalReason
+NOT_RUN = refusals.Execution.NOT_RUN
+UNKNOWN = refusals.Execution.UNKNOWN
+LOAD = room_queue.GateLoad(3, 1, 10, 0.1, 0.0)
+
+
+class FakeConnection:
+    def __init__(self):
+        self.requests = []
+        self.is_open = True
+        self.aborted = False
+        self._call_id = 0
+
+    def next_call_id(self):
+        self._call_id += 1
+        return self._call_id
+
+    def request(self, kind, call_id, payload, on_reply):
+        self.requests.append((kind, call_id, payload, on_reply))
+
+    def forget(self, kind, call_id):
+        pass
+
+    def abort(self):
+        self.aborted = True
+        for kind, _, _, on_reply in self.requests:
+            if kind is kinds.MessageKind.RUN:
+                on_reply(network.PeerErrorKind.LOST)
+
+    def kinds(self):
+        return [kind for kind, *_ in self.requests]
+
+
+class FakePeers:
+    """Gives a connection, none, or lets the request wait for one."""
+
+    def __init__(self):
+        self.connection = FakeConnection()
+        self.is_waiting = False
+        self.waiting = []
+
+    def with_connection(self, peer, user):
+        if self.is_waiting:
+            self.waiting.append(user)
+        else:
+            user(self.connection)
+
+
+class LinksTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.reactor = task.Clock()
+        self.peers = FakePeers()
+        self.loads = []
+        self.log = fake_log.FakeLog()
+        self.links = links.Links(
+            self.peers,
+            clocks.ReactorClock(self.reactor),
+            lambda host, at_gate: self.loads.append((host, at_gate)),
+            self.log,
+        )
+        self.links.start()
+        self.outcomes = []
+
+    def run_work(self):
+        return self.links.runner("h").run(
+            works.make_work(), self.outcomes.append
+        )
+
+    def wait(self, duration_s):
+        self.reactor.pump([0.1] * round(duration_s / 0.1))
+
+    def refused(self):
+        (refusal,) = self.outcomes
+        return refusal.reason, refusal.execution
+
+    def test_an_answer_and_the_load_of_the_gate(self):
+        self.run_work()
+        *_, on_reply = self.peers.connection.requests[0]
+        answer = messages.Answer(200, b"A: 1\r\n", b"whole")
+        on_reply(run_codec.encode_outcome(answer, LOAD))
+        (outcome,) = self.outcomes
+        self.assertEqual(
+            (200, b"A: 1\r\n", b"whole"),
+            (outcome.status, outcome.lines, outcome.body),
+        )
+        self.assertEqual([("h", 4)], self.loads)
+
+    def test_no_connection_is_certainly_not_run(self):
+        self.peers.connection = None
+        self.run_work()
+        self.assertEqual((REASON.NO_TARGET, NOT_RUN), self.refused())
+
+    def test_a_connection_that_takes_long_is_not_waited_for(self):
+        self.peers.is_waiting = True
+        self.run_work()
+        self.wait(0.3)
+        self.assertEqual([], self.outcomes)
+        self.wait(0.2)
+        self.assertEqual((REASON.NO_TARGET, NOT_RUN), self.refused())
+        # When it opens after all, nothing may be sent any more.
+        connection = FakeConnection()
+        self.peers.waiting[0](connection)
+        self.assertEqual([], connection.requests)
+
+    def test_a_silent_connection_is_pinged_then_given_up(self):
+        self.run_work()
+        self.wait(0.5)
+        self.assertIn(kinds.MessageKind.PING, self.peers.connection.kinds())
+        self.wait(1.0)
+        self.assertTrue(self.peers.connection.aborted)
+        self.assertEqual((REASON.LOST, UNKNOWN), self.refused())
+
+    def test_a_slow_peer_that_answers_pings_is_waited_for(self):
+        self.run_work()
+        for _ in range(20):
+            self.wait(0.2)
+            for kind, _, _, on_reply in self.peers.connection.requests:
+                if kind is kinds.MessageKind.PING:
+                    on_reply(b"")
+        self.assertFalse(self.peers.connection.aborted)
+
+    def test_a_request_given_up_is_cancelled_there(self):
+        self.run_work().cancel()
+        self.assertEqual(
+            [kinds.MessageKind.RUN, kinds.MessageKind.RUN_CANCEL],
+            self.peers.connection.kinds(),
+        )
+
+    def test_a_reply_that_makes_no_sense_is_an_unknown_outcome(self):
+        self.run_work()
+        *_, on_reply = self.peers.connection.requests[0]
+        on_reply(b"\x00\x01")
+        self.assertEqual((REASON.LOST, UNKNOWN), self.refused())
+
+
+class CodecTest(testtools.TestCase):
+    scenarios = [
+        ("not run", {"refusal": refusals.Refusal(
+            REASON.QUEUE_FULL, NOT_RUN, retry_after_s=0.5)}),
+        ("unknown", {"refusal": refusals.Refusal(REASON.LOST, UNKNOWN)}),
+    ]  # fmt: skip
+
+    def test_a_refusal_keeps_what_it_says(self):
+        data = run_codec.encode_outcome(self.refusal, LOAD)
+        answer = codec.decode(ttypes.RunAnswer, data)
+        self.assertEqual(self.refusal, run_codec.decode_outcome(answer))
