Refuse roots by the share of load that has to go, in order of customer and route

Cause: the sites' customers all have an importance, which replaced that of the route, so a cheap dear root and a booking were shed alike; and pressure in whole classes took as long to cross classes that nobody uses. Change: rank is customer first, then route; pressure is the share of a service's load that has to go, and each node turns it into a cut by the load that its own roots bring, the least important first.

--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -199,7 +199,10 @@
                     self._view.candidates,
                 ),
                 root_admission.RootAdmission(
-                    self._random, self._graph.chain, self._view.pressure
+                    self._clock,
+                    self._random,
+                    self._graph.chain,
+                    self._view.pressure,
                 ),
                 self._retries,
                 self._quotas,
--- a/src/cyclamendale/fleet/routing.py
+++ b/src/cyclamendale/fleet/routing.py
@@ -57,10 +57,15 @@
 
 
 def rank_of(route: model.Route, customer: model.Customer | None) -> int:
-    """Returns the importance of a root; the customer's goes first."""
+    """Returns the place of a root in the order of shedding.
+
+    The customer's importance goes first and the route's decides among its
+    requests. A customer without one is taken to be of normal importance.
+    """
+    first = model.Importance.NORMAL
     if customer is not None and customer.importance is not None:
-        return int(customer.importance)
-    return int(route.importance)
+        first = customer.importance
+    return int(first) * len(model.Importance) + int(route.importance)
 
 
 def _plain_host(host: bytes) -> bytes:
--- a/src/cyclamendale/overload/pressure.py
+++ b/src/cyclamendale/overload/pressure.py
@@ -8,29 +8,28 @@
 
 from __future__ import annotations
 
-MOST_PRESSURE = 4.0
-"""Pressure at which requests of every importance are refused."""
+MOST_PRESSURE = 1.0
+"""Pressure at which all load has to go."""
 
-RISE_PER_S = 1.6
-"""Rise at full error; about a second from open to refusing one class."""
+RISE_PER_S = 0.8
+"""Rise at full error: twice the capacity is answered in 0.6 s."""
 
-FALL_PER_S = 0.8
+FALL_PER_S = 0.25
 """Fall at full error; slower than the rise, so that a queue that was just
 emptied is not filled again at once."""
 
-SHARE_OF_SERVICE_TIME = 0.3
-"""Queueing delay that is aimed at, over the time of a request."""
-
-LEAST_TARGET_S = 0.012
-"""Queueing delay that is always allowed; shorter ones are the loop's own."""
+LEAST_TARGET_S = 0.015
+MOST_TARGET_S = 0.08
+"""Bounds of the queueing delay that is aimed at, which else is the time of
+one request. Less leaves room unused between two reports; more takes too
+much of the time that routes allow, over a chain of several gates."""
 
 
 class PressureControl:
     """Integrates the error of the queueing delay.
 
     Attributes:
-        pressure: 0 refuses nothing; each whole unit refuses the roots of
-            one more importance, the least important first.
+        pressure: Share of the load that has to go, from 0 to 1.
     """
 
     __slots__ = ("_updated_s", "pressure")
@@ -51,7 +50,7 @@
         """
         elapsed_s = min(1.0, max(0.0, now_s - self._updated_s))
         self._updated_s = now_s
-        target_s = max(LEAST_TARGET_S, SHARE_OF_SERVICE_TIME * service_time_s)
+        target_s = min(MOST_TARGET_S, max(LEAST_TARGET_S, service_time_s))
         error = min(1.0, max(-1.0, wait_s / target_s - 1.0))
         rate_per_s = RISE_PER_S if error > 0 else FALL_PER_S
         risen = self.pressure + error * rate_per_s * elapsed_s
--- a/src/cyclamendale/overload/root_admission.py
+++ b/src/cyclamendale/overload/root_admission.py
@@ -1,31 +1,37 @@
 """Refuses roots whose chain would meet a service without room.
 
-Pressures come from the gates (see `pressure`); what a route's requests
-will call is learned (see `call_frequency`). The least important roots are
-refused first, and within one importance a share of them.
+Pressures come from the gates (see `pressure`): the share of a service's
+load that has to go. What a route's requests will call is learned (see
+`call_frequency`). Each node knows how much of the load that its own roots
+bring to a service has which rank, and refuses from the least important up.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+import collections
+from collections.abc import Callable, Iterator, Mapping
 import random as random_module
 
+from cyclamendale import clocks
 from cyclamendale import ids
-from cyclamendale.intents import model
 
 LEAST_CALLS = 0.05
 """Mean calls of a service from which a route depends on it."""
 
-MOST_REFUSED = 0.95
-"""Share of one importance that is refused at the most; the rest probes
-whether there is room again."""
+MOST_REFUSED = 0.97
+"""Share of one rank that is refused at the most; the rest probes whether
+there is room again."""
 
 RETRY_AFTER_S = (0.4, 1.6)
 """Bounds of the time after which refused callers may return, spread so
-that they do not come together. Pressure falls by one importance in about
-1.2 s."""
+that they do not come together. Pressure halves in about two seconds."""
 
-_RANKS = len(model.Importance)
+DEMAND_HALF_LIFE_S = 2.5
+"""Time in which past load loses half of its weight; at ten roots a second
+some forty count."""
+
+_MOST_HALF_LIVES = 40.0
+"""Growth of the weights after which they are scaled down."""
 
 ChainOf = Callable[[ids.RouteName], Mapping[ids.ServiceName, float]]
 """Returns the mean calls that a run of a route makes to each service."""
@@ -34,11 +40,62 @@
 """Returns the pressure of a service."""
 
 
+class RankedDemand:
+    """Load that roots bring to each service, by rank.
+
+    Newer load weighs more: weights grow with time in place of a decay.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._began_s = clock.now_s()
+        self._loads: dict[ids.ServiceName, dict[int, float]] = (
+            collections.defaultdict(dict)
+        )
+
+    def add(self, service: ids.ServiceName, rank: int, calls: float) -> None:
+        """Counts the calls that one root brings to a service."""
+        half_lives = (self._clock.now_s() - self._began_s) / DEMAND_HALF_LIFE_S
+        if half_lives > _MOST_HALF_LIVES:
+            self._scale_down(half_lives)
+            half_lives = 0.0
+        loads = self._loads[service]
+        loads[rank] = loads.get(rank, 0.0) + calls * 2.0**half_lives
+
+    def refused_share(
+        self, service: ids.ServiceName, rank: int, pressure: float
+    ) -> float:
+        """Returns the share of a rank's roots that is refused.
+
+        Args:
+            service: The service under pressure.
+            rank: The rank; the highest is refused first.
+            pressure: Share of the service's load that has to go.
+        """
+        loads = self._loads.get(service)
+        if not loads or pressure <= 0.0:
+            return 0.0
+        excess = pressure * sum(loads.values())
+        excess -= sum(load for other, load in loads.items() if other > rank)
+        own = loads.get(rank, 0.0)
+        if excess <= 0.0:
+            return 0.0
+        return min(MOST_REFUSED, excess / own) if own else MOST_REFUSED
+
+    def _scale_down(self, half_lives: float) -> None:
+        factor = 2.0**-half_lives
+        for loads in self._loads.values():
+            for rank in loads:
+                loads[rank] *= factor
+        self._began_s = self._clock.now_s()
+
+
 class RootAdmission:
     """Decides for each root at its first node."""
 
     def __init__(
         self,
+        clock: clocks.Clock,
         random: random_module.Random,
         chain_of: ChainOf,
         pressure_of: PressureOf,
@@ -46,6 +103,7 @@
         self._random = random
         self._chain_of = chain_of
         self._pressure_of = pressure_of
+        self._demand = RankedDemand(clock)
 
     def refused_by(
         self,
@@ -58,13 +116,17 @@
         Args:
             route: The root's route.
             service: Service that is to run it.
-            rank: Its importance as a number; the highest is shed first.
+            rank: Its place in the order of shedding.
         """
         worst, share = None, 0.0
-        for name in self._chain(route, service):
-            refused = refused_share(self._pressure_of(name), rank)
-            if refused > share:
-                worst, share = name, refused
+        demand = self._demand
+        for name, calls in self._chain(route, service):
+            demand.add(name, rank, calls)
+            pressure = self._pressure_of(name)
+            if pressure > 0.0:
+                refused = demand.refused_share(name, rank, pressure)
+                if refused > share:
+                    worst, share = name, refused
         if worst is None or self._random.random() >= share:
             return None
         return worst
@@ -75,15 +137,9 @@
 
     def _chain(
         self, route: ids.RouteName, service: ids.ServiceName
-    ) -> Iterable[ids.ServiceName]:
-        yield service
-        for name, calls in self._chain_of(route).items():
+    ) -> Iterator[tuple[ids.ServiceName, float]]:
+        below = self._chain_of(route)
+        yield service, 1.0 + below.get(service, 0.0)
+        for name, calls in below.items():
             if calls >= LEAST_CALLS and name != service:
-                yield name
-
-
-def refused_share(pressure: float, rank: int) -> float:
-    """Returns the share of the roots of one rank that is refused."""
-    # Rank 3 begins at pressure 0, rank 0 at pressure 3.
-    begins = _RANKS - 1 - rank
-    return min(MOST_REFUSED, max(0.0, pressure - begins))
+                yield name, calls
