Keep an upstream's room when it refuses at random

Change: a refusal counts as lack of room only with 0.7 of the slots in use, and half of the announced slots are always used. Test failed first.

--- a/src/cyclamendale/proxy/gate.py
+++ b/src/cyclamendale/proxy/gate.py
@@ -37,9 +37,16 @@
 LEAST_HANDED_S = 0.002
 """Time left below which a request is not handed over any more."""
 
-REFUSED_LIMIT_SHARE = 0.9
+REFUSED_LIMIT_SHARE = 0.95
 """Factor on the slots used after the upstream refused for lack of room."""
 
+FULL_SHARE = 0.7
+"""Part of the slots in use from which a refusal is taken for lack of room;
+an upstream that refuses with fewer in work does so at random."""
+
+LEAST_SLOTS_SHARE = 0.5
+"""Part of the announced slots that is always used."""
+
 
 class Door(enum.Enum):
     """Whether the upstream gets new requests."""
@@ -98,7 +105,8 @@
         self._pool: upstream_pool.UpstreamPool | None = None
         self._runs: dict[room_queue.Ticket, _Run] = {}
         self._lost_in_a_row = 0
-        self._slots = 1
+        self._slots = 1.0
+        self._announced_slots = 1
         self._sweep: clocks.DelayedCall | None = None
         self.door = Door.UNKNOWN
         self.upstream_id = ""
@@ -126,8 +134,8 @@
         """
         if upstream_id != self.upstream_id or self._pool is None:
             self._replace(upstream_id, address)
-        if slots != self._slots:
-            self._slots = slots
+        self._announced_slots = slots
+        self._slots = float(slots)
         self._queue.set_slots(slots)
         if self.door is not Door.OPEN:
             self._lost_in_a_row = 0
@@ -262,8 +270,7 @@
             # Another process listens there; the announcements will tell.
             self.close(Door.UNKNOWN)
         elif answer.status == 503:
-            self._slots = max(1, int(self._slots * REFUSED_LIMIT_SHARE))
-            self._queue.set_slots(self._slots)
+            self._use_fewer_slots()
         self._log.decision(
             "upstream-refused",
             run.ticket.work.request_id,
@@ -272,6 +279,14 @@
         )
         return self._refusal(refusals.RefusalReason.UPSTREAM_REFUSED)
 
+    def _use_fewer_slots(self) -> None:
+        load = self._queue.load()
+        if load.in_service < FULL_SHARE * load.room:
+            return
+        least = LEAST_SLOTS_SHARE * self._announced_slots
+        self._slots = max(1.0, least, self._slots * REFUSED_LIMIT_SHARE)
+        self._queue.set_slots(int(self._slots))
+
     def _failed(
         self, run: _Run, reason: connections.Failure
     ) -> messages.Outcome:
--- a/tests/test_proxy_gate.py
+++ b/tests/test_proxy_gate.py
@@ -177,6 +177,28 @@
         self.assertIs(self.door, self.gate.door)
 
 
+class GreyUpstreamTest(GateCase):
+    """An upstream that refuses most requests however few it has."""
+
+    def test_keeps_its_room(self):
+        self.open(slots=100)
+        for index in range(50):
+            self.run_work()
+            self.pool.answer(index, status=503, not_run=True)
+        self.assertEqual(94, self.gate.load().room)
+
+    def test_one_that_refuses_when_it_is_full_gets_fewer_but_not_none(self):
+        self.open(slots=100)
+        for _ in range(94):
+            self.run_work(deadline_s=1000.0)
+        for index in range(90):
+            self.run_work(deadline_s=1000.0)
+            self.pool.answer(index, status=503, not_run=True)
+        room = self.gate.load().room
+        self.assertLess(room, 94)
+        self.assertGreaterEqual(room, 47)
+
+
 class GivenUpTest(GateCase):
     scenarios = [
         ("idempotent", {"idempotent": True, "is_broken_off": True}),
