--- a/src/cyclamendale/overload/room_queue.py
+++ b/src/cyclamendale/overload/room_queue.py
@@ -32,10 +32,14 @@
 """Mean service times that must be left until the aim for a request to
 count as on time; nine in ten take less."""
 
-LATE_SHARE = 0.6
+LATE_SHARE = 0.35
 """Part of its time that a request which is late anyway may be expected to
 wait; with more before it, it is told at once to come back."""
 
+PATIENCE_SHARE = 0.45
+"""Part of its time that a root waits at the most. Requests that go first
+may come all the while; told now, its caller still has time to come back."""
+
 SMOOTHING = 0.06
 """Weight of one request in the mean service time; some twenty count."""
 
@@ -212,8 +216,12 @@
         self._in_service += 1
 
     def _can_finish(self, ticket: Ticket, start_s: float) -> bool:
+        work = ticket.work
         needed_s = FASTEST_SHARE * self._service_time_s
-        return start_s + needed_s <= ticket.work.deadline_s
+        if start_s + needed_s > work.deadline_s:
+            return False
+        longest_s = PATIENCE_SHARE * (work.deadline_s - ticket.arrived_s)
+        return work.onward or start_s - ticket.arrived_s <= longest_s
 
     def _left(self, ticket: Ticket) -> None:
         self._waiting -= 1
