Make the steps before the first send a chain of their own

Matching, identifying, preparing, admitting and the quota were methods of the dispatcher; they are steps with one job each now.

--- a/src/cyclamendale/proxy/calls.py
+++ b/src/cyclamendale/proxy/calls.py
@@ -62,7 +62,22 @@
 
 
 class Call:
-    """One request between its arrival and its answer."""
+    """One request between its arrival and its answer.
+
+    Attributes:
+        exchange: The request and the way back to its caller.
+        route: Its route; None until it is known.
+        customer: Whose key came with it, if any.
+        work: What travels to the upstream, once it is prepared.
+        deadline_s: Clock time of the final answer.
+        candidate: Upstream that it was last offered to.
+        handle: The offer without an outcome, if there is one.
+        tried: Hosts that it was offered to.
+        offers: Number of offers to gates.
+        sends: Number of sends that may have reached an upstream.
+        may_have_run: Whether an upstream may have run it.
+        is_over: Whether it was answered, or its caller is gone.
+    """
 
     __slots__ = (
         "candidate",
@@ -75,22 +90,19 @@
         "offers",
         "route",
         "sends",
-        "sent_s",
         "tried",
         "work",
     )
 
-    def __init__(
-        self, exchange: exchanges.Exchange, route: model.Route
-    ) -> None:
+    def __init__(self, exchange: exchanges.Exchange) -> None:
         self.exchange = exchange
-        self.route = route
+        # Set by the first steps of the chain, before any use.
+        self.route: Any = None
         self.customer: model.Customer | None = None
         self.work: Any = None
         self.deadline_s = 0.0
         self.handle: messages.Handle | None = None
         self.candidate: placement.Candidate | None = None
-        self.sent_s = 0.0
         self.tried: tuple[ids.PeerAddress, ...] = ()
         self.offers = 0
         self.sends = 0
--- a/src/cyclamendale/proxy/dispatcher.py
+++ b/src/cyclamendale/proxy/dispatcher.py
@@ -1,7 +1,7 @@
 """The caller's side of a node: from a whole request to its answer.
 
-A request passes a chain of steps: route, key, quota, admission of roots,
-choice of an upstream, sending, and sending again where that is allowed.
+A request passes the chain of steps, is sent to the gate of a chosen
+upstream, and is sent again where that is allowed and of use.
 """
 
 from __future__ import annotations
@@ -11,11 +11,11 @@
 from cyclamendale.fleet import routing
 from cyclamendale.intents import model
 from cyclamendale.overload import placement
-from cyclamendale.overload import split
 from cyclamendale.proxy import calls
 from cyclamendale.proxy import exchange as exchanges
 from cyclamendale.proxy import heads
 from cyclamendale.proxy import messages
+from cyclamendale.proxy import steps
 
 SWEEP_S = 0.05
 """Time between two looks at deadlines; final answers are at most so late."""
@@ -34,9 +34,6 @@
 NOT_READY_RETRY_S = 0.5
 """Retry-After of a node that does not know any configuration yet."""
 
-DEFAULT_REMAINING_S = 30.0
-"""Time of callers that state none."""
-
 RETRY_AFTER_SPREAD = (0.75, 1.25)
 """Factors on a computed Retry-After, against callers returning together."""
 
@@ -50,7 +47,7 @@
         self._parts = parts
         self._clock = parts.clock
         self._routing: routing.RoutingTable | None = None
-        self._split = split.SplitWheel()
+        self._steps = steps.make_steps(parts)
         self._calls: set[calls.Call] = set()
         self._sweep: clocks.DelayedCall | None = None
 
@@ -85,106 +82,16 @@
                 ),
             )
             return
-        request = exchange.request
-        route = table.route(request.host, request.path)
-        if route is None:
-            self._refuse(
-                exchange,
-                None,
-                refusals.Refusal(refusals.RefusalReason.ROUTE_UNKNOWN),
-            )
-            return
-        call = calls.Call(exchange, route)
-        refusal = self._identify(call, table)
-        if refusal is None:
-            self._prepare(call)
-            refusal = self._admit(call)
-        if refusal is not None:
-            self._refuse(exchange, call, refusal)
-            return
+        call = calls.Call(exchange)
+        for step in self._steps:
+            refusal = step.apply(call, table)
+            if refusal is not None:
+                self._refuse(exchange, call, refusal)
+                return
         self._calls.add(call)
         exchange.cancel = lambda: self._caller_left(call)
         self._send(call)
 
-    # Steps before the first send.
-
-    def _identify(
-        self, call: calls.Call, table: routing.RoutingTable
-    ) -> refusals.Refusal | None:
-        if call.route.open or not table.configuration.customers:
-            return None
-        key = call.exchange.request.key
-        if key is None:
-            return refusals.Refusal(refusals.RefusalReason.KEY_MISSING)
-        call.customer = table.customer(key)
-        if call.customer is None:
-            return refusals.Refusal(refusals.RefusalReason.KEY_UNKNOWN)
-        return None
-
-    def _prepare(self, call: calls.Call) -> None:
-        request, route = call.exchange.request, call.route
-        remaining_s = request.remaining_s
-        if remaining_s is None:
-            remaining_s = DEFAULT_REMAINING_S
-        limit_s = min(remaining_s, route.deadline_s)
-        call.deadline_s = request.arrived_s + limit_s
-        aim_s = route.aim_s or limit_s
-        parts = self._parts
-        dialect = parts.dialect
-        customer = call.customer
-        service = self._split.service_for(route)
-        is_onward = route.open and call.customer is None
-        head = b"".join(
-            (
-                request.method,
-                b" ",
-                request.path,
-                b" HTTP/1.1\r\n",
-                request.lines,
-                heads.line(
-                    dialect.caller_service, parts.caller_service().encode()
-                ),
-                heads.line(dialect.customer, customer.name.encode())
-                if customer is not None
-                else b"",
-            )
-        )
-        call.work = messages.Work(
-            request.request_id.decode("latin-1"),
-            route.name,
-            service,
-            head,
-            request.body,
-            call.deadline_s,
-            request.arrived_s + aim_s,
-            routing.rank_of(route, customer),
-            route.idempotent,
-            is_onward,
-        )
-        parts.retries.request(service, parts.chain_of(route.name))
-        if is_onward:
-            parts.frequencies.called(route.name)
-
-    def _admit(self, call: calls.Call) -> refusals.Refusal | None:
-        work = call.work
-        if work.onward:
-            return None
-        admission = self._parts.admission
-        full = admission.refused_by(work.route, work.service, work.rank)
-        if full is not None:
-            self._parts.observer.shed(work, full)
-            return refusals.Refusal(
-                refusals.RefusalReason.SHED,
-                retry_after_s=admission.retry_after_s(),
-            )
-        if call.customer is not None:
-            wait_s = self._parts.quotas.admit(call.customer.name)
-            if wait_s is not None:
-                return refusals.Refusal(
-                    refusals.RefusalReason.QUOTA, retry_after_s=wait_s
-                )
-        return None
-
     # Sending, and sending again.
 
     def _send(self, call: calls.Call) -> None:
@@ -201,7 +108,6 @@
         call.candidate = candidate
         call.tried = (*call.tried, candidate.host)
         call.offers += 1
-        call.sent_s = now_s
         work.upstream_id = candidate.upstream_id
         candidate.in_flight += 1
         runner = self._parts.runner(candidate.host)
@@ -339,7 +245,7 @@
         table = self._routing
         self._parts.observer.refused(
             request,
-            call.route.name if call else "",
+            call.route.name if call and call.route else "",
             call.customer.name if call and call.customer else "",
             refusal,
             table.configuration.version if table else 0,
