--- a/src/cyclamendale/fleet/hosts.py
+++ b/src/cyclamendale/fleet/hosts.py
@@ -258,17 +258,6 @@
             and host.address < self._own
         )
 
-    def newest_configuration(
-        self,
-    ) -> tuple[ids.ConfigVersion, ids.PeerAddress] | None:
-        """Returns the highest version in force elsewhere, and where."""
-        known = [
-            (host.report.configuration_version, host.address)
-            for host in self.others()
-            if host.report is not None and not host.candidate.is_suspect
-        ]
-        return max(known, default=None)
-
     def _rebuild(self) -> None:
         now_s = self._clock.now_s()
         candidates: dict[ids.ServiceName, list[placement.Candidate]] = (
--- a/src/cyclamendale/proxy/calls.py
+++ b/src/cyclamendale/proxy/calls.py
@@ -20,14 +20,14 @@
 
 
 class DispatcherParts:
-    """What the dispatcher asks other parts of the node.
+    """What the dispatcher and its steps ask other parts of the node.
 
     Attributes:
-        routing: Table in force, or None before the first.
+        chain_of: Returns the mean calls that a route's requests make.
         runner: Returns the way to a host's gate.
-        is_from_upstream: Whether a request comes from the own upstream.
-        caller_service: Service of the own host.
-        nodes: Returns how many nodes the fleet has.
+        caller_service: Returns the service of the own host.
+        observer: Notes what becomes of requests.
+        log: Journal of decisions.
     """
 
     def __init__(
--- a/src/cyclamendale/proxy/upstream_connection.py
+++ b/src/cyclamendale/proxy/upstream_connection.py
@@ -88,11 +88,6 @@
         self._echoed: bytes | None = None
         self._begin_answer()
 
-    @property
-    def is_busy(self) -> bool:
-        """Returns whether a request waits for its answer."""
-        return self._receiver is not None
-
     def send(
         self,
         data: bytes,
