--- a/src/cyclamendale/fleet/reporter.py
+++ b/src/cyclamendale/fleet/reporter.py
@@ -25,6 +25,10 @@
 MAX_FREQUENCIES = 24
 
 
+INCARNATION_BITS = 31
+"""Random bits that tell the processes of one address apart."""
+
+
 class ReportSource:
     """Makes the reports of the own node.
 
@@ -50,7 +54,7 @@
         self._upstream = upstream
         self._frequencies = frequencies
         self._is_leaving = is_leaving
-        self._incarnation = secrets.randbits(62)
+        self._incarnation = secrets.randbits(INCARNATION_BITS)
         self._sequence = itertools.count(1)
         self._turn = 0
 
@@ -163,7 +167,7 @@
 def encode_report(report: hosts.HostReport) -> bytes:
     """Returns the datagram of a report."""
     upstream = report.upstream
-    return codec.encode(
+    return codec.encode_compact(
         ttypes.HostReport(
             peer_address=report.address,
             incarnation=report.incarnation,
@@ -207,7 +211,7 @@
 def decode_report(data: bytes) -> hosts.HostReport | None:
     """Decodes a datagram; None if it is no report."""
     try:
-        message: Any = codec.decode(ttypes.HostReport, data)
+        message: Any = codec.decode_compact(ttypes.HostReport, data)
     except codec.DecodeError:
         return None
     upstream = message.upstream
--- a/src/cyclamendale/peer/codec.py
+++ b/src/cyclamendale/peer/codec.py
@@ -1,7 +1,8 @@
-"""Encoding of thrift structs with the accelerated binary protocol."""
+"""Encoding of thrift structs with the accelerated protocols."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any, TypeVar
 
 from thrift.protocol import fastbinary
@@ -38,6 +39,24 @@
     )
 
 
+def encode_compact(struct: Any) -> bytes:
+    """Returns the compact form of a struct: shorter, and slower to read."""
+    return fastbinary.encode_compact(
+        struct, [struct.__class__, struct.thrift_spec]
+    )
+
+
+def decode_compact(struct_type: type[_StructT], data: bytes) -> _StructT:
+    """Reads a struct in its compact form.
+
+    Raises:
+        DecodeError: The bytes are malformed or a required field is missing.
+    """
+    return _decode(
+        fastbinary.decode_compact, struct_type, data, MAX_STRING_BYTES
+    )
+
+
 def decode(
     struct_type: type[_StructT],
     data: bytes,
@@ -53,9 +72,20 @@
     Raises:
         DecodeError: The bytes are malformed or a required field is missing.
     """
+    return _decode(
+        fastbinary.decode_binary, struct_type, data, max_string_bytes
+    )
+
+
+def _decode(
+    read: Callable[..., Any],
+    struct_type: type[_StructT],
+    data: bytes,
+    max_string_bytes: int,
+) -> _StructT:
     struct: Any = struct_type()
     try:
-        fastbinary.decode_binary(
+        read(
             struct,
             _Input(data, max_string_bytes),
             [struct_type, struct.thrift_spec],
