--- a/src/cyclamendale/intents/kinds.py
+++ b/src/cyclamendale/intents/kinds.py
@@ -56,6 +56,8 @@
         collection: Field of the configuration that holds its entries.
         ranges: Bounds of its numbers.
         patterns: What its texts look like.
+        not_in_files: Fields that only other sources state, since the
+            product's own request path does not follow them.
     """
 
     entry: type[msgspec.Struct]
@@ -64,6 +66,7 @@
     collection: str
     ranges: dict[str, Range] = {}
     patterns: dict[str, re.Pattern[str]] = {}
+    not_in_files: frozenset[str] = frozenset()
 
 
 SPECS: dict[Kind, KindSpec] = {
@@ -99,6 +102,9 @@
             "path_prefix": PREFIX_PATTERN,
             "methods": METHOD_PATTERN,
         },
+        not_in_files=frozenset(
+            {"virtual_host", "split", "aim_s", "max_attempts"}
+        ),
     ),
     Kind.CUSTOMER: KindSpec(
         entry=model.Customer,
@@ -110,6 +116,7 @@
             "burst": Range(1, 100_000_000),
             "weight": Range(0.001, 1000),
         },
+        not_in_files=frozenset({"importance"}),
     ),
     Kind.KEY: KindSpec(
         entry=model.Key,
@@ -162,6 +169,7 @@
             field.name, field.type, field.required, field.default
         )
         for field in msgspec.structs.fields(spec.entry)
+        if field.name not in spec.not_in_files
     }
 
 
--- a/src/cyclamendale/store/http_attempt.py
+++ b/src/cyclamendale/store/http_attempt.py
@@ -111,6 +111,7 @@
             internet_error.ConnectionClosed,
             client.ResponseFailed,
             client.RequestTransmissionFailed,
+            client.RequestGenerationFailed,
             client.PartialDownloadError,
         ):
             return Error(AttemptFailure.LOST)
