Let one piece of code serve where the change had written twins

A repeat chose an upstream twice, once only to see whether there is one. A loop that never looped, a counter and a result that nothing read go.

--- a/src/cyclamendale/fleet/hosts.py
+++ b/src/cyclamendale/fleet/hosts.py
@@ -205,12 +205,6 @@
             if address != self._own:
                 yield host
 
-    def live_nodes(self) -> int:
-        """Returns the number of hosts heard of lately, own included."""
-        return 1 + sum(
-            1 for host in self.others() if not host.candidate.is_suspect
-        )
-
     def candidates(
         self, service: ids.ServiceName
     ) -> Sequence[placement.Candidate]:
--- a/src/cyclamendale/fleet/journal.py
+++ b/src/cyclamendale/fleet/journal.py
@@ -11,43 +11,21 @@
 import msgspec
 
 from cyclamendale import clocks
+from cyclamendale.store import load_limit
 
 DECISIONS_PER_S = 20.0
-DECISION_BURST = 200.0
+DECISION_BURST = 200
 """Bound on the lines about requests: some 4 KB a second, under a thousandth
 of a core."""
 
 BELIEFS_PER_S = 20.0
-BELIEF_BURST = 300.0
+BELIEF_BURST = 300
 """The same for lines about what the node believes."""
 
 SUMMARY_S = 1.0
 """Time between two lines that count what was left out."""
 
 
-class _Allowance:
-    """Token bucket of log lines."""
-
-    __slots__ = ("_burst", "_level", "_rate_per_s", "_updated_s")
-
-    def __init__(self, rate_per_s: float, burst: float) -> None:
-        self._rate_per_s = rate_per_s
-        self._burst = burst
-        self._level = burst
-        self._updated_s = 0.0
-
-    def take(self, now_s: float) -> bool:
-        elapsed_s = now_s - self._updated_s
-        self._updated_s = now_s
-        self._level = min(
-            self._burst, self._level + elapsed_s * self._rate_per_s
-        )
-        if self._level < 1.0:
-            return False
-        self._level -= 1.0
-        return True
-
-
 class NonBlockingHandler(logging.Handler):
     """Writes lines to a descriptor and drops those that do not fit.
 
@@ -97,21 +75,23 @@
     def __init__(self, clock: clocks.Clock, logger: logging.Logger) -> None:
         self._clock = clock
         self._logger = logger
-        self._decisions = _Allowance(DECISIONS_PER_S, DECISION_BURST)
-        self._beliefs = _Allowance(BELIEFS_PER_S, BELIEF_BURST)
+        self._decisions = load_limit.TokenBucket(
+            DECISIONS_PER_S, DECISION_BURST
+        )
+        self._beliefs = load_limit.TokenBucket(BELIEFS_PER_S, BELIEF_BURST)
         self._left_out: collections.Counter[str] = collections.Counter()
         self._summary: clocks.DelayedCall | None = None
 
     def decision(self, event: str, request_id: str, **fields: Any) -> None:
         """Logs a decision that touches a request."""
-        if self._decisions.take(self._clock.now_s()):
+        if self._may_write(self._decisions):
             self._write(event, {"request": request_id, **fields})
         else:
             self._leave_out(event)
 
     def belief(self, event: str, **fields: Any) -> None:
         """Logs a change of what the node believes."""
-        if self._beliefs.take(self._clock.now_s()):
+        if self._may_write(self._beliefs):
             self._write(event, fields)
         else:
             self._leave_out(event)
@@ -123,6 +103,9 @@
             extra={"fields": {"where": where, "error": failure.getTraceback()}},
         )
 
+    def _may_write(self, lines: load_limit.TokenBucket) -> bool:
+        return lines.reserve(self._clock.now_s(), 0.0) is not None
+
     def _write(self, event: str, fields: dict[str, Any]) -> None:
         self._logger.info(event, extra={"fields": fields})
 
--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -37,6 +37,7 @@
 from cyclamendale.proxy import messages
 from cyclamendale.proxy import server
 from cyclamendale.quotas import fleet_levels
+from cyclamendale.store import load_limit
 from cyclamendale.store import watched_rows
 
 FREQUENCY_INTERVAL_S = 0.5
@@ -229,7 +230,7 @@
     def _add_gauges(self) -> None:
         gauge = self._observer.add_gauge
         gauge("configuration_version", lambda: self._in_force.version)
-        gauge("hosts_live", self._view.live_nodes)
+        gauge("hosts_live", lambda: 1 + len(self._view.live_others()))
         gauge("gate_in_service", lambda: self._gate.load().in_service)
         gauge("gate_queued", lambda: self._gate.load().queued)
         gauge("gate_pressure", lambda: self._gate.pressure)
@@ -284,7 +285,7 @@
         self._server.begin_close()
         last_s = began_s + self._settings.bounds.grace_s - LAST_MOMENT_S
         while True:
-            yield _pause(self._clock, DRAIN_LOOK_S)
+            yield load_limit.pause(self._clock, DRAIN_LOOK_S)
             now_s = self._clock.now_s()
             if now_s >= last_s:
                 break
@@ -369,10 +370,9 @@
 
     def _measure(self) -> dict[ids.CustomerId, fleet_levels.Spending]:
         spendings = self._quotas.spending()
-        self._quotas.share_out(
-            self._view.live_others(), self._view.gone_others()
-        )
-        self._retries.set_nodes(self._view.live_nodes())
+        live = self._view.live_others()
+        self._quotas.share_out(live, self._view.gone_others())
+        self._retries.set_nodes(1 + len(live))
         return spendings
 
     def _learn(self) -> None:
@@ -383,12 +383,6 @@
         self._graph.learn(self._frequencies.frequencies())
 
 
-def _pause(clock: clocks.Clock, delay_s: float) -> defer.Deferred[None]:
-    paused: defer.Deferred[None] = defer.Deferred()
-    clock.call_later(delay_s, paused.callback, None)
-    return paused
-
-
 def make_node(
     reactor: Any,
     settings: settings_module.HostSettings,
--- a/src/cyclamendale/fleet/own_upstream.py
+++ b/src/cyclamendale/fleet/own_upstream.py
@@ -84,7 +84,7 @@
             load.room,
             self._gate.door is gates.Door.OPEN,
             current.cold_left_s,
-            load.in_service + load.queued,
+            load.at_gate,
             self._gate.pressure,
             load.service_time_s,
         )
--- a/src/cyclamendale/overload/placement.py
+++ b/src/cyclamendale/overload/placement.py
@@ -209,6 +209,15 @@
             return other
         return best
 
+    def has_other(
+        self, service: ids.ServiceName, excluded: Collection[ids.PeerAddress]
+    ) -> bool:
+        """Returns whether `choose` would find a candidate."""
+        return any(
+            candidate.host not in excluded
+            for candidate in self._candidates_of(service)
+        )
+
     def _cheapest(
         self,
         candidates: list[Candidate],
--- a/src/cyclamendale/overload/room_queue.py
+++ b/src/cyclamendale/overload/room_queue.py
@@ -93,6 +93,11 @@
     service_time_s: float
     wait_s: float
 
+    @property
+    def at_gate(self) -> int:
+        """Returns the requests in service and waiting together."""
+        return self.in_service + self.queued
+
 
 class RoomQueue:
     """Requests in service at one upstream, and those that wait."""
--- a/src/cyclamendale/proxy/dispatcher.py
+++ b/src/cyclamendale/proxy/dispatcher.py
@@ -72,22 +72,21 @@
 
     def handle(self, exchange: exchanges.Exchange) -> None:
         """See base class."""
+        call = calls.Call(exchange)
         table = self._routing
         if table is None:
             self._refuse(
-                exchange,
-                None,
+                call,
                 refusals.Refusal(
                     refusals.RefusalReason.NOT_READY,
                     retry_after_s=NOT_READY_RETRY_S,
                 ),
             )
             return
-        call = calls.Call(exchange)
         for step in self._steps:
             refusal = step.apply(call, table)
             if refusal is not None:
-                self._refuse(exchange, call, refusal)
+                self._refuse(call, refusal)
                 return
         self._calls.add(call)
         exchange.cancel = lambda: self._caller_left(call)
@@ -204,11 +203,7 @@
             return False
         if not self._may_offer_again(call):
             return False
-        now_s = self._clock.now_s()
-        limit_s = call.deadline_s - now_s
-        if not self._parts.placement.choose(
-            work.service, call.tried, limit_s, now_s
-        ):
+        if not self._parts.placement.has_other(work.service, call.tried):
             return False
         reserve = 0.0 if work.onward else ROOT_RESERVE
         return self._parts.retries.may_repeat(
@@ -223,36 +218,29 @@
         if call.may_have_run and (
             refusal.execution is refusals.Execution.NOT_RUN
         ):
-            refusal = refusals.Refusal(
-                refusals.RefusalReason.LOST, refusals.Execution.UNKNOWN
-            )
+            refusal = refusals.lost()
         if call.customer is not None and not call.may_have_run:
             self._parts.quotas.give_back(call.customer.name)
-        self._refuse(call.exchange, call, refusal)
+        self._refuse(call, refusal)
 
-    def _refuse(
-        self,
-        exchange: exchanges.Exchange,
-        call: calls.Call | None,
-        refusal: refusals.Refusal,
-    ) -> None:
+    def _refuse(self, call: calls.Call, refusal: refusals.Refusal) -> None:
         status = refusal.http_status
         lines = b""
         if status in (429, 503):
             lines = heads.line(
                 b"Retry-After", b"%.3f" % self._retry_after_s(refusal)
             )
-        request = exchange.request
+        request = call.exchange.request
         table = self._routing
         self._parts.observer.refused(
             request,
-            call.route.name if call and call.route else "",
-            call.customer.name if call and call.customer else "",
+            call.route.name if call.route else "",
+            call.customer.name if call.customer else "",
             refusal,
             table.configuration.version if table else 0,
         )
         lines += heads.line(self._parts.dialect.request_id, request.request_id)
-        exchange.respond(status, lines, b"")
+        call.exchange.respond(status, lines, b"")
 
     def _retry_after_s(self, refusal: refusals.Refusal) -> float:
         wait_s = refusal.retry_after_s
@@ -290,7 +278,6 @@
         if call.handle is not None and call.candidate is not None:
             call.candidate.outcome(True, self._clock.now_s())
         self._refuse(
-            call.exchange,
             call,
             refusals.Refusal(
                 refusals.RefusalReason.DEADLINE, refusals.Execution.UNKNOWN
--- a/src/cyclamendale/proxy/gate.py
+++ b/src/cyclamendale/proxy/gate.py
@@ -147,13 +147,8 @@
         if self.door is door:
             return
         self._set_door(door)
-        reason = (
-            refusals.RefusalReason.LEAVING
-            if door is Door.LEAVING
-            else refusals.RefusalReason.NO_TARGET
-        )
         for ticket in tuple(self._queue.drain()):
-            self._refuse(ticket, reason)
+            self._refuse(ticket, self._closed_reason())
 
     # What others ask.
 
@@ -179,12 +174,7 @@
         if self.door is not Door.OPEN or (
             work.upstream_id and work.upstream_id != self.upstream_id
         ):
-            reason = (
-                refusals.RefusalReason.LEAVING
-                if self.door is Door.LEAVING
-                else refusals.RefusalReason.NO_TARGET
-            )
-            receiver(refusals.Refusal(reason))
+            receiver(refusals.Refusal(self._closed_reason()))
             return None
         ticket = room_queue.Ticket(work, now_s)
         verdict = self._queue.submit(ticket, now_s)
@@ -325,6 +315,11 @@
         if run is not None and run.receiver is not None:
             run.receiver(self._refusal(reason))
 
+    def _closed_reason(self) -> refusals.RefusalReason:
+        if self.door is Door.LEAVING:
+            return refusals.RefusalReason.LEAVING
+        return refusals.RefusalReason.NO_TARGET
+
     def _refusal(self, reason: refusals.RefusalReason) -> refusals.Refusal:
         return refusals.Refusal(reason, retry_after_s=self._queue.wait_s())
 
@@ -359,11 +354,7 @@
             self.close(Door.LOST)
         self._end(run, counts=False)
         if run.receiver is not None:
-            run.receiver(
-                refusals.Refusal(
-                    refusals.RefusalReason.LOST, refusals.Execution.UNKNOWN
-                )
-            )
+            run.receiver(refusals.lost())
 
     def _replace(self, upstream_id: str, address: str) -> None:
         if self._pool is not None:
--- a/src/cyclamendale/proxy/links.py
+++ b/src/cyclamendale/proxy/links.py
@@ -101,13 +101,13 @@
 
     def _replied(self, reply: bytes | network.PeerErrorKind) -> None:
         if isinstance(reply, network.PeerErrorKind):
-            self._finish(run_codec.lost())
+            self._finish(refusals.lost())
             return
         self._link.heard()
         try:
             answer = codec.decode(ttypes.RunAnswer, reply, MAX_FRAME_BYTES)
         except codec.DecodeError:
-            self._finish(run_codec.lost())
+            self._finish(refusals.lost())
             return
         self._link.load(answer.at_gate)
         self._finish(run_codec.decode_outcome(answer))
@@ -272,8 +272,7 @@
         """See base class."""
 
         def ended(outcome: messages.Outcome) -> None:
-            load = self._load()
-            self._on_load(self._own, load.in_service + load.queued)
+            self._on_load(self._own, self._load().at_gate)
             receiver(outcome)
 
         return self._gate.run(work, ended)
--- a/src/cyclamendale/proxy/run_codec.py
+++ b/src/cyclamendale/proxy/run_codec.py
@@ -12,13 +12,6 @@
 from cyclamendale.proxy import messages
 
 
-def lost() -> refusals.Refusal:
-    """Returns what is known of a request whose node is silent."""
-    return refusals.Refusal(
-        refusals.RefusalReason.LOST, refusals.Execution.UNKNOWN
-    )
-
-
 def encode_work(work: messages.Work, now_s: float) -> bytes:
     """Returns the struct of a request, with the time it has left."""
     return codec.encode(
@@ -59,7 +52,6 @@
     outcome: messages.Outcome, load: room_queue.GateLoad
 ) -> bytes:
     """Returns the struct of an outcome and of the gate's load."""
-    at_gate = load.in_service + load.queued
     if isinstance(outcome, messages.Answer):
         return codec.encode(
             ttypes.RunAnswer(
@@ -67,7 +59,7 @@
                 head=outcome.lines,
                 body=outcome.body,
                 may_have_run=True,
-                at_gate=at_gate,
+                at_gate=load.at_gate,
             )
         )
     return codec.encode(
@@ -78,7 +70,7 @@
             reason=outcome.reason.value,
             may_have_run=outcome.execution is refusals.Execution.UNKNOWN,
             retry_after_s=outcome.retry_after_s,
-            at_gate=at_gate,
+            at_gate=load.at_gate,
         )
     )
 
--- a/src/cyclamendale/proxy/upstream_pool.py
+++ b/src/cyclamendale/proxy/upstream_pool.py
@@ -9,6 +9,7 @@
 from twisted.python import failure
 
 from cyclamendale import clocks
+from cyclamendale.fleet import settings
 from cyclamendale.proxy import dialect as dialects
 from cyclamendale.proxy import upstream_connection as connections
 
@@ -47,17 +48,11 @@
         """Notes the connection that carries the request."""
         self._connection = connection
 
-    def cancel(self) -> bool:
-        """Breaks the request off; its receiver is not called.
-
-        Returns:
-            Whether it may have been sent.
-        """
+    def cancel(self) -> None:
+        """Breaks the request off; its receiver is not called."""
         self._is_over = True
-        if self._connection is None:
-            return False
-        self._connection.abort()
-        return True
+        if self._connection is not None:
+            self._connection.abort()
 
 
 class UpstreamPool:
@@ -78,7 +73,6 @@
         self._port = port
         self._idle: list[connections.UpstreamConnection] = []
         self._is_closed = False
-        self.opened = 0
 
     def send(
         self,
@@ -127,19 +121,18 @@
 
     def _take(self, repeatable: bool) -> connections.UpstreamConnection | None:
         now_s = self._clock.now_s()
-        while self._idle:
-            connection = self._idle[-1]
-            idle_s = now_s - connection.idle_since_s
-            if idle_s > _longest_idle_s(connection):
-                # All below it rest longer.
-                stale, self._idle = self._idle, []
-                for old in stale:
-                    old.abort()
-                return None
-            if not repeatable and idle_s > UNREPEATABLE_IDLE_S:
-                return None
-            return self._idle.pop()
-        return None
+        if not self._idle:
+            return None
+        idle_s = now_s - self._idle[-1].idle_since_s
+        if idle_s > _longest_idle_s(self._idle[-1]):
+            # All below it rest longer.
+            stale, self._idle = self._idle, []
+            for old in stale:
+                old.abort()
+            return None
+        if not repeatable and idle_s > UNREPEATABLE_IDLE_S:
+            return None
+        return self._idle.pop()
 
     def _put(self, connection: connections.UpstreamConnection) -> None:
         if self._is_closed:
@@ -161,7 +154,6 @@
         opened: Callable[[connections.UpstreamConnection], None],
         failed: Callable[[], None],
     ) -> None:
-        self.opened += 1
         factory = _ConnectFactory(
             lambda: connections.UpstreamConnection(
                 self._dialect, opened, self._put, self._lost
@@ -212,5 +204,5 @@
         dialect: Header names of the upstream.
         address: Where the upstream listens, `ip:port`.
     """
-    host, _, port = address.rpartition(":")
-    return UpstreamPool(reactor, clock, dialect, host, int(port))
+    host, port = settings.split_address(address)
+    return UpstreamPool(reactor, clock, dialect, host, port)
--- a/src/cyclamendale/refusals.py
+++ b/src/cyclamendale/refusals.py
@@ -104,3 +104,8 @@
     def http_status(self) -> int:
         """Returns the HTTP status code for this refusal."""
         return HTTP_STATUS_BY_REASON[self.reason]
+
+
+def lost() -> Refusal:
+    """Returns the refusal of a request that may have run, unheard."""
+    return Refusal(RefusalReason.LOST, Execution.UNKNOWN)
--- a/src/cyclamendale/store/watched_rows.py
+++ b/src/cyclamendale/store/watched_rows.py
@@ -9,9 +9,6 @@
 from expression import Result
 import msgspec
 
-ABSENT_VERSION = 0
-"""Expected version of a row that must not exist."""
-
 
 class RowsErrorKind(enum.Enum):
     """What is known after an operation failed."""
@@ -93,5 +90,6 @@
             table: The table.
             key: The row.
             value: Its new value.
-            expected_version: Version that it must have; None for any.
+            expected_version: Version that it must have,
+                `table.ABSENT_VERSION` if it must not exist; None for any.
         """
--- /dev/null
+++ b/tests/test_fleet_journal.py
@@ -0,0 +1,52 @@
+"""The journal's volume stays bounded, and what is left out is counted."""
+
+from __future__ import annotations
+
+import json
+import logging
+
+import testtools
+from twisted.internet import task
+
+from cyclamendale import clocks
+from cyclamendale.fleet import journal
+
+
+class KeepingHandler(logging.Handler):
+    def __init__(self):
+        super().__init__()
+        self.setFormatter(journal.JsonFormatter("node-1"))
+        self.lines = []
+
+    def emit(self, record):
+        self.lines.append(json.loads(self.format(record)))
+
+
+class JournalTest(testtools.TestCase):
+    scenarios = [
+        ("decisions", {
+            "write": lambda log: log.decision("refused", "r1", reason="shed"),
+            "burst": journal.DECISION_BURST,
+            "rate_per_s": journal.DECISIONS_PER_S}),
+        ("beliefs", {
+            "write": lambda log: log.belief("refused", reason="shed"),
+            "burst": journal.BELIEF_BURST,
+            "rate_per_s": journal.BELIEFS_PER_S}),
+    ]  # fmt: skip
+
+    def test_a_flood_is_cut_and_counted(self):
+        reactor = task.Clock()
+        handler = KeepingHandler()
+        logger = logging.Logger("test", logging.INFO)
+        logger.addHandler(handler)
+        log = journal.Journal(clocks.ReactorClock(reactor), logger)
+        for _ in range(self.burst + 50):
+            self.write(log)
+        self.assertEqual(self.burst, len(handler.lines))
+        self.assertEqual("shed", handler.lines[0]["reason"])
+        reactor.advance(journal.SUMMARY_S)
+        self.assertEqual({"refused": 50}, handler.lines[-1]["counts"])
+        handler.lines.clear()
+        for _ in range(1000):
+            self.write(log)
+        self.assertAlmostEqual(self.rate_per_s, len(handler.lines), delta=1)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -10,6 +10,7 @@
 
 from cyclamendale import clocks
 from cyclamendale.platform import store
+from cyclamendale.store import table
 from cyclamendale.store import watched_rows
 from tests.support import platform_store
 
@@ -57,7 +58,7 @@
     def test_a_row_that_must_not_exist_conflicts(self):
         self.store.write("t", "k", b"v")
         written = yield self.call(
-            self.rows.write("t", "k", b"w", watched_rows.ABSENT_VERSION)
+            self.rows.write("t", "k", b"w", table.ABSENT_VERSION)
         )
         self.assertEqual(KINDS.CONFLICT, written.error.kind)
 
