--- a/src/cyclamendale/store/load_limit.py
+++ b/src/cyclamendale/store/load_limit.py
@@ -99,6 +99,10 @@
     )
 
 
+ROUNDING_S = 1e-6
+"""Wait that is none: the sum of a burst's intervals is not exact."""
+
+
 class TokenBucket:
     """Rate and burst as a virtual schedule (GCRA)."""
 
@@ -113,7 +117,7 @@
         """Returns the wait for the next turn, or None if it is too long."""
         due_s = max(self._next_s, now_s)
         wait_s = max(0.0, due_s - self._tolerance_s - now_s)
-        if wait_s > max_wait_s:
+        if wait_s > max_wait_s + ROUNDING_S:
             return None
         self._next_s = due_s + self._interval_s
         return wait_s
