Notice a store connection that has gone silent within two seconds

Cause: silence was taken for "nothing new". A watch was given up only after its wait of up to 4 s and a margin of 1.5 s. Each of the four waits had a connection pool of its own, so one silent connection after the other was found, each at that price.

Change: TCP keep-alive on connections to the store, one pool for all calls, which drops its idle connections when one times out, and a new attempt at once where a connection was lost rather than a call refused. This costs no call of the store. A silent connection now ends after two seconds, whatever it waits for.

Tests: test_platform_store SilentConnectionsTest (both failed before), test_fleet_configuration LostWatchTest (failed before).

--- a/src/cyclamendale/fleet/configuration.py
+++ b/src/cyclamendale/fleet/configuration.py
@@ -217,7 +217,13 @@
             self._log.belief("store-history-gone", table=self._table)
             self._table_version = None
             return
+        was_reachable = self._is_reachable
         self._set_reachable(False, f"{error.kind.value}: {error.detail}")
+        if was_reachable and (
+            error.kind is watched_rows.RowsErrorKind.OUTCOME_UNKNOWN
+        ):
+            # The connection was lost; the store may well be there.
+            return
         await load_limit.sleep(
             self._clock, self._random.uniform(*RETRY_DELAY_RANGE_S)
         )
--- a/src/cyclamendale/platform/store.py
+++ b/src/cyclamendale/platform/store.py
@@ -52,11 +52,14 @@
     """Accesses rows through `rows-get`, `rows-feed` and `rows-tx`."""
 
     def __init__(self, reactor: Any, clock: clocks.Clock, address: str) -> None:
-        self._reactor = reactor
-        self._clock = clock
-        self._base_url = f"http://{address}"
-        self._sender = self._make_sender(REQUEST_TIMEOUT_S)
-        self._watch_senders: dict[float, http_attempt.Sender] = {}
+        self._sender = http_attempt.Sender(
+            reactor,
+            clock,
+            f"http://{address}",
+            REQUEST_TIMEOUT_S,
+            CONNECT_TIMEOUT_S,
+            MAX_CONNECTIONS,
+        )
 
     async def read(self, table: str) -> watched_rows.RowsResult:
         """See base class."""
@@ -67,7 +70,7 @@
             if first_key:
                 query["range_start"] = first_key
             page = await self._send_request(
-                self._sender, "GET", _make_path("rows-get", query), None
+                "GET", _make_path("rows-get", query), None
             )
             if page.is_error():
                 return Error(page.error)
@@ -82,17 +85,13 @@
         self, table: str, after_version: int, wait_s: float
     ) -> watched_rows.RowsResult:
         """See base class."""
-        sender = self._watch_senders.get(wait_s)
-        if sender is None:
-            sender = self._make_sender(wait_s + REQUEST_TIMEOUT_S)
-            self._watch_senders[wait_s] = sender
         query = {
             "table": table,
             "after": after_version,
             "wait_ms": int(wait_s * 1000),
         }
         answer = await self._send_request(
-            sender, "GET", _make_path("rows-feed", query), None
+            "GET", _make_path("rows-feed", query), None, wait_s
         )
         return answer.map(_to_rows)
 
@@ -118,8 +117,7 @@
 
     async def close(self) -> None:
         """Closes the persistent connections."""
-        for sender in (self._sender, *self._watch_senders.values()):
-            await sender.close()
+        await self._sender.close()
 
     async def _transact(
         self,
@@ -136,18 +134,18 @@
             "remove": remove,
         }
         answer = await self._send_request(
-            self._sender, "POST", "/-/rows-tx", msgspec.json.encode(body)
+            "POST", "/-/rows-tx", msgspec.json.encode(body)
         )
         return answer.map(_to_rows)
 
     async def _send_request(
         self,
-        sender: http_attempt.Sender,
         method: str,
         path: str,
         body: bytes | None,
+        wait_s: float = 0.0,
     ) -> Result[_RowsAnswer, watched_rows.RowsError]:
-        result = await sender.send(method, path, body)
+        result = await self._sender.send(method, path, body, wait_s)
         match result:
             case Result(tag="ok", ok=answer):
                 return _decode_answer(answer)
@@ -159,16 +157,6 @@
             watched_rows.RowsErrorKind.OUTCOME_UNKNOWN, "no answer"
         )
 
-    def _make_sender(self, timeout_s: float) -> http_attempt.Sender:
-        return http_attempt.Sender(
-            self._reactor,
-            self._clock,
-            self._base_url,
-            timeout_s,
-            CONNECT_TIMEOUT_S,
-            MAX_CONNECTIONS,
-        )
-
 
 def _make_row_key(table: str, key: str) -> dict[str, str]:
     return {"table": table, "part": "", "key": key}
--- a/src/cyclamendale/store/http_attempt.py
+++ b/src/cyclamendale/store/http_attempt.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 import enum
 import io
+import socket
 from typing import Any, TypeAlias
 
 from expression import Error
@@ -15,6 +16,7 @@
 from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import error as internet_error
+from twisted.internet import interfaces
 from twisted.web import client
 from twisted.web import http_headers
 from twisted.web import iweb
@@ -23,6 +25,12 @@
 from cyclamendale import clocks
 from cyclamendale.store import faults
 
+KEEP_ALIVE_IDLE_S = 1
+KEEP_ALIVE_INTERVAL_S = 1
+KEEP_ALIVE_PROBES = 1
+"""A connection that goes silent without a reset is closed after two seconds,
+however long the request on it may wait; shorter times don't exist in TCP."""
+
 
 class AttemptFailure(enum.Enum):
     """Why a request got no response."""
@@ -60,11 +68,36 @@
         endpoint_type: Any = endpoints.HostnameEndpoint
         if abstract.isIPAddress(host):
             endpoint_type = endpoints.TCP4ClientEndpoint
-        return endpoint_type(
-            self._reactor, host, uri.port, timeout=self._timeout_s
+        return _KeepAliveEndpoint(
+            endpoint_type(
+                self._reactor, host, uri.port, timeout=self._timeout_s
+            )
         )
 
 
+@implementer(interfaces.IStreamClientEndpoint)
+class _KeepAliveEndpoint:
+    """Enables TCP keep-alive on the connections of another endpoint."""
+
+    def __init__(self, endpoint: Any) -> None:
+        self._endpoint = endpoint
+
+    def connect(self, factory: Any) -> Any:
+        return self._endpoint.connect(factory).addCallback(_enable_keep_alive)
+
+
+def _enable_keep_alive(connected: Any) -> Any:
+    connected.transport.setTcpKeepAlive(True)
+    handle = connected.transport.getHandle()
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
+    ):
+        handle.setsockopt(socket.IPPROTO_TCP, option, value)
+    return connected
+
+
 class Sender:
     """Sends each request once, over a pool of persistent connections."""
 
@@ -92,13 +125,31 @@
         )
 
     async def send(
-        self, method: str, path: str, body: bytes | None
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        wait_s: float = 0.0,
     ) -> Result[HttpResponse, AttemptFailure]:
-        """Sends a request once and reads the complete response."""
+        """Sends a request once and reads the complete response.
+
+        Args:
+            method: HTTP method.
+            path: Path and query.
+            body: The body, if any.
+            wait_s: How long the server may wait before it answers, besides
+                the time-out.
+        """
         pending = defer.Deferred.fromCoroutine(
             self._send_request(method, path, body)
         )
-        timer = self._clock.call_later(self._timeout_s, pending.cancel)
+
+        def time_out() -> None:
+            # The others may have gone silent with this one.
+            self._pool.closeCachedConnections()
+            pending.cancel()
+
+        timer = self._clock.call_later(self._timeout_s + wait_s, time_out)
         try:
             return Ok(await pending)
         except (
--- a/tests/support/platform_store.py
+++ b/tests/support/platform_store.py
@@ -40,12 +40,21 @@
         self.fault = None
         self.rows = {}
         self.version = 0
+        self.channels = set()
+        self.silent_channels = set()
+
+    def silence_connections(self):
+        """Lets all connections go silent without a reset; new ones work."""
+        self.silent_channels |= self.channels
 
     def write(self, table, key, value):
         self.version += 1
         self.rows[table, key] = (value, self.version)
 
     def render(self, request):
+        self.channels.add(request.channel)
+        if request.channel in self.silent_channels:
+            return server.NOT_DONE_YET
         if self.fault is not None:
             return self.fail(request)
         return self.answer(request)
--- a/tests/test_fleet_configuration.py
+++ b/tests/test_fleet_configuration.py
@@ -30,6 +30,7 @@
         self.clock = clock
         self.version = 1
         self.is_silent = False
+        self.is_lost = False
         self.calls = 0
         self.watchers = []
 
@@ -38,6 +39,12 @@
         if is_silent:
             self.watchers.clear()
 
+    def lose_connections(self):
+        """Ends all watches without an answer; later ones are answered."""
+        for lost in self.watchers:
+            lost.errback(ConnectionError())
+        self.watchers.clear()
+
     def put(self, version):
         self.version = version
         for changed in self.watchers:
@@ -65,8 +72,17 @@
             ended.addCallback(
                 lambda _: changed in self.watchers and changed.callback(None)
             )
-            await defer.DeferredList(first, fireOnOneCallback=True)
-            if not changed.called:
+            try:
+                await defer.DeferredList(
+                    first,
+                    fireOnOneCallback=True,
+                    fireOnOneErrback=True,
+                    consumeErrors=True,
+                )
+            except defer.FirstError:
+                self.is_lost = True
+            if self.is_lost or not changed.called:
+                self.is_lost = False
                 return Error(
                     watched_rows.RowsError(
                         watched_rows.RowsErrorKind.OUTCOME_UNKNOWN
@@ -97,6 +113,35 @@
         pass
 
 
+def decode_version(document):
+    return Ok(model.Configuration(version=int(document)))
+
+
+def make_sync(clock, rows, peers, seed=1):
+    """Returns the configuration of a node and what keeps it up to date."""
+    log = fake_log.FakeLog()
+    active = configuration.ActiveConfiguration(decode_version, log)
+    sync = configuration.ConfigurationSync(
+        clock, random.Random(seed), active, rows, ("op", "k"),
+        hosts.HostView(clock, "10.0.0.1:7", "north"), peers, log,
+    )  # fmt: skip
+    return active, sync
+
+
+class LostWatchTest(testtools.TestCase):
+    # A watcher paused after a lost connection as after a refusal.
+    def test_a_watcher_asks_again_at_once(self):
+        reactor = task.Clock()
+        clock = clocks.ReactorClock(reactor)
+        rows = SilentRows(clock)
+        active, sync = make_sync(clock, rows, FakePeers())
+        sync.start(is_first_start=False)
+        reactor.pump([0.05] * 10)
+        rows.version = 2
+        rows.lose_connections()
+        self.assertEqual(2, active.version)
+
+
 class SilentStoreTest(testtools.TestCase):
     """What one watcher knows, the others of the fleet learn from reports."""
 
@@ -112,15 +157,8 @@
     ]  # fmt: skip
 
     def start_watcher(self, clock, rows, seed):
-        active = configuration.ActiveConfiguration(
-            lambda document: Ok(model.Configuration(version=int(document))),
-            fake_log.FakeLog(),
-        )
-        configuration.ConfigurationSync(
-            clock, random.Random(seed), active, rows, ("op", "k"),
-            hosts.HostView(clock, "10.0.0.1:7", "north"), FakePeers(),
-            fake_log.FakeLog(),
-        ).start(is_first_start=False)  # fmt: skip
+        active, sync = make_sync(clock, rows, FakePeers(), seed)
+        sync.start(is_first_start=False)
         return active
 
     def test_a_version_after_an_outage_is_in_force_in_time(self):
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import socket
+
 import testscenarios
 from twisted.internet import defer
 from twisted.internet import reactor
 from twisted.internet import task
+from twisted.internet import tcp
 from twisted.trial import unittest
 
 from cyclamendale import clocks
@@ -137,3 +140,61 @@
         self.store.write("t", "k", b"")
         found = yield self.call(self.make(self.rows))
         self.assertTrue(found.is_ok())
+
+
+class SilentConnectionsTest(StoreCase):
+    """Connections go silent without a reset while new ones work."""
+
+    WAITS_S = (0.5, 0.6)
+
+    @defer.inlineCallbacks
+    def wait_for(self, result, step_s=0.1):
+        for _ in range(100):
+            yield task.deferLater(reactor, 0.01)
+            if result.called:
+                break
+            self.clock.advance(step_s)
+        found = yield result
+        return found
+
+    # A watch for each wait had connections of its own, which timed out one
+    # after the other.
+    @defer.inlineCallbacks
+    def test_only_one_watch_times_out(self):
+        self.store.write("t", "k", b"v")
+        for wait_s in self.WAITS_S:
+            yield self.call(self.rows.watch("t", 0, wait_s))
+        yield self.call(self.rows.read("t"))
+        self.store.silence_connections()
+        watch = self.call(self.rows.watch("t", 0, self.WAITS_S[0]))
+        found = yield self.wait_for(watch)
+        self.assertEqual(KINDS.OUTCOME_UNKNOWN, found.error.kind)
+        for wait_s in self.WAITS_S:
+            found = yield self.call(self.rows.watch("t", 0, wait_s))
+            self.assertTrue(found.is_ok())
+
+    # A watch on a silent connection was given up only after its wait.
+    @defer.inlineCallbacks
+    def test_keep_alive_ends_a_silent_watch(self):
+        self.store.fault = FAULT.SILENT
+        watch = self.call(self.rows.watch("t", 0, 4.0))
+        while not self.store.channels:
+            yield task.deferLater(reactor, 0.01)
+        port = self.port.getHost().port
+        handle = next(
+            each.getHandle()
+            for each in reactor.getReaders()
+            if isinstance(each, tcp.Client) and each.getPeer().port == port
+        )
+        idle_s, interval_s, probes = (
+            handle.getsockopt(socket.IPPROTO_TCP, option)
+            for option in (
+                socket.TCP_KEEPIDLE,
+                socket.TCP_KEEPINTVL,
+                socket.TCP_KEEPCNT,
+            )
+        )
+        is_on = handle.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        yield self.wait_for(watch, 1.0)
+        self.assertTrue(is_on)
+        self.assertLessEqual(idle_s + interval_s * probes, 2)
