Fetch a configuration on a new connection when the old one is silent

A host that does not watch fetches the document over its connection to the host that told of the version. Only connections with requests in flight are pinged, so a silent one without any was used again for each attempt, and each waited a second. Nothing ended this.

Change: a fetch that fails closes the connection if nothing else waits on it and is repeated on a new one. Where requests wait, the pings of the request path decide, since only they know whether the runs may be given up. The time-out falls to 0.4 s, so that two attempts fit into the bound.

Tests: test_fleet_configuration SilentPeerConnectionTest failed before; test_peer_contract DetachTest.

--- a/src/cyclamendale/fleet/configuration.py
+++ b/src/cyclamendale/fleet/configuration.py
@@ -19,6 +19,7 @@
 from cyclamendale.fleet import hosts
 from cyclamendale.intents import model
 from cyclamendale.peer import kinds
+from cyclamendale.peer import network
 from cyclamendale.peer import thrift_network
 from cyclamendale.peer.generated.fleet import ttypes
 from cyclamendale.store import load_limit
@@ -47,8 +48,9 @@
 """Range of the random delay after a store error; the randomness keeps the
 nodes from retrying in step."""
 
-FETCH_TIMEOUT_S = 1.0
-"""Timeout for fetching a document from another node."""
+FETCH_TIMEOUT_S = 0.4
+"""Timeout for fetching a document from another node. Two of them, and a
+digest, fit into the time in which a version has to be in force."""
 
 DocumentDecoder = Callable[[bytes], "Result[model.Configuration, Any]"]
 Listener = Callable[[model.Configuration], None]
@@ -239,15 +241,10 @@
 
     async def _fetch(self, peer: ids.PeerAddress) -> None:
         try:
-            result = await self._peers.request(
-                peer,
-                kinds.MessageKind.CONFIGURATION_DOCUMENT,
-                ttypes.ConfigurationRequest(
-                    have_version=self._active_configuration.version
-                ),
-                ttypes.ConfigurationDocument,
-                FETCH_TIMEOUT_S,
-            )
+            result = await self._request_document(peer)
+            if result.is_error() and self._peers.discard_idle_connection(peer):
+                # Only the connection may have gone silent.
+                result = await self._request_document(peer)
         finally:
             self._is_fetching = False
         if result.is_error():
@@ -259,6 +256,19 @@
         elif result.ok.document:
             self._active_configuration.apply_document(result.ok.document, peer)
 
+    def _request_document(
+        self, peer: ids.PeerAddress
+    ) -> defer.Deferred[Result[Any, network.PeerError]]:
+        return self._peers.request(
+            peer,
+            kinds.MessageKind.CONFIGURATION_DOCUMENT,
+            ttypes.ConfigurationRequest(
+                have_version=self._active_configuration.version
+            ),
+            ttypes.ConfigurationDocument,
+            FETCH_TIMEOUT_S,
+        )
+
     def _serve_document(self, request: Any) -> Any:
         document = b""
         if self._active_configuration.version > request.have_version:
--- a/src/cyclamendale/peer/connection.py
+++ b/src/cyclamendale/peer/connection.py
@@ -107,6 +107,11 @@
         """Returns whether the connection is authenticated and open."""
         return self._phase is _Phase.OPEN
 
+    @property
+    def has_pending_requests(self) -> bool:
+        """Returns whether any request waits for its reply."""
+        return bool(self._pending)
+
     def connectionMade(self) -> None:
         """Starts the handshake by sending the challenge."""
         self.transport.setTcpNoDelay(True)
--- a/src/cyclamendale/peer/thrift_network.py
+++ b/src/cyclamendale/peer/thrift_network.py
@@ -142,6 +142,25 @@
         self._detached.add(connection)
         return connection
 
+    def discard_idle_connection(self, peer: ids.PeerAddress) -> bool:
+        """Closes the connection to a peer unless requests wait on it.
+
+        Whoever sent these finds out whether the connection has gone silent,
+        and knows whether their runs may be given up.
+
+        Returns:
+            Whether there was such a connection; the next request opens one.
+        """
+        link = self._links.get(peer)
+        if link is None or link.connection is None:
+            return False
+        if link.connection.has_pending_requests:
+            return False
+        connection = self.detach_connection(peer)
+        assert connection is not None
+        connection.abort()
+        return True
+
     def serve_raw(self, kind: kinds.MessageKind, handler: RawHandler) -> None:
         """Registers a handler that decodes requests and replies itself."""
         self._handlers[kind] = handler
--- a/tests/test_fleet_configuration.py
+++ b/tests/test_fleet_configuration.py
@@ -14,6 +14,8 @@
 from cyclamendale.fleet import configuration
 from cyclamendale.fleet import hosts
 from cyclamendale.intents import model
+from cyclamendale.peer import network
+from cyclamendale.peer.generated.fleet import ttypes
 from cyclamendale.platform import store
 from cyclamendale.store import load_limit
 from cyclamendale.store import watched_rows
@@ -113,6 +115,31 @@
         pass
 
 
+class SilentPeers(FakePeers):
+    """Peers whose connections are silent until they are replaced."""
+
+    def __init__(self, clock, is_idle):
+        self.clock = clock
+        self.is_idle = is_idle
+        self.is_silent = True
+
+    async def time_out(self, timeout_s):
+        await load_limit.sleep(self.clock, timeout_s)
+        return Error(network.PeerError(network.PeerErrorKind.TIMEOUT, "p"))
+
+    def request(self, peer, kind, message, reply_type, timeout_s):
+        if self.is_silent:
+            return defer.Deferred.fromCoroutine(self.time_out(timeout_s))
+        return defer.succeed(
+            Ok(ttypes.ConfigurationDocument(version=2, document=b"2"))
+        )
+
+    def discard_idle_connection(self, peer):
+        if self.is_idle:
+            self.is_silent = False
+        return self.is_idle
+
+
 def decode_version(document):
     return Ok(model.Configuration(version=int(document)))
 
@@ -128,6 +155,34 @@
     return active, sync
 
 
+class SilentPeerConnectionTest(testtools.TestCase):
+    """A connection between two nodes is silent when a version is known."""
+
+    # The fetch was repeated on the same connection for as long as nothing
+    # else was sent on it.
+    def test_the_version_is_fetched_on_a_new_connection(self):
+        reactor = task.Clock()
+        clock = clocks.ReactorClock(reactor)
+        active, sync = make_sync(
+            clock, SilentRows(clock), SilentPeers(clock, is_idle=True)
+        )
+        sync.learn_version(2, "10.0.0.2:7")
+        reactor.pump([0.05] * round(APPLY_S / 2 / 0.05))
+        self.assertEqual(2, active.version)
+
+    def test_requests_in_flight_keep_their_connection(self):
+        reactor = task.Clock()
+        clock = clocks.ReactorClock(reactor)
+        peers = SilentPeers(clock, is_idle=False)
+        active, sync = make_sync(clock, SilentRows(clock), peers)
+        sync.learn_version(2, "10.0.0.2:7")
+        reactor.pump([0.05] * round(APPLY_S / 0.05))
+        self.assertEqual(0, active.version)
+        peers.is_silent = False
+        sync.learn_version(2, "10.0.0.2:7")
+        self.assertEqual(2, active.version)
+
+
 class LostWatchTest(testtools.TestCase):
     # A watcher paused after a lost connection as after a refusal.
     def test_a_watcher_asks_again_at_once(self):
--- a/tests/test_peer_contract.py
+++ b/tests/test_peer_contract.py
@@ -232,6 +232,15 @@
     def test_without_a_connection_there_is_none(self):
         self.assertIsNone(self.network.detach_connection(peer_bench.PEER))
 
+    def test_only_an_idle_connection_is_discarded(self):
+        connection, _ = self.bench.accept_outgoing()
+        connection.request(KIND.PING, 1, b"", lambda _: None)
+        discard = self.network.discard_idle_connection
+        self.assertFalse(discard(peer_bench.PEER))
+        connection.ignore_reply(KIND.PING, 1)
+        self.assertTrue(discard(peer_bench.PEER))
+        self.assertFalse(discard(peer_bench.PEER))
+
 
 class InvalidCallTest(testscenarios.TestWithScenarios, testtools.TestCase):
     """A call with invalid values is rejected and runs nothing."""
