Keep the limit that an upstream names in its responses

Cause: nothing read `Server-Limit`. All that a node knew of its upstream's capacity came from announcements, and what an upstream says in responses was passed on unread.

Change: all requests to an upstream pass the gate beside it, so the gate counts for all hosts. A token bucket paces the starts at the rate named. The limit also bounds the capacity that the host reports, so that others place the rest where there is room and, where there is none, roots are refused at their entry by the pressure as before. A new process of the node starts an upstream of which it knows no response with four requests, since its predecessor may have known a limit. Pressures of a service are weighted by slots: those that take little would have refused roots for which the others have room. Only decimal numbers in the final response to the own request count; a refusal can name a limit, only a run can end it, a second after it was last named.

Cost at 1,100 nodes: an integer for each service in a digest, an urgent report at most every 0.5 s while an upstream changes its limit by a quarter.

Tests: test_overload_start_limit, test_proxy_stated_limit, test_proxy_gate_limit, LimitTest of test_proxy_upstream, SumsTest and BuilderTest of test_fleet_digests. Without the limit in the gate, the replay of test_proxy_gate_limit starts all that arrives.

--- a/src/cyclamendale/fleet/digest_builder.py
+++ b/src/cyclamendale/fleet/digest_builder.py
@@ -118,6 +118,7 @@
     for name in usage.keys() | statuses.keys():
         counts = usage.get(name, retry_usage.RetryUsage(0, 0, 0))
         is_open = statuses[name]
+        slots = sum(each.slots for each in is_open)
         yield digests.ServiceSums(
             name,
             counts.requests,
@@ -125,11 +126,12 @@
             counts.repeats,
             len(is_open),
             digests.to_per_mille(
-                sum(each.pressure for each in is_open) / len(is_open)
+                sum(each.slots * each.pressure for each in is_open) / slots
             )
-            if is_open
+            if slots
             else 0,
             digests.to_per_mille(min(each.refused_share for each in is_open))
             if is_open
             else 0,
+            slots,
         )
--- a/src/cyclamendale/fleet/digests.py
+++ b/src/cyclamendale/fleet/digests.py
@@ -66,8 +66,9 @@
         before: See `retry_usage.RetryUsage`.
         repeats: See `retry_usage.RetryUsage`.
         open_count: Upstreams of the service that accept new requests.
-        pressure_per_mille: Their mean pressure.
+        pressure_per_mille: Their mean pressure, weighted by slots.
         refused_per_mille: The lowest of their refused shares.
+        slots: Requests that they run concurrently, the weight of the pressure.
     """
 
     service: ids.ServiceName
@@ -77,6 +78,7 @@
     open_count: int = 0
     pressure_per_mille: int = 0
     refused_per_mille: int = 0
+    slots: int = 0
 
     @property
     def pressure(self) -> float:
--- a/src/cyclamendale/fleet/hosts.py
+++ b/src/cyclamendale/fleet/hosts.py
@@ -285,7 +285,11 @@
         return host.candidate if host else None
 
     def pressure(self, service: ids.ServiceName) -> float:
-        """Returns the mean pressure over the open upstreams of a service."""
+        """Returns the mean pressure over the slots of a service.
+
+        An upstream that takes little weighs little: work that it turns away
+        may find room at the others.
+        """
         self._update_sums()
         self._update_sums()
         return self._pressures.get(service, 0.0)
@@ -365,9 +369,7 @@
         if not self._are_sums_stale:
             return
         self._are_sums_stale = False
-        open_counts: collections.Counter[ids.ServiceName] = (
-            collections.Counter()
-        )
+        slots: collections.Counter[ids.ServiceName] = collections.Counter()
         pressures: dict[ids.ServiceName, float] = {}
         refused_shares: dict[ids.ServiceName, float] = {}
         for digest in self.received_digests():
@@ -375,14 +377,16 @@
                 if not sums.open_count:
                     continue
                 name, refused_share = sums.service, sums.refused_share
-                open_counts[name] += sums.open_count
+                # Earlier builds do not tell the slots.
+                weight = sums.slots or sums.open_count
+                slots[name] += weight
                 pressures[name] = (
-                    pressures.get(name, 0.0) + sums.open_count * sums.pressure
+                    pressures.get(name, 0.0) + weight * sums.pressure
                 )
                 refused_shares[name] = min(
                     refused_shares.get(name, 1.0), refused_share
                 )
         self._pressures = {
-            name: total / open_counts[name] for name, total in pressures.items()
+            name: total / slots[name] for name, total in pressures.items()
         }
         self._refused_shares = refused_shares
--- a/src/cyclamendale/overload/gate_queue.py
+++ b/src/cyclamendale/overload/gate_queue.py
@@ -20,9 +20,11 @@
 import enum
 import heapq
 import itertools
+import math
 
 import msgspec
 
+from cyclamendale.overload import start_limit
 from cyclamendale.proxy import messages
 
 USED_SLOTS_SHARE = 0.94
@@ -108,7 +110,7 @@
     Attributes:
         in_service: Requests started and not yet answered.
         queued: Waiting requests.
-        capacity: Maximum number of requests in service.
+        capacity: Number of requests that can be in service.
         service_time_s: Mean service time at the upstream.
         wait_s: Expected wait of a new request.
     """
@@ -141,6 +143,23 @@
         self._service_time_s = INITIAL_SERVICE_TIME_S
         self._is_measured = False
         self._root_share = 1.0
+        self._limit = start_limit.make_start_limit()
+
+    def replace_upstream(self) -> None:
+        """Forgets the limit of an earlier process.
+
+        The new one may have named a limit to an earlier process of this node.
+        """
+        self._limit = start_limit.make_unproven_start_limit()
+
+    def observe_limit(self, named_per_s: float | None, now_s: float) -> None:
+        """Takes the limit of a response; None if it named none."""
+        self._limit.observe(named_per_s, now_s)
+
+    @property
+    def limit_per_s(self) -> float | None:
+        """Returns the starts per second that the upstream takes, if limited."""
+        return self._limit.rate_per_s
 
     def set_slots(self, slots: int) -> None:
         """Sets the number of requests that the upstream runs concurrently."""
@@ -151,16 +170,16 @@
         return GateLoad(
             self._in_service,
             self._waiting,
-            self._capacity,
+            self._limit.capacity(self._capacity, self._service_time_s),
             self._service_time_s,
             self.expected_wait_s(),
         )
 
     def expected_wait_s(self) -> float:
         """Returns the expected wait of a new request."""
-        if self._in_service < self._capacity:
+        if self._in_service < self._capacity and not self._waiting:
             return 0.0
-        return (self._waiting + 1) * self._service_time_s / self._capacity
+        return (self._waiting + 1) / self._starts_per_s()
 
     def submit(self, ticket: Ticket, now_s: float) -> Verdict:
         """Starts, queues or refuses a request.
@@ -172,7 +191,7 @@
         self._root_share += ROOT_SHARE_WEIGHT * (is_root - self._root_share)
         if is_root and self._root_share < FEW_ROOTS_SHARE:
             ticket.priority = (FEW_ROOTS_RANK, 0)
-        if self._in_service < self._capacity and not self._waiting:
+        if self._has_room(now_s) and not self._waiting:
             if not self._can_finish(ticket, now_s):
                 return Verdict.REFUSE
             self._start(ticket, now_s)
@@ -218,7 +237,7 @@
 
     def pop_startable(self, now_s: float) -> Iterator[Ticket]:
         """Removes and yields the waiting requests to start now."""
-        while self._waiting and self._in_service < self._capacity:
+        while self._waiting and self._has_room(now_s):
             ticket = heapq.heappop(self._heap)[-1]
             if ticket.is_withdrawn:
                 continue
@@ -230,6 +249,17 @@
                 ticket.is_withdrawn = True
                 self._overdue.append(ticket)
 
+    def next_start_in_s(self, now_s: float) -> float | None:
+        """Returns when the limit lets the next waiting request start.
+
+        Returns:
+            Seconds, or None if none waits for the limit.
+        """
+        if not self._waiting or self._in_service >= self._capacity:
+            return None
+        wait_s = self._limit.wait_s(self._in_service, now_s)
+        return wait_s if 0.0 < wait_s < math.inf else None
+
     def pop_expired(self, now_s: float) -> Iterator[Ticket]:
         """Removes and yields requests that can no longer finish in time."""
         overdue, self._overdue = self._overdue, []
@@ -253,6 +283,19 @@
     def _start(self, ticket: Ticket, now_s: float) -> None:
         ticket.started_s = now_s
         self._in_service += 1
+        self._limit.record_start(now_s)
+
+    def _has_room(self, now_s: float) -> bool:
+        return (
+            self._in_service < self._capacity
+            and self._limit.wait_s(self._in_service, now_s) <= 0.0
+        )
+
+    def _starts_per_s(self) -> float:
+        starts_per_s = self._capacity / self._service_time_s
+        if self._limit.rate_per_s is None:
+            return starts_per_s
+        return min(starts_per_s, self._limit.rate_per_s)
 
     def _can_finish(self, ticket: Ticket, start_s: float) -> bool:
         request = ticket.request
@@ -286,7 +329,7 @@
             for other, count in self._waiting_by_priority.items()
             if other <= priority
         )
-        return ahead * self._service_time_s / self._capacity
+        return ahead / self._starts_per_s()
 
 
 def make_gate_queue() -> GateQueue:
--- a/src/cyclamendale/platform/request_headers.py
+++ b/src/cyclamendale/platform/request_headers.py
@@ -12,4 +12,5 @@
     caller_service=b"X-Cyclamendale-Caller-Service",
     expected_upstream=b"X-Cyclamendale-Expected-Instance",
     not_run=b"X-Cyclamendale-Not-Executed",
+    limit=b"Server-Limit",
 )
--- a/src/cyclamendale/proxy/gate.py
+++ b/src/cyclamendale/proxy/gate.py
@@ -10,7 +10,6 @@
 
 from collections.abc import Callable
 import enum
-import math
 from typing import Any
 
 from cyclamendale import clocks
@@ -18,8 +17,9 @@
 from cyclamendale.overload import gate_queue
 from cyclamendale.overload import pressure
 from cyclamendale.proxy import header_names
-from cyclamendale.proxy import heads
+from cyclamendale.proxy import limit_observer
 from cyclamendale.proxy import messages
+from cyclamendale.proxy import request_encoding
 from cyclamendale.proxy import upstream_connection as connections
 from cyclamendale.proxy import upstream_pool
 
@@ -34,9 +34,6 @@
 """Consecutive requests without a response after which the upstream is taken
 to be lost until it announces itself again."""
 
-MIN_STATED_REMAINING_S = 0.002
-"""Lower bound of the remaining time that is stated to the upstream."""
-
 REFUSAL_BACKOFF_FACTOR = 0.95
 """Factor on the number of used slots after a refusal of a full upstream."""
 
@@ -61,7 +58,7 @@
 class _Run(messages.Handle):
     """A request that is queued at the gate or running on the upstream."""
 
-    __slots__ = ("gate", "lease", "receiver", "ticket")
+    __slots__ = ("gate", "lease", "receiver", "ticket", "upstream_id")
 
     def __init__(
         self,
@@ -73,6 +70,7 @@
         self.ticket = ticket
         self.receiver: messages.OutcomeReceiver | None = receiver
         self.lease: upstream_pool.Lease | None = None
+        self.upstream_id = ""
 
     def cancel(self) -> None:
         """See base class."""
@@ -103,6 +101,9 @@
         self._log = log
         self._on_state_change = on_state_change
         self._queue = gate_queue.make_gate_queue()
+        self._limit_observer = limit_observer.LimitObserver(
+            clock, self._queue, on_state_change, log
+        )
         self._pressure = pressure.PressureControl(clock.now_s())
         self._refused_share = pressure.RefusedShare()
         self._pool: upstream_pool.UpstreamPool | None = None
@@ -111,6 +112,7 @@
         self._slots = 1.0
         self._announced_slots = 1
         self._timer: clocks.DelayedCall | None = None
+        self._start_timer: clocks.DelayedCall | None = None
         self.state = GateState.UNKNOWN
         self.upstream_id = ""
         self.on_run: Callable[[messages.UpstreamRequest], None] | None = None
@@ -124,6 +126,7 @@
     def stop(self) -> None:
         """Stops the deadline check and closes idle connections."""
         clocks.cancel(self._timer)
+        clocks.cancel(self._start_timer)
         if self._pool is not None:
             self._pool.close()
 
@@ -197,6 +200,8 @@
         self._runs[ticket] = run
         if verdict is gate_queue.Verdict.START:
             self._forward(run)
+        else:
+            self._schedule_start(now_s)
         return run
 
     def cancel_run(self, run: _Run) -> None:
@@ -216,40 +221,25 @@
 
     def _forward(self, run: _Run) -> None:
         request = run.ticket.request
+        run.upstream_id = self.upstream_id
         pool = self._pool
         assert pool is not None
         if self.on_run is not None:
             self.on_run(request)
         method = request.head.partition(b" ")[0]
         run.lease = pool.send(
-            lambda: self._encode(request),
+            lambda: request_encoding.encode(
+                request,
+                self._header_names,
+                self.upstream_id,
+                self._clock.now_s(),
+            ),
             request.request_id.encode("latin-1"),
             method == b"HEAD",
             request.idempotent,
             lambda result: self._on_result(run, result),
         )
 
-    def _encode(self, request: messages.UpstreamRequest) -> bytes:
-        header_names = self._header_names
-        remaining_s = max(
-            MIN_STATED_REMAINING_S, request.deadline_s - self._clock.now_s()
-        )
-        parts = [
-            request.head,
-            heads.line(
-                header_names.remaining_ms,
-                b"%d" % max(1, math.floor(remaining_s * 1000)),
-            ),
-            heads.line(
-                header_names.expected_upstream, self.upstream_id.encode()
-            ),
-        ]
-        if request.body or not request.head.startswith((b"GET ", b"HEAD ")):
-            parts.append(b"Content-Length: %d\r\n" % len(request.body))
-        parts.append(heads.CRLF)
-        parts.append(request.body)
-        return b"".join(parts)
-
     def _on_result(
         self,
         run: _Run,
@@ -257,6 +247,8 @@
     ) -> None:
         if isinstance(result, connections.UpstreamResponse):
             self._consecutive_timeouts = 0
+            if run.upstream_id == self.upstream_id and result.status != 421:
+                self._limit_observer.observe(self.upstream_id, result)
             outcome = self._on_response(run, result)
         else:
             outcome = self._on_failure(run, result)
@@ -324,8 +316,21 @@
     def _start_queued(self) -> None:
         if self.state is not GateState.OPEN:
             return
-        for ticket in self._queue.pop_startable(self._clock.now_s()):
+        now_s = self._clock.now_s()
+        for ticket in self._queue.pop_startable(now_s):
             self._forward(self._runs[ticket])
+        self._schedule_start(now_s)
+
+    def _schedule_start(self, now_s: float) -> None:
+        """Starts the next request when the upstream's limit allows it."""
+        delay_s = self._queue.next_start_in_s(now_s)
+        if delay_s is None or self._start_timer is not None:
+            return
+        self._start_timer = self._clock.call_later(delay_s, self._start_due)
+
+    def _start_due(self) -> None:
+        self._start_timer = None
+        self._start_queued()
 
     def _refuse(
         self, ticket: gate_queue.Ticket, reason: refusals.RefusalReason
@@ -384,6 +389,7 @@
         if self._pool is not None:
             self._pool.close()
         self.upstream_id = upstream_id
+        self._queue.replace_upstream()
         self._refused_share = pressure.RefusedShare()
         self._pool = upstream_pool.make_upstream_pool(
             self._reactor, self._clock, self._header_names, address
--- a/src/cyclamendale/proxy/header_names.py
+++ b/src/cyclamendale/proxy/header_names.py
@@ -16,6 +16,7 @@
         caller_service: Service on whose host the request entered the fleet.
         expected_upstream: Id of the only upstream that may run the request.
         not_run: Marks a response of an upstream that did not run the request.
+        limit: Requests per second that an upstream takes from all hosts.
     """
 
     request_id: bytes
@@ -25,3 +26,4 @@
     caller_service: bytes
     expected_upstream: bytes
     not_run: bytes
+    limit: bytes
--- a/src/cyclamendale/proxy/upstream_connection.py
+++ b/src/cyclamendale/proxy/upstream_connection.py
@@ -22,6 +22,7 @@
 from cyclamendale.proxy import header_names
 from cyclamendale.proxy import heads
 from cyclamendale.proxy import messages
+from cyclamendale.proxy import stated_limit
 
 MAX_FRAMING_BYTES = 64 * 1024
 """Maximum number of bytes outside of bodies per exchange: heads, interim
@@ -49,15 +50,22 @@
 
     Attributes:
         not_run: Whether the upstream states that it did not run the request.
+        limit_per_s: Requests per second that it takes, if it names a limit.
     """
 
-    __slots__ = ("not_run",)
+    __slots__ = ("limit_per_s", "not_run")
 
     def __init__(
-        self, status: int, header_lines: bytes, body: bytes, not_run: bool
+        self,
+        status: int,
+        header_lines: bytes,
+        body: bytes,
+        not_run: bool,
+        limit_per_s: float | None = None,
     ) -> None:
         super().__init__(status, header_lines, body)
         self.not_run = not_run
+        self.limit_per_s = limit_per_s
 
 
 ResultReceiver = Callable[["UpstreamResponse | Failure"], None]
@@ -85,6 +93,7 @@
         self._header_names = header_names
         self._request_id_header = header_names.request_id.lower()
         self._not_run_header = header_names.not_run.lower()
+        self._limit_header = header_names.limit.lower()
         self._on_open = on_open
         self._on_idle = on_idle
         self._on_closed = on_closed
@@ -209,6 +218,8 @@
             return
         if lower == b"content-encoding":
             self._is_encoded = True
+        elif lower == self._limit_header:
+            self._limits.append(value)
         self._header_lines.append(heads.line(name, value))
 
     def on_headers_complete(self) -> None:
@@ -251,6 +262,7 @@
         self._has_length = False
         self._not_run = False
         self._is_encoded = False
+        self._limits: list[bytes] = []
         self._connection_values: list[bytes] = []
 
     def _connection_header(self, lower: bytes, value: bytes) -> None:
@@ -309,6 +321,7 @@
             heads.join_forwarded(self._header_lines, self._connection_values),
             b"".join(self._body),
             self._not_run,
+            stated_limit.decode(self._limits),
         )
         self._receiver = None
         self._completed = receiver, response
--- a/tests/test_fleet_digests.py
+++ b/tests/test_fleet_digests.py
@@ -202,6 +202,15 @@
         self.view.apply_digest(digest(domain="north", services=self.sums(1, 0)))
         self.assertAlmostEqual(0.3, self.view.pressure("wash"))
 
+    # Roots were refused for upstreams that take little, although the others
+    # of their service had room.
+    def test_pressure_is_weighted_by_what_the_upstreams_take(self):
+        sums = digests.ServiceSums("wash", 0, 0, 0, 3, 1000, 0, 30)
+        self.view.apply_digest(digest(domain="south", services=[sums]))
+        sums = digests.ServiceSums("wash", 0, 0, 0, 1, 0, 0, 170)
+        self.view.apply_digest(digest(domain="north", services=[sums]))
+        self.assertAlmostEqual(0.15, self.view.pressure("wash"))
+
     def test_refused_share_is_that_of_the_best_upstream(self):
         self.view.apply_digest(
             digest(domain="south", services=self.sums(3, 0, 600))
@@ -268,6 +277,16 @@
         self.assertAlmostEqual(0.3, sums.pressure)
         self.assertAlmostEqual(0.1, sums.refused_share)
 
+    def test_weighs_pressures_by_slots(self):
+        self.receive(
+            self.own(upstream=upstream(pressure=1.0, slots=10)),
+            report(1, 1, OTHER, failure_domain="north",
+                   upstream=upstream("i-2", pressure=0.0, slots=90)),
+        )  # fmt: skip
+        (sums,) = self.builder.build().services
+        self.assertAlmostEqual(0.1, sums.pressure)
+        self.assertEqual(100, sums.slots)
+
     def test_sums_the_usage_and_keeps_repeats_of_ended_processes(self):
         def usage(*counts):
             return {"wash": retry_usage.RetryUsage(*counts)}
--- a/tests/test_proxy_gate.py
+++ b/tests/test_proxy_gate.py
@@ -43,9 +43,13 @@
     def close(self):
         self.is_closed = True
 
-    def respond(self, index=0, status=200, not_run=False):
+    def respond(self, index=0, status=200, not_run=False, limit_per_s=None):
         _, receiver = self.sent[index]
-        receiver(connections.UpstreamResponse(status, b"", b"x", not_run))
+        receiver(
+            connections.UpstreamResponse(
+                status, b"", b"x", not_run, limit_per_s
+            )
+        )
 
     def fail(self, failure, index=0):
         _, receiver = self.sent[index]
@@ -57,17 +61,20 @@
         super().setUp()
         self.reactor = task.Clock()
         self.log = fake_log.FakeLog()
-        self.gate = gates.Gate(
+        self.gate = self.build_gate(lambda: None)
+        self.pool = FakePool()
+        self.gate._replace_upstream = self.use_fake_pool
+        self.gate.start()
+        self.outcomes = []
+
+    def build_gate(self, on_state_change):
+        return gates.Gate(
             None,
             clocks.ReactorClock(self.reactor),
             request_headers.HEADER_NAMES,
             self.log,
-            lambda: None,
+            on_state_change,
         )
-        self.pool = FakePool()
-        self.gate._replace_upstream = self.use_fake_pool
-        self.gate.start()
-        self.outcomes = []
 
     def use_fake_pool(self, upstream_id, address):
         self.gate.upstream_id = upstream_id
--- a/tests/test_proxy_upstream.py
+++ b/tests/test_proxy_upstream.py
@@ -168,3 +168,33 @@
             OK + OWN + b"Keep-Alive: timeout=7\r\n" + BODY
         )
         self.assertEqual(7.0, self.connection.keep_alive_s)
+
+
+class LimitTest(UpstreamConnectionCase):
+    """Only the final response to the own request names a limit."""
+
+    LIMIT = b"Server-Limit: 23.6\r\n"
+    scenarios = [
+        ("final response", {
+            "data": OK + OWN + LIMIT + BODY, "limit_per_s": 23.6}),
+        ("interim response", {
+            "data": b"HTTP/1.1 103 Early Hints\r\n" + LIMIT + b"\r\n"
+                    + OK + OWN + BODY, "limit_per_s": None}),
+        ("late response to another request", {
+            "data": OK + OTHER + LIMIT + BODY + OK + OWN + BODY,
+            "limit_per_s": None}),
+        ("named twice", {
+            "data": OK + OWN + LIMIT + b"server-limit: 9\r\n" + BODY,
+            "limit_per_s": 9.0}),
+    ]  # fmt: skip
+
+    def test_limit(self):
+        self.send()
+        self.connection.dataReceived(self.data)
+        (result,) = self.results
+        self.assertEqual(self.limit_per_s, result.limit_per_s)
+
+    def test_callers_see_the_header_as_sent(self):
+        self.send()
+        self.connection.dataReceived(OK + OWN + self.LIMIT + BODY)
+        self.assertIn(self.LIMIT, self.results[0].header_lines)
