Close the gate of an upstream that says in a response that it leaves

An upstream that leaves says so in its responses (`Server-Leaving: 1`), and only announcements were read. An upstream whose announcement is late, or went to a node that was replaced, got new work.

Change: such a response counts as the upstream's departure: the gate closes, queued requests go elsewhere, the other hosts are told at once and the departure is stored for the next process of this node. A late heartbeat that says ready does not open the gate again; a process that was started later does.

Tests: LeavingResponseTest of test_proxy_gate, LeavingTest of test_proxy_upstream, a scenario of test_fleet_departures; all failed before, as there was no such field or callback.

Open: a node that restarts while the store is away opens its gate to a late heartbeat and learns of the departure from the next response; up to four requests may start until then.

--- a/src/cyclamendale/fleet/own_upstream.py
+++ b/src/cyclamendale/fleet/own_upstream.py
@@ -27,6 +27,9 @@
         self._active_configuration = active_configuration
         self._departure_store = departure_store
         self._log = log
+        gate.on_leaving = lambda upstream_id: self.handle_departure(
+            upstream_id, None
+        )
 
     def start(self, is_first_start: bool) -> None:
         """Loads earlier departures; the gate can open once they are read.
--- a/src/cyclamendale/platform/request_headers.py
+++ b/src/cyclamendale/platform/request_headers.py
@@ -13,4 +13,5 @@
     expected_upstream=b"X-Cyclamendale-Expected-Instance",
     not_run=b"X-Cyclamendale-Not-Executed",
     limit=b"Server-Limit",
+    leaving=b"Server-Leaving",
 )
--- a/src/cyclamendale/proxy/gate.py
+++ b/src/cyclamendale/proxy/gate.py
@@ -85,6 +85,8 @@
         state: Whether the gate forwards requests.
         upstream_id: Id of the upstream process; empty if unknown.
         on_run: Called with each request that is forwarded, if set.
+        on_leaving: Called with the id of an upstream process that states in a
+            response that it leaves.
     """
 
     def __init__(
@@ -116,6 +118,7 @@
         self.state = GateState.UNKNOWN
         self.upstream_id = ""
         self.on_run: Callable[[messages.UpstreamRequest], None] | None = None
+        self.on_leaving: Callable[[str], None] = lambda upstream_id: None
 
     def start(self) -> None:
         """Starts the deadline check."""
@@ -249,6 +252,8 @@
             self._consecutive_timeouts = 0
             if run.upstream_id == self.upstream_id and result.status != 421:
                 self._limit_observer.observe(self.upstream_id, result)
+                if result.is_leaving and self.state is GateState.OPEN:
+                    self.on_leaving(self.upstream_id)
             outcome = self._on_response(run, result)
         else:
             outcome = self._on_failure(run, result)
--- a/src/cyclamendale/proxy/header_names.py
+++ b/src/cyclamendale/proxy/header_names.py
@@ -17,6 +17,7 @@
         expected_upstream: Id of the only upstream that may run the request.
         not_run: Marks a response of an upstream that did not run the request.
         limit: Requests per second that an upstream takes from all hosts.
+        leaving: Marks the responses of an upstream that leaves.
     """
 
     request_id: bytes
@@ -27,3 +28,4 @@
     expected_upstream: bytes
     not_run: bytes
     limit: bytes
+    leaving: bytes
--- a/src/cyclamendale/proxy/upstream_connection.py
+++ b/src/cyclamendale/proxy/upstream_connection.py
@@ -51,9 +51,10 @@
     Attributes:
         not_run: Whether the upstream states that it did not run the request.
         limit_per_s: Requests per second that it takes, if it names a limit.
+        is_leaving: Whether it states that it leaves.
     """
 
-    __slots__ = ("limit_per_s", "not_run")
+    __slots__ = ("is_leaving", "limit_per_s", "not_run")
 
     def __init__(
         self,
@@ -62,10 +63,12 @@
         body: bytes,
         not_run: bool,
         limit_per_s: float | None = None,
+        is_leaving: bool = False,
     ) -> None:
         super().__init__(status, header_lines, body)
         self.not_run = not_run
         self.limit_per_s = limit_per_s
+        self.is_leaving = is_leaving
 
 
 ResultReceiver = Callable[["UpstreamResponse | Failure"], None]
@@ -94,6 +97,7 @@
         self._request_id_header = header_names.request_id.lower()
         self._not_run_header = header_names.not_run.lower()
         self._limit_header = header_names.limit.lower()
+        self._leaving_header = header_names.leaving.lower()
         self._on_open = on_open
         self._on_idle = on_idle
         self._on_closed = on_closed
@@ -220,6 +224,8 @@
             self._is_encoded = True
         elif lower == self._limit_header:
             self._limits.append(value)
+        elif lower == self._leaving_header:
+            self._is_leaving |= value.strip() == b"1"
         self._header_lines.append(heads.line(name, value))
 
     def on_headers_complete(self) -> None:
@@ -263,6 +269,7 @@
         self._not_run = False
         self._is_encoded = False
         self._limits: list[bytes] = []
+        self._is_leaving = False
         self._connection_values: list[bytes] = []
 
     def _connection_header(self, lower: bytes, value: bytes) -> None:
@@ -322,6 +329,7 @@
             b"".join(self._body),
             self._not_run,
             stated_limit.decode(self._limits),
+            self._is_leaving,
         )
         self._receiver = None
         self._completed = receiver, response
--- a/tests/test_fleet_departures.py
+++ b/tests/test_fleet_departures.py
@@ -28,6 +28,7 @@
 class FakeGate:
     def __init__(self):
         self.state = gates.GateState.UNKNOWN
+        self.on_leaving = None
 
     def open(self, upstream_id, address, slots):
         self.state = gates.GateState.OPEN
@@ -61,6 +62,9 @@
             "depart": lambda node: node.handle_departure("i-1", 5)}),
         ("deregistered without a start time", {
             "depart": lambda node: node.handle_departure("i-1", None)}),
+        # Only announcements told that an upstream leaves.
+        ("said so in a response", {
+            "depart": lambda node: node._gate.on_leaving("i-1")}),
     ]  # fmt: skip
 
     def setUp(self):
--- a/tests/test_proxy_gate.py
+++ b/tests/test_proxy_gate.py
@@ -43,12 +43,10 @@
     def close(self):
         self.is_closed = True
 
-    def respond(self, index=0, status=200, not_run=False, limit_per_s=None):
+    def respond(self, index=0, status=200, not_run=False, **stated):
         _, receiver = self.sent[index]
         receiver(
-            connections.UpstreamResponse(
-                status, b"", b"x", not_run, limit_per_s
-            )
+            connections.UpstreamResponse(status, b"", b"x", not_run, **stated)
         )
 
     def fail(self, failure, index=0):
@@ -193,6 +191,36 @@
         self.assertIs(self.state, self.gate.state)
 
 
+class LeavingResponseTest(GateCase):
+    scenarios = [
+        ("response", {"status": 200, "not_run": False, "departures": ["i-1"]}),
+        ("failure", {"status": 500, "not_run": False, "departures": ["i-1"]}),
+        ("refusal", {"status": 503, "not_run": True, "departures": ["i-1"]}),
+        ("another process", {"status": 421, "not_run": True, "departures": []}),
+    ]
+
+    def setUp(self):
+        super().setUp()
+        self.reported = []
+        self.gate.on_leaving = self.reported.append
+
+    # Only announcements told that an upstream leaves.
+    def test_is_reported(self):
+        self.open()
+        self.run_request()
+        self.pool.respond(
+            status=self.status, not_run=self.not_run, is_leaving=True
+        )
+        self.assertEqual(self.departures, self.reported)
+
+    def test_of_an_earlier_process_is_not_reported(self):
+        self.open()
+        self.run_request()
+        self.gate.open("i-2", "10.0.0.9:80", 10)
+        self.pool.respond(is_leaving=True)
+        self.assertEqual([], self.reported)
+
+
 class RandomRefusalTest(GateCase):
     """An upstream that refuses most requests even when it has free slots."""
 
--- a/tests/test_proxy_upstream.py
+++ b/tests/test_proxy_upstream.py
@@ -198,3 +198,29 @@
         self.send()
         self.connection.dataReceived(OK + OWN + self.LIMIT + BODY)
         self.assertIn(self.LIMIT, self.results[0].header_lines)
+
+
+class LeavingTest(UpstreamConnectionCase):
+    """Only the final response to the own request says that it leaves."""
+
+    LEAVING = b"Server-Leaving: 1\r\n"
+    scenarios = [
+        ("final response", {
+            "data": OK + OWN + LEAVING + BODY, "is_leaving": True}),
+        ("no such header", {"data": OK + OWN + BODY, "is_leaving": False}),
+        ("another value", {
+            "data": OK + OWN + b"Server-Leaving: 0\r\n" + BODY,
+            "is_leaving": False}),
+        ("interim response", {
+            "data": b"HTTP/1.1 103 Early Hints\r\n" + LEAVING + b"\r\n"
+                    + OK + OWN + BODY, "is_leaving": False}),
+        ("late response to another request", {
+            "data": OK + OTHER + LEAVING + BODY + OK + OWN + BODY,
+            "is_leaving": False}),
+    ]  # fmt: skip
+
+    def test_is_leaving(self):
+        self.send()
+        self.connection.dataReceived(self.data)
+        (result,) = self.results
+        self.assertIs(self.is_leaving, result.is_leaving)
