Ignore odd entries and announcements of other writers

Reported by other operators: an entry among those of the upstreams that is very deeply nested, has a number too large or a port out of range ended the processes that read the list, or they stopped following it.

It could happen here. The JSON decoder raises a RecursionError for deep nesting, also in fields it skips, which was caught nowhere: a deep row of the hosts ended the task that reads them, a deep heartbeat was answered 500. A host row with a port out of range was taken as a host. A departure row whose time is a digit that is no decimal ended the task that reads departures, and the gate stayed closed. Heartbeats with a port out of range, or numbers that later arithmetic can't hold, reached the gate and the reports.

Change: one tuple of decoding errors, used by everything that decodes what another program wrote; addresses and numbers are checked where they are decoded.

--- a/src/cyclamendale/configuration/documents.py
+++ b/src/cyclamendale/configuration/documents.py
@@ -16,6 +16,7 @@
 from expression import Result
 import msgspec
 
+from cyclamendale import decoding
 from cyclamendale import ids
 
 FORMAT = 1
@@ -154,13 +155,13 @@
     """Decodes a document; fails unless its format is `FORMAT`."""
     try:
         found_format = msgspec.json.decode(data, type=_FormatHeader).format
-    except msgspec.MsgspecError:
+    except decoding.ERRORS:
         return Error(FormatUnknown())
     if found_format != FORMAT:
         return Error(FormatUnknown(found_format))
     try:
         return Ok(msgspec.json.decode(data, type=kind))
-    except msgspec.MsgspecError:
+    except decoding.ERRORS:
         return Error(FormatUnknown(found_format))
 
 
@@ -188,5 +189,5 @@
     """Decodes a bundle; a malformed one decodes to no files."""
     try:
         return msgspec.msgpack.decode(data, type=dict[str, bytes])
-    except msgspec.MsgspecError:
+    except decoding.ERRORS:
         return {}
--- a/src/cyclamendale/controllers/_timeline_codec.py
+++ b/src/cyclamendale/controllers/_timeline_codec.py
@@ -11,6 +11,7 @@
 from expression import Result
 import msgspec
 
+from cyclamendale import decoding
 from cyclamendale import events
 from cyclamendale import ids
 from cyclamendale import timeline
@@ -59,7 +60,7 @@
     # A node of another release may send a reply that this one cannot decode.
     try:
         return Ok(decode(reply))
-    except msgspec.DecodeError:
+    except decoding.ERRORS:
         return Error(network.PeerError(network.PeerErrorKind.REJECTED, peer))
 
 
--- a/src/cyclamendale/controllers/announcements.py
+++ b/src/cyclamendale/controllers/announcements.py
@@ -19,6 +19,7 @@
 from twisted.web import resource
 
 from cyclamendale import clocks
+from cyclamendale import decoding
 from cyclamendale import events
 from cyclamendale.controllers import base
 from cyclamendale.membership import directory
@@ -77,10 +78,10 @@
         )
     try:
         announcement = msgspec.json.decode(body, type=directory.Announcement)
-    except msgspec.MsgspecError as error:
-        return _make_error(AnnouncementErrorKind.MALFORMED, str(error))
     except UnicodeDecodeError as error:
         return _make_error(AnnouncementErrorKind.MALFORMED, error.reason)
+    except decoding.ERRORS as error:
+        return _make_error(AnnouncementErrorKind.MALFORMED, str(error))
     for field, problem in _find_problems(announcement):
         return _make_error(
             AnnouncementErrorKind.OUT_OF_RANGE, f"{field}: {problem}"
--- a/src/cyclamendale/filters/once.py
+++ b/src/cyclamendale/filters/once.py
@@ -14,6 +14,7 @@
 import msgspec
 from twisted.internet import defer
 
+from cyclamendale import decoding
 from cyclamendale import refusals
 from cyclamendale.entry import call as calls
 from cyclamendale.filters import base
@@ -182,6 +183,6 @@
     """Returns the value of a row, or None if its format is unknown."""
     try:
         value = msgspec.json.decode(row.value, type=OnceRow)
-    except msgspec.MsgspecError:
+    except decoding.ERRORS:
         return None
     return value if value.format == ROW_FORMAT else None
--- a/src/cyclamendale/fleet/bulletin_codec.py
+++ b/src/cyclamendale/fleet/bulletin_codec.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from cyclamendale import decoding
 from cyclamendale import ids
 from cyclamendale.fleet import digests
 from cyclamendale.fleet import host_report
@@ -101,7 +102,7 @@
     try:
         envelope = _envelope_decoder.decode(datagram[1:])
         bulletin = _bulletin_decoder.decode(envelope.body)
-    except msgspec.DecodeError:
+    except decoding.ERRORS:
         return None
     forwarded = encode(envelope.body) if envelope.forward_to else b""
     return ReceivedBulletin(bulletin, envelope.forward_to, forwarded)
@@ -117,7 +118,7 @@
     """Decodes a request for profiles; None if the datagram is not valid."""
     try:
         return _request_decoder.decode(datagram[1:])
-    except msgspec.DecodeError:
+    except decoding.ERRORS:
         return None
 
 
--- a/src/cyclamendale/fleet/departures.py
+++ b/src/cyclamendale/fleet/departures.py
@@ -101,7 +101,7 @@
         if (
             host == self._own_address
             and row.value is not None
-            and start_time.isdigit()
+            and start_time.isdecimal()
         ):
             self._departed.add((upstream_id, int(start_time)))
             self._schedule_removal(row.key, row.version)
--- a/src/cyclamendale/fleet/discovery.py
+++ b/src/cyclamendale/fleet/discovery.py
@@ -18,7 +18,9 @@
 import msgspec
 from twisted.internet import defer
 
+from cyclamendale import addresses
 from cyclamendale import clocks
+from cyclamendale import decoding
 from cyclamendale import ids
 from cyclamendale.fleet import hosts
 from cyclamendale.store import load_limit
@@ -195,7 +197,7 @@
         if row.value is None or row.key == self._own_address:
             return None
         known = _decode_row(row)
-        if known is None:
+        if known is None or not addresses.is_valid(row.key):
             self._log.belief("host-row-malformed", key=row.key)
             return None
         domain = ids.FailureDomainName(known.failure_domain)
@@ -213,5 +215,5 @@
         return None
     try:
         return msgspec.json.decode(row.value, type=_HostRow)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except decoding.ERRORS:
         return None
--- a/src/cyclamendale/fleet/permit_codec.py
+++ b/src/cyclamendale/fleet/permit_codec.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from cyclamendale import decoding
 from cyclamendale import ids
 from cyclamendale.quotas import spendings as spendings_module
 
@@ -120,7 +121,7 @@
     """Decodes a datagram; returns None if it is not a valid one."""
     try:
         message = _decoder.decode(datagram[1:])
-    except (msgspec.DecodeError, msgspec.ValidationError):
+    except decoding.ERRORS:
         return None
     if isinstance(message, _PackedNews):
         return SpendingNews(
--- a/src/cyclamendale/fleet/report_codec.py
+++ b/src/cyclamendale/fleet/report_codec.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from cyclamendale import decoding
 from cyclamendale import ids
 from cyclamendale.fleet import host_report
 from cyclamendale.fleet import permit_codec
@@ -131,7 +132,7 @@
     """Decodes figures; returns None if the datagram is not valid."""
     try:
         return _figures_decoder.decode(datagram[1:])
-    except msgspec.DecodeError:
+    except decoding.ERRORS:
         return None
 
 
@@ -144,7 +145,7 @@
     """Decodes a confirmation; returns None if the datagram is not valid."""
     try:
         return _confirmation_decoder.decode(datagram[1:])
-    except msgspec.DecodeError:
+    except decoding.ERRORS:
         return None
 
 
@@ -180,7 +181,7 @@
         return None
     try:
         message = _report_decoder.decode(datagram[1:])
-    except msgspec.DecodeError:
+    except decoding.ERRORS:
         return None
     return host_report.HostReport(
         address=message.address,
--- a/src/cyclamendale/membership/contact_rows.py
+++ b/src/cyclamendale/membership/contact_rows.py
@@ -16,6 +16,7 @@
 from twisted.internet import defer
 
 from cyclamendale import clocks
+from cyclamendale import decoding
 from cyclamendale import ids
 from cyclamendale.membership import member_list
 from cyclamendale.store import table as tables
@@ -230,7 +231,7 @@
     """Returns the node address of a row, or None if it cannot be decoded."""
     try:
         value = msgspec.json.decode(row.value, type=ContactRow)
-    except msgspec.MsgspecError:
+    except decoding.ERRORS:
         return None
     if value.format != ROW_FORMAT:
         return None
--- a/src/cyclamendale/platform/interfaces.py
+++ b/src/cyclamendale/platform/interfaces.py
@@ -10,6 +10,8 @@
 from twisted.web import resource
 from twisted.web import server
 
+from cyclamendale import addresses
+from cyclamendale import decoding
 from cyclamendale import ids
 from cyclamendale.fleet import announcements
 from cyclamendale.membership import directory
@@ -17,6 +19,12 @@
 MAX_ANNOUNCEMENT_BYTES = 16 * 1024
 """Longest body of an announcement that is read."""
 
+MAX_SLOTS = 1_000_000
+MAX_COLD_S = 3_600.0
+MAX_INTEGER = 2**63 - 1
+"""Bounds of the numbers in an announcement. JSON has none, but those who use
+them have."""
+
 _STATES = {
     "ready": directory.UpstreamState.READY,
     "draining": directory.UpstreamState.DRAINING,
@@ -64,10 +72,10 @@
     """Decodes a heartbeat; returns None if it is malformed."""
     try:
         heartbeat_body = msgspec.json.decode(body, type=_HeartbeatBody)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except decoding.ERRORS:
         return None
     state = _STATES.get(heartbeat_body.state)
-    if state is None or heartbeat_body.slots < 1 or not upstream_id:
+    if state is None or not upstream_id or not _is_in_range(heartbeat_body):
         return None
     return announcements.Heartbeat(
         upstream_id=upstream_id,
@@ -81,6 +89,16 @@
     )
 
 
+def _is_in_range(body: _HeartbeatBody) -> bool:
+    return (
+        1 <= body.slots <= MAX_SLOTS
+        and 0 <= body.sequence <= MAX_INTEGER
+        and 0 <= body.born <= MAX_INTEGER
+        and 0.0 <= body.cold_left_s <= MAX_COLD_S
+        and addresses.is_valid(body.address)
+    )
+
+
 class _AnnouncementResource(resource.Resource, abc.ABC):
     """Endpoint whose path ends with the id of an upstream."""
 
@@ -121,7 +139,7 @@
                 started_at_ms = msgspec.json.decode(
                     body, type=_DeregisterBody
                 ).born
-            except (msgspec.MsgspecError, UnicodeDecodeError):
+            except decoding.ERRORS:
                 self._listener.handle_malformed(
                     f"{upstream_id}: {body[:200]!r}"
                 )
--- a/src/cyclamendale/platform/manifest.py
+++ b/src/cyclamendale/platform/manifest.py
@@ -11,6 +11,7 @@
 from expression import Result
 import msgspec
 
+from cyclamendale import decoding
 from cyclamendale import ids
 from cyclamendale.intents import keys
 from cyclamendale.intents import model
@@ -112,7 +113,7 @@
         return Ok(_translate(manifest))
     except _InvalidManifestError as invalid:
         return Error(invalid.error)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except decoding.ERRORS as error:
         return Error(ManifestError(Problem.UNREADABLE, str(error)))
 
 
--- a/src/cyclamendale/platform/settings.py
+++ b/src/cyclamendale/platform/settings.py
@@ -12,6 +12,7 @@
 from expression import Result
 import msgspec
 
+from cyclamendale import decoding
 from cyclamendale import ids
 from cyclamendale.fleet import settings
 
@@ -100,7 +101,7 @@
     try:
         file = msgspec.json.decode(data, type=_SettingsFile, strict=False)
         return Ok(_translate(file))
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (*decoding.ERRORS, ValueError) as error:
         return Error(SettingsError(Problem.MALFORMED, str(error)))
 
 
--- a/src/cyclamendale/platform/store.py
+++ b/src/cyclamendale/platform/store.py
@@ -15,6 +15,7 @@
 from twisted.web import http
 
 from cyclamendale import clocks
+from cyclamendale import decoding
 from cyclamendale.store import http_attempt
 from cyclamendale.store import watched_rows
 
@@ -180,7 +181,7 @@
         return _make_error(kinds.MALFORMED, f"status {answer.status}")
     try:
         return Ok(msgspec.json.decode(answer.body, type=_RowsAnswer))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except decoding.ERRORS as error:
         return _make_error(kinds.MALFORMED, str(error))
 
 
--- a/src/cyclamendale/quotas/shard_row.py
+++ b/src/cyclamendale/quotas/shard_row.py
@@ -9,6 +9,7 @@
 from expression import Result
 import msgspec
 
+from cyclamendale import decoding
 from cyclamendale import ids
 from cyclamendale.quotas import shares
 
@@ -118,7 +119,7 @@
         if header.format > ROW_FORMAT:
             return Error(RowError(RowErrorKind.NEWER_FORMAT))
         row = msgspec.json.decode(value, type=ShardRow)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except decoding.ERRORS:
         return Error(RowError(RowErrorKind.MALFORMED))
     parts = [row.units, *(entry.units for entry in row.retained)]
     is_whole = sum(parts) == shares.SHARE_UNITS and min(parts) >= 0
--- a/src/cyclamendale/quotas/shares.py
+++ b/src/cyclamendale/quotas/shares.py
@@ -10,6 +10,7 @@
 import msgspec
 import xxhash
 
+from cyclamendale import decoding
 from cyclamendale import ids
 from cyclamendale.intents import model
 from cyclamendale.quotas import token_bucket
@@ -70,7 +71,7 @@
     """Decodes a division; returns None if its digest doesn't match."""
     try:
         division = msgspec.json.decode(value, type=Division)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except decoding.ERRORS:
         return None
     return division if division.digest == digest else None
 
--- a/src/cyclamendale/store/_http_table.py
+++ b/src/cyclamendale/store/_http_table.py
@@ -12,6 +12,7 @@
 from twisted.internet import defer
 from twisted.web import http
 
+from cyclamendale import decoding
 from cyclamendale.store import faults
 from cyclamendale.store import http_api
 from cyclamendale.store import http_attempt
@@ -153,14 +154,14 @@
     def _decode(self, body: bytes) -> Result[Any, table.TableError]:
         try:
             response = msgspec.json.decode(body, type=self._response_type)
-        except msgspec.MsgspecError:
+        except decoding.ERRORS:
             return Error(self._make_undecodable_error())
         return Ok(self._extract(response))
 
     def _decode_error(self, body: bytes) -> table.TableError:
         try:
             response = msgspec.json.decode(body, type=http_api.ErrorResponse)
-        except msgspec.MsgspecError:
+        except decoding.ERRORS:
             # Only an error response of the platform proves that the
             # operation had no effect; an error page of an intermediary
             # does not.
--- a/src/cyclamendale/store/http_client.py
+++ b/src/cyclamendale/store/http_client.py
@@ -13,6 +13,7 @@
 from twisted.web import http
 
 from cyclamendale import clocks
+from cyclamendale import decoding
 from cyclamendale.store import _http_objects
 from cyclamendale.store import _http_table
 from cyclamendale.store import faults
@@ -168,7 +169,7 @@
 def _is_unavailable_error(body: bytes) -> bool:
     try:
         response = msgspec.json.decode(body, type=http_api.ErrorResponse)
-    except msgspec.MsgspecError:
+    except decoding.ERRORS:
         return False
     return response.kind is table.TableErrorKind.UNAVAILABLE
 
--- a/tests/test_fleet_departures.py
+++ b/tests/test_fleet_departures.py
@@ -102,6 +102,14 @@
         node.handle_heartbeat(heartbeat(3))
         self.assertIsNot(gates.GateState.OPEN, self.gate.state)
 
+    # An odd entry ended the task that reads the rows, and the gate stayed
+    # closed.
+    def test_odd_rows_do_not_keep_the_gate_closed(self):
+        self.rows.put(departures.TABLE, "10.0.0.9:7/i-1@\u00b2", b"")
+        node = self.start_node()
+        node.handle_heartbeat(heartbeat())
+        self.assertIs(gates.GateState.OPEN, self.gate.state)
+
     def test_a_process_started_later_opens_the_gate(self):
         node = self.start_node()
         node.handle_heartbeat(heartbeat())
--- a/tests/test_fleet_discovery.py
+++ b/tests/test_fleet_discovery.py
@@ -138,6 +138,28 @@
         self.assertEqual({NEAR, FAR}, set(self.introduced))
         self.assertIn("host-row-malformed", self.log.events())
 
+    # An odd entry ended the task that reads the rows.
+    def test_odd_rows_of_other_writers_are_ignored(self):
+        nested = b'{"failure_domain":"north","x":%s}' % (
+            b"[" * 20_000 + b"]" * 20_000
+        )
+        for key, value in (
+            ("10.0.0.7:7000", nested),
+            ("10.0.0.7:70000", b'{"failure_domain":"north"}'),
+            ("10.0.0.7:", b'{"failure_domain":"north"}'),
+            ("north", b'{"failure_domain":"north"}'),
+            ("10.0.0.7:7000/x", b'{"failure_domain":1e999999}'),
+        ):
+            self.rows.put(discovery.TABLE, key, value)
+        self.discovery.start(is_first_start=True)
+        self.assertEqual({NEAR, FAR}, set(self.introduced))
+        self.assertNotIn("defect", self.log.events())
+        self.rows.put(
+            discovery.TABLE, "10.0.0.8:7", b'{"failure_domain":"north"}'
+        )
+        self.run_for(30.0)
+        self.assertIn("10.0.0.8:7", self.introduced)
+
     def test_continues_once_the_store_recovers(self):
         self.rows.error_kind = watched_rows.RowsErrorKind.UNAVAILABLE
         self.discovery.start(is_first_start=True)
--- a/tests/test_platform_interfaces.py
+++ b/tests/test_platform_interfaces.py
@@ -45,6 +45,23 @@
             {"heartbeat": {**HEARTBEAT, "born": 1.5}},
         ),
         ("unknown state", {"heartbeat": {**HEARTBEAT, "state": "warming"}}),
+        (
+            "port out of range",
+            {"heartbeat": {**HEARTBEAT, "address": "10.0.0.9:65536"}},
+        ),
+        ("port zero", {"heartbeat": {**HEARTBEAT, "address": "10.0.0.9:0"}}),
+        ("no port", {"heartbeat": {**HEARTBEAT, "address": "10.0.0.9"}}),
+        (
+            "port as a word",
+            {"heartbeat": {**HEARTBEAT, "address": "10.0.0.9:http"}},
+        ),
+        ("too many slots", {"heartbeat": {**HEARTBEAT, "slots": 2**40}}),
+        ("sequence too large", {"heartbeat": {**HEARTBEAT, "sequence": 2**63}}),
+        ("start time too large", {"heartbeat": {**HEARTBEAT, "born": 2**63}}),
+        (
+            "endless cold start",
+            {"heartbeat": {**HEARTBEAT, "cold_left_s": 1e300}},
+        ),
         ("a list", {"heartbeat": [1, 2]}),
         ("text", {"heartbeat": "ready"}),
     ]
@@ -82,7 +99,8 @@
         )
 
     def test_bytes_that_are_not_json_are_rejected(self):
-        for body in (b"", b"\xff\x00", b"{", b"null"):
+        deep = b"[" * 8_000 + b"]" * 8_000
+        for body in (b"", b"\xff\x00", b"{", b"null", b'{"x":%s}' % deep):
             self.assertIsNone(interfaces.decode_heartbeat("i-1", body))
 
 
--- a/tests/test_platform_manifest.py
+++ b/tests/test_platform_manifest.py
@@ -64,6 +64,9 @@
                        "problem": manifest.Problem.UNREADABLE}),
         ("not UTF-8", {"document": b"\xff\xfe",
                       "problem": manifest.Problem.UNREADABLE}),
+        ("deeply nested", {
+            "document": b'{"x":%s}' % (b"[" * 20_000 + b"]" * 20_000),
+            "problem": manifest.Problem.UNREADABLE}),
         ("list", {"document": b"[]",
                   "problem": manifest.Problem.UNREADABLE}),
         ("version", {"document": with_value("version", "next"),
