Take a connection that ends after an interim response as broken

Reported by other operators: an upstream stopped in the middle of its answer's head and closed, and callers got a 200 with an empty body, framed as whole.

A head that ends midway was taken as broken here already; more places of the cut are tested now. A close after an interim response that echoes the id was not: the interim response was passed on as final, with an empty body.

Change: only the head of a final response lets the end of the connection complete it.

Test: ConnectionLostTest "close after an interim response" failed before.

--- a/src/cyclamendale/proxy/upstream_connection.py
+++ b/src/cyclamendale/proxy/upstream_connection.py
@@ -233,7 +233,8 @@
         if self._receiver is None:
             return
         self._status = self._parser.get_status_code()
-        self._has_head = True
+        # An interim response that ends with its connection is none.
+        self._has_head = self._status >= 200
         if self._is_head_request and self._status >= 200:
             # The parser would wait for the body that the head announces.
             self._is_reusable = False
--- a/tests/test_proxy_upstream.py
+++ b/tests/test_proxy_upstream.py
@@ -139,6 +139,20 @@
             "reason": DONE, "outcome": BROKEN}),
         ("close within the head", {"data": OK, "reason": DONE,
                                    "outcome": BROKEN}),
+        ("close within the head, after the id", {
+            "data": OK + OWN, "reason": DONE, "outcome": BROKEN}),
+        ("close within a header", {
+            "data": OK + OWN + b"Content-Length: 2", "reason": DONE,
+            "outcome": BROKEN}),
+        ("close before the empty line ends", {
+            "data": OK + OWN + b"\r", "reason": DONE, "outcome": BROKEN}),
+        # It was passed on as a complete response without a body.
+        ("close after an interim response", {
+            "data": b"HTTP/1.1 103 Early Hints\r\n" + OWN + b"\r\n",
+            "reason": DONE, "outcome": BROKEN}),
+        ("close within the head after an interim response", {
+            "data": b"HTTP/1.1 103 Early Hints\r\n" + OWN + b"\r\n" + OK
+                    + OWN, "reason": DONE, "outcome": BROKEN}),
         ("close before any byte", {"data": b"", "reason": DONE,
                                    "outcome": BROKEN}),
     ]  # fmt: skip
