Refuse forwarded requests that a stopping node can't finish

Reported by other operators: in a planned stop, requests that came late in the grace were taken and passed on, and cut off at its end without an answer, among them requests that may not run twice (LOST).

It could happen here for requests that other nodes forward: only callers of the stopping node itself were refused by their deadline. A node that had not heard of the stop, since datagrams are lost or a domain is cut off, sent on until the exit.

Change: a stopping node refuses, as not run, each forwarded request whose deadline lies after its exit. The sender offers it elsewhere, which costs no retry.

--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -194,7 +194,11 @@
             self.log,
         )
         self._run_server = run_server.RunServer(
-            self._peers, self._clock, self._gate, self._gate.load
+            self._peers,
+            self._clock,
+            self._gate,
+            self._gate.load,
+            self._shutdown,
         )
         self._links = links.Links(
             self._peers, self._clock, self._update_load, self.log
--- a/src/cyclamendale/fleet/shutdown.py
+++ b/src/cyclamendale/fleet/shutdown.py
@@ -57,6 +57,19 @@
             return True
         if self._clock.now_s() - self._started_s <= ACCEPT_ALL_S:
             return True
+        return self.can_finish(deadline_s)
+
+    def can_finish(self, deadline_s: float) -> bool:
+        """Returns whether a request with a deadline ends before the exit.
+
+        A request that another node forwards has to, at any time: it can run
+        elsewhere at no cost.
+
+        Args:
+            deadline_s: Clock time of its final response.
+        """
+        if self._started_s is None:
+            return True
         return deadline_s + ANSWER_MARGIN_S <= self._exit_by_s
 
     def should_exit(self, pending_requests: int) -> bool:
--- a/src/cyclamendale/proxy/run_server.py
+++ b/src/cyclamendale/proxy/run_server.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 
 from cyclamendale import clocks
+from cyclamendale import refusals
+from cyclamendale.fleet import shutdown as shutdowns
 from cyclamendale.overload import gate_queue
 from cyclamendale.peer import codec
 from cyclamendale.peer import connection as connections
@@ -25,7 +27,9 @@
         clock: clocks.Clock,
         gate: messages.Runner,
         load: Callable[[], gate_queue.GateLoad],
+        shutdown: shutdowns.Shutdown,
     ) -> None:
+        self._shutdown = shutdown
         self._clock = clock
         self._gate = gate
         self._load = load
@@ -70,6 +74,9 @@
             )
 
         request = run_codec.decode_request(message, self._clock.now_s())
+        if not self._shutdown.can_finish(request.deadline_s):
+            on_outcome(refusals.Refusal(refusals.RefusalReason.LEAVING))
+            return
         handle = self._gate.run(request, on_outcome)
         if handle is not None:
             runs[call_id] = handle
