--- a/src/cyclamendale/proxy/gate.py
+++ b/src/cyclamendale/proxy/gate.py
@@ -16,6 +16,7 @@
 from cyclamendale import refusals
 from cyclamendale.overload import gate_queue
 from cyclamendale.overload import pressure
+from cyclamendale.overload import usable_slots
 from cyclamendale.proxy import header_names
 from cyclamendale.proxy import limit_observer
 from cyclamendale.proxy import messages
@@ -34,17 +35,6 @@
 """Consecutive requests without a response after which the upstream is taken
 to be lost until it announces itself again."""
 
-REFUSAL_BACKOFF_FACTOR = 0.95
-"""Factor on the number of used slots after a refusal of a full upstream."""
-
-FULL_OCCUPANCY_SHARE = 0.7
-"""Share of occupied slots from which a refusal means that the upstream is
-full; an upstream that refuses with fewer requests in flight does so at
-random."""
-
-MIN_SLOTS_SHARE = 0.5
-"""Minimum share of the announced slots that stays in use."""
-
 
 class GateState(enum.Enum):
     """Whether the gate forwards requests, and if not, why."""
@@ -111,8 +101,7 @@
         self._pool: upstream_pool.UpstreamPool | None = None
         self._runs: dict[gate_queue.Ticket, _Run] = {}
         self._consecutive_timeouts = 0
-        self._slots = 1.0
-        self._announced_slots = 1
+        self._slots = usable_slots.UsableSlots()
         self._timer: clocks.DelayedCall | None = None
         self._start_timer: clocks.DelayedCall | None = None
         self.state = GateState.UNKNOWN
@@ -145,8 +134,7 @@
         """
         if upstream_id != self.upstream_id or self._pool is None:
             self._replace_upstream(upstream_id, address)
-        self._announced_slots = slots
-        self._slots = float(slots)
+        self._slots.announce(slots)
         self._queue.set_slots(slots)
         if self.state is not GateState.OPEN:
             self._consecutive_timeouts = 0
@@ -286,12 +274,10 @@
 
     def _handle_overload_refusal(self) -> None:
         load = self._queue.load()
-        if load.in_service < FULL_OCCUPANCY_SHARE * load.capacity:
+        if self._slots.back_off(load.in_service, load.capacity):
+            self._queue.set_slots(self._slots.count)
+        else:
             self._refused_share.record(True)
-            return
-        min_slots = MIN_SLOTS_SHARE * self._announced_slots
-        self._slots = max(1.0, min_slots, self._slots * REFUSAL_BACKOFF_FACTOR)
-        self._queue.set_slots(int(self._slots))
 
     def _on_failure(
         self, run: _Run, reason: connections.Failure
