Start a new upstream process while the earlier one's requests still run

Found by reading: the few requests that a process without a response gets were counted together with those that still ran on the process before it, so a restarted upstream got none until these ended, up to their deadlines.

Change: only requests that started after the replacement count.

Test: ReplacedUpstreamTest of test_overload_gate_queue; counted together, none starts.

--- a/src/cyclamendale/overload/gate_queue.py
+++ b/src/cyclamendale/overload/gate_queue.py
@@ -144,13 +144,17 @@
         self._is_measured = False
         self._root_share = 1.0
         self._limit = start_limit.make_start_limit()
+        self._replaced_s = -math.inf
+        self._in_service_before = 0
 
-    def replace_upstream(self) -> None:
+    def replace_upstream(self, now_s: float) -> None:
         """Forgets the limit of an earlier process.
 
         The new one may have named a limit to an earlier process of this node.
         """
         self._limit = start_limit.make_unproven_start_limit()
+        self._replaced_s = now_s
+        self._in_service_before = self._in_service
 
     def observe_limit(self, named_per_s: float | None, now_s: float) -> None:
         """Takes the limit of a response; None if it named none."""
@@ -224,6 +228,8 @@
         """
         self._in_service -= 1
         assert ticket.started_s is not None
+        if ticket.started_s <= self._replaced_s and self._in_service_before:
+            self._in_service_before -= 1
         duration_s = now_s - ticket.started_s
         if not (is_sample or duration_s > self._service_time_s):
             return
@@ -257,7 +263,7 @@
         """
         if not self._waiting or self._in_service >= self._capacity:
             return None
-        wait_s = self._limit.wait_s(self._in_service, now_s)
+        wait_s = self._limit_wait_s(now_s)
         return wait_s if 0.0 < wait_s < math.inf else None
 
     def pop_expired(self, now_s: float) -> Iterator[Ticket]:
@@ -288,9 +294,13 @@
     def _has_room(self, now_s: float) -> bool:
         return (
             self._in_service < self._capacity
-            and self._limit.wait_s(self._in_service, now_s) <= 0.0
+            and self._limit_wait_s(now_s) <= 0.0
         )
 
+    def _limit_wait_s(self, now_s: float) -> float:
+        in_service = self._in_service - self._in_service_before
+        return self._limit.wait_s(in_service, now_s)
+
     def _starts_per_s(self) -> float:
         starts_per_s = self._capacity / self._service_time_s
         if self._limit.rate_per_s is None:
--- a/src/cyclamendale/overload/start_limit.py
+++ b/src/cyclamendale/overload/start_limit.py
@@ -66,7 +66,7 @@
         """Returns the time until the next request may start.
 
         Args:
-            in_service: Requests that run on the upstream.
+            in_service: Requests that run on this process of the upstream.
             now_s: Clock time.
 
         Returns:
--- a/src/cyclamendale/proxy/gate.py
+++ b/src/cyclamendale/proxy/gate.py
@@ -380,7 +380,7 @@
         if self._pool is not None:
             self._pool.close()
         self.upstream_id = upstream_id
-        self._queue.replace_upstream()
+        self._queue.replace_upstream(self._clock.now_s())
         self._refused_share = pressure.RefusedShare()
         self._pool = upstream_pool.make_upstream_pool(
             self._reactor, self._clock, self._header_names, address
--- a/tests/test_overload_gate_queue.py
+++ b/tests/test_overload_gate_queue.py
@@ -9,6 +9,7 @@
 import testtools
 
 from cyclamendale.overload import gate_queue
+from cyclamendale.overload import start_limit
 from tests.support import upstream_requests
 
 START = gate_queue.Verdict.START
@@ -278,3 +279,29 @@
         own, baseline = shares
         self.assertGreater(own, 0.75 / self.load)
         self.assertGreater(own, 2.0 * baseline)
+
+
+class ReplacedUpstreamTest(testtools.TestCase):
+    """A new process of the upstream whose limit is not known yet."""
+
+    def start_all(self, queue, now_s):
+        started = []
+        for _ in range(10):
+            ticket = gate_queue.Ticket(upstream_requests.make_request(), now_s)
+            if queue.submit(ticket, now_s) is START:
+                started.append(ticket)
+        return started
+
+    # Requests that still ran on the earlier process kept the new one idle.
+    def test_it_gets_few_requests_until_it_responds(self):
+        queue, taken = filled_queue()
+        for ticket in taken[:6]:
+            queue.finish(ticket, 1.1, True)
+        queue.replace_upstream(1.1)
+        started = self.start_all(queue, 1.2)
+        self.assertEqual(start_limit.UNPROVEN_IN_SERVICE, len(started))
+        for ticket in taken[6:]:
+            queue.finish(ticket, 1.3, True)
+        self.assertEqual([], list(queue.pop_startable(1.3)))
+        queue.observe_limit(None, 1.4)
+        self.assertEqual(5, len(list(queue.pop_startable(1.4))))
