Let other nodes ask the store when it turns the watchers away

Found while looking for the cause of the stale configuration elsewhere: two nodes of each failure domain watch the store, chosen by address. If the store served others but turned these away, nobody asked: a confirmed change was in force nowhere for as long as that lasted.

Silence of the watchers was taken for "nothing new".

Change: each digest tells since when its aggregator has had no contact with the store. A node that has known of no contact for 1.2 s asks the store itself, four nodes of a domain at a time, in turns of two seconds, about once a second each while it is refused. The decision is apart from input and output (watch_role).

Cost: an integer in a digest; no call in calm; at 1,100 nodes some 30 calls a second of all nodes together while the store is away.

--- a/src/cyclamendale/fleet/configuration.py
+++ b/src/cyclamendale/fleet/configuration.py
@@ -1,8 +1,8 @@
 """Holds a node's active configuration and keeps it up to date.
 
-A few nodes of each failure domain watch the store. The others learn from
-host reports which version other nodes have, and fetch it from those nodes;
-so do nodes that cannot reach the store.
+A few nodes of each failure domain watch the store (see `watch_role`). The
+others learn from host reports which version other nodes have, and fetch it from
+those nodes; so do nodes that cannot reach the store.
 """
 
 from __future__ import annotations
@@ -17,6 +17,7 @@
 from cyclamendale import clocks
 from cyclamendale import ids
 from cyclamendale.fleet import hosts
+from cyclamendale.fleet import watch_role
 from cyclamendale.intents import model
 from cyclamendale.peer import kinds
 from cyclamendale.peer import network
@@ -25,9 +26,6 @@
 from cyclamendale.store import load_limit
 from cyclamendale.store import watched_rows
 
-WATCHERS_PER_DOMAIN = 2
-"""Nodes per failure domain that watch the store; tolerates the loss of one."""
-
 WATCH_TIMEOUTS_S = (2.5, 3.0, 3.5, 4.0)
 """Maximum durations of a watch request; they bound the time until a connection
 that has gone silent is detected. One is chosen at random each time, so that the
@@ -48,10 +46,16 @@
 """Range of the random delay after a store error; the randomness keeps the
 nodes from retrying in step."""
 
+STAND_IN_RETRY_DELAY_RANGE_S = (0.6, 1.2)
+"""The same for a node that stands in for the watchers."""
+
 FETCH_TIMEOUT_S = 0.4
 """Timeout for fetching a document from another node. Two of them, and a
 digest, fit into the time in which a version has to be in force."""
 
+MAX_STORE_SILENCE_S = 3_600.0
+"""Longest time without contact that is told."""
+
 DocumentDecoder = Callable[[bytes], "Result[model.Configuration, Any]"]
 Listener = Callable[[model.Configuration], None]
 
@@ -139,6 +143,7 @@
         self._is_reachable: bool | None = None
         self._is_fetching = False
         self._patient_until_s = 0.0
+        self._store_contact_s = clock.now_s()
         self._loop: defer.Deferred[None] | None = None
         peers.serve(
             kinds.MessageKind.CONFIGURATION_DOCUMENT,
@@ -184,15 +189,28 @@
             if self._should_watch():
                 await self._watch_once()
             else:
-                self._table_version = None
+                self._table_version = self._is_reachable = None
                 await load_limit.sleep(self._clock, ROLE_CHECK_INTERVAL_S)
 
     def _should_watch(self) -> bool:
-        if self._view.rank_in_domain() < WATCHERS_PER_DOMAIN:
-            return True
-        return (
-            self._active_configuration.current is None
-            and self._clock.now_s() >= self._patient_until_s
+        now_s = self._clock.now_s()
+        silent_s = 0.0
+        if now_s >= self._patient_until_s:
+            if self._active_configuration.current is None:
+                return True
+            silent_s = now_s - self._view.store_contact_s
+        return watch_role.should_watch(
+            self._view.rank_in_domain(),
+            1 + len(self._view.live_in_domain()),
+            silent_s,
+        )
+
+    def store_silent_s(self) -> float:
+        """Returns the time since this node had contact with the store."""
+        if self._is_reachable:
+            return 0.0
+        return min(
+            MAX_STORE_SILENCE_S, self._clock.now_s() - self._store_contact_s
         )
 
     async def _watch_once(self) -> None:
@@ -209,6 +227,7 @@
             await self._handle_rows_error(result.error)
             return
         self._set_reachable(True, "")
+        self._store_contact_s = self._clock.now_s()
         for row in result.ok.rows:
             if row.key == self._key and row.value is not None:
                 self._active_configuration.apply_document(row.value, "store")
@@ -226,8 +245,11 @@
         ):
             # The connection was lost; the store may well be there.
             return
+        delay_range_s = RETRY_DELAY_RANGE_S
+        if self._view.rank_in_domain() >= watch_role.WATCHERS_PER_DOMAIN:
+            delay_range_s = STAND_IN_RETRY_DELAY_RANGE_S
         await load_limit.sleep(
-            self._clock, self._random.uniform(*RETRY_DELAY_RANGE_S)
+            self._clock, self._random.uniform(*delay_range_s)
         )
 
     def _set_reachable(self, is_reachable: bool, detail: str) -> None:
--- a/src/cyclamendale/fleet/digest_builder.py
+++ b/src/cyclamendale/fleet/digest_builder.py
@@ -34,7 +34,9 @@
         usage_window_s: float,
         configuration_version: Callable[[], ids.ConfigVersion],
         calls: Callable[[], tuple[digests.DomainCall, ...]],
+        store_silent_s: Callable[[], float],
     ) -> None:
+        self._store_silent_s = store_silent_s
         self._view = view
         self._own_address = own_address
         self._own_domain = own_domain
@@ -68,6 +70,7 @@
             digests.pack_entries(_entries(listed)),
             tuple(_service_sums(listed, usage)),
             self._due_calls(sequence),
+            round(self._store_silent_s() * 1000),
         )
 
     def _due_calls(
--- a/src/cyclamendale/fleet/digests.py
+++ b/src/cyclamendale/fleet/digests.py
@@ -121,6 +121,7 @@
         entries: The packed live hosts.
         services: The sums, for services with any.
         calls: What the hosts learned of calls; None in most digests.
+        store_silent_ms: Time since the aggregator had contact with the store.
     """
 
     aggregator: ids.PeerAddress
@@ -132,6 +133,7 @@
     entries: bytes
     services: tuple[ServiceSums, ...]
     calls: tuple[DomainCall, ...] | None = None
+    store_silent_ms: int = 0
 
     def usage(self) -> dict[ids.ServiceName, retry_usage.RetryUsage]:
         """Returns the requests and retries by service."""
--- a/src/cyclamendale/fleet/hosts.py
+++ b/src/cyclamendale/fleet/hosts.py
@@ -79,6 +79,8 @@
     Attributes:
         included_sequence: Sequence of the last own report that digests of the
             own domain include, if any.
+        store_contact_s: Clock time at which an aggregator last had contact
+            with the store, as far as known.
     """
 
     def __init__(
@@ -101,6 +103,7 @@
         self._refused_shares: dict[ids.ServiceName, float] = {}
         self._by_incarnation: dict[int, known_host.KnownHost] = {}
         self.included_sequence: int | None = None
+        self.store_contact_s = clock.now_s()
         self.add_host(own_address, own_domain)
 
     def add_host(
@@ -154,6 +157,9 @@
         now_s = self._clock.now_s()
         state.sequences[digest.incarnation] = digest.sequence
         state.digest, state.received_s = digest, now_s
+        self.store_contact_s = max(
+            self.store_contact_s, now_s - digest.store_silent_ms / 1000.0
+        )
         self._are_sums_stale = True
         if digest.aggregator == self._own_address:
             # It tells what this host knows already.
--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -156,6 +156,7 @@
             report_builder,
             bounds.retry_window_s,
             lambda: self._active_configuration.version,
+            self._configuration_sync.store_silent_s,
             self._configuration_sync.learn_version,
             self._call_learner,
             self._retries,
--- a/tests/support/report_fleet.py
+++ b/tests/support/report_fleet.py
@@ -52,13 +52,16 @@
             clock, network.random, RATIO, WINDOW_S, SLACK
         )
         self.address, self.domain = address, domain
+        self.get_version = lambda: 1
+        self.get_store_silent_s = lambda: 0.0
+        self.on_version = lambda version, address: None
         self.received_reports = []
         self.log = fake_log.FakeLog()
         self.view = hosts.HostView(clock, address, domain)
         builder = report_builder.ReportBuilder(
             address,
             domain,
-            lambda: 1,
+            lambda: self.get_version(),
             lambda: None,
             lambda: [],
             self.retries.usage,
@@ -81,21 +84,27 @@
                     domain,
                     builder.incarnation,
                     WINDOW_S,
-                    lambda: 1,
+                    lambda: self.get_version(),
                     tuple,
+                    lambda: self.get_store_silent_s(),
                 ),
                 self.handle_digest,
             ),
             builder,
             self.start_interval,
-            self.received_reports.append,
+            self.handle_report,
             self.handle_digest,
             lambda data: None,
             self.log,
         )
 
+    def handle_report(self, report):
+        self.received_reports.append(report)
+        self.on_version(report.configuration_version, report.address)
+
     def handle_digest(self, digest):
         self.received_digests.append(digest)
+        self.on_version(digest.configuration_version, digest.aggregator)
         self.retries.record_group(
             digest.failure_domain,
             digest.incarnation,
--- a/tests/test_fleet_digests.py
+++ b/tests/test_fleet_digests.py
@@ -233,7 +233,7 @@
         self.calls = ()
         self.builder = digest_builder.DigestBuilder(
             self.clock, self.view, OWN, "north", 70, 10.0, lambda: 4,
-            lambda: self.calls,
+            lambda: self.calls, lambda: 0.0,
         )  # fmt: skip
 
     def receive(self, *reports):
