Read departures again after the store was away at the start

Found while looking for the cause of the unread statements elsewhere: a node that restarted while the store was away read the departures of its upstream once, in vain, and served on. A late heartbeat that said ready opened its gate to an upstream that leaves, for as long as nothing else said so (DRAIN).

Change: the rows are read again until that succeeds, and the gate closes then.

Cost: a call each 1.2 s of a node that started while the store was away.

Test: RestartTest.test_the_gate_closes_once_the_store_recovers, which failed before.

--- a/src/cyclamendale/fleet/departures.py
+++ b/src/cyclamendale/fleet/departures.py
@@ -26,6 +26,9 @@
 """Attempts to write a departure, and range of the random delays between
 them: about four seconds in total, by which time the upstream is gone."""
 
+REREAD_DELAY_RANGE_S = (0.8, 1.6)
+"""Range of the random delay until the rows are read again after an error."""
+
 RETENTION_S = 900.0
 """Retention period of a departure; a heartbeat delayed by a partition
 arrives long before it ends."""
@@ -60,7 +63,8 @@
         """Starts to read the rows.
 
         Args:
-            on_loaded: Called once the read has succeeded or failed.
+            on_loaded: Called once the first read has succeeded or failed, and
+                in the latter case again once a later one has succeeded.
             is_needless: Whether there can be no rows yet.
         """
         if is_needless:
@@ -86,12 +90,20 @@
 
     async def _load(self, on_loaded: Callable[[], None]) -> None:
         result = await self._rows.read(TABLE)
-        if result.is_ok():
-            for row in result.ok.rows:
-                self._load_row(row)
-        else:
-            # Start serving anyway: late heartbeats are the exception.
-            self._log.belief("departures-unread", error=result.error.kind.value)
+        while result.is_error():
+            if not self.is_loaded:
+                # Start serving anyway: late heartbeats are the exception.
+                self._log.belief(
+                    "departures-unread", error=result.error.kind.value
+                )
+                self.is_loaded = True
+                on_loaded()
+            await load_limit.sleep(
+                self._clock, self._random.uniform(*REREAD_DELAY_RANGE_S)
+            )
+            result = await self._rows.read(TABLE)
+        for row in result.ok.rows:
+            self._load_row(row)
         self.is_loaded = True
         on_loaded()
 
--- a/tests/test_fleet_departures.py
+++ b/tests/test_fleet_departures.py
@@ -124,6 +124,19 @@
         node.handle_heartbeat(heartbeat())
         self.assertIs(gates.GateState.OPEN, self.gate.state)
 
+    # A node that restarted while the store was away never read the departure.
+    def test_the_gate_closes_once_the_store_recovers(self):
+        node = self.start_node()
+        node.handle_heartbeat(heartbeat())
+        self.depart(node)
+        self.rows.error_kind = watched_rows.RowsErrorKind.UNAVAILABLE
+        node = self.start_node()
+        node.handle_heartbeat(heartbeat(3))
+        self.assertIs(gates.GateState.OPEN, self.gate.state)
+        self.rows.error_kind = None
+        self.reactor.pump([0.1] * 20)
+        self.assertIs(gates.GateState.LEAVING, self.gate.state)
+
     def test_a_departure_is_stored_once_the_store_recovers(self):
         node = self.start_node()
         node.handle_heartbeat(heartbeat())
