Compute the wait at a gate without dividing by the service time

Found by reading the change: with a measured service time of zero the wait behind the start limit was a division by zero, on the request path.

Test: InstantServiceTest of test_overload_gate_queue failed before.

--- a/src/cyclamendale/overload/gate_queue.py
+++ b/src/cyclamendale/overload/gate_queue.py
@@ -183,7 +183,7 @@
         """Returns the expected wait of a new request."""
         if self._in_service < self._capacity and not self._waiting:
             return 0.0
-        return (self._waiting + 1) / self._starts_per_s()
+        return (self._waiting + 1) * self._start_interval_s()
 
     def submit(self, ticket: Ticket, now_s: float) -> Verdict:
         """Starts, queues or refuses a request.
@@ -301,11 +301,12 @@
         in_service = self._in_service - self._in_service_before
         return self._limit.wait_s(in_service, now_s)
 
-    def _starts_per_s(self) -> float:
-        starts_per_s = self._capacity / self._service_time_s
+    def _start_interval_s(self) -> float:
+        """Returns the mean time between two starts of a busy upstream."""
+        interval_s = self._service_time_s / self._capacity
         if self._limit.rate_per_s is None:
-            return starts_per_s
-        return min(starts_per_s, self._limit.rate_per_s)
+            return interval_s
+        return max(interval_s, 1.0 / self._limit.rate_per_s)
 
     def _can_finish(self, ticket: Ticket, start_s: float) -> bool:
         request = ticket.request
@@ -339,7 +340,7 @@
             for other, count in self._waiting_by_priority.items()
             if other <= priority
         )
-        return ahead / self._starts_per_s()
+        return ahead * self._start_interval_s()
 
 
 def make_gate_queue() -> GateQueue:
--- a/tests/test_overload_gate_queue.py
+++ b/tests/test_overload_gate_queue.py
@@ -305,3 +305,10 @@
         self.assertEqual([], list(queue.pop_startable(1.3)))
         queue.observe_limit(None, 1.4)
         self.assertEqual(5, len(list(queue.pop_startable(1.4))))
+
+
+class InstantServiceTest(testtools.TestCase):
+    # The wait was divided by a service time of zero.
+    def test_a_service_time_of_zero_gives_no_wait(self):
+        queue, taken = filled_queue(slots=10, service_time_s=0.0)
+        self.assertEqual(0.0, queue.load().wait_s)
