--- a/measure/fleet_control.py
+++ b/measure/fleet_control.py
@@ -180,6 +180,7 @@
                     10.0,
                     lambda: 1,
                     tuple,
+                    lambda: 0.0,
                 ),
                 lambda digest: None,
             ),
