--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -304,6 +304,7 @@
         self.attempt_id = attempt_id
         self.at_s = at_s
         self.body = body
+        self.ended_s: float | None = None
         self.is_done = False
 
 
@@ -459,6 +460,7 @@
             body=hashlib.sha256(received).hexdigest()[:16],
         )
         await asyncio.sleep(self._work_s)
+        run.ended_s = self._record.now_s()
         body = self._make_body(path)
         writer.write(
             "HTTP/1.1 200 OK\r\n"
