Review: case 4, one endless answer pushes a node over its memory limit

A target in trouble answers one request with a stated length of 67 MB and bytes without end. The node beside it exceeds memory_mb (300) and is killed; the requests that it has passed on for its own callers to sound targets get no answer.

Cause: buffer_budget allows 64 MiB of bodies with a stated length, but such a body is held about five times on its way to the other node.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,10 +1,10 @@
-"""Clients read large answers slowly; the node holds them all in memory.
+"""One answer of a target in trouble, whose body does not end.
 
-One after the other, clients with kept connections ask for a large answer and
-read it slowly, within their time budget and the timeout of the route (with
-TROUBLE=0 they read at once). Other clients send small requests on kept
-connections meanwhile. As on the platform, a process that exceeds `memory_mb`
-is killed; only its resident memory is counted here.
+Clients send requests for `wash` on kept connections of one host. Once, the
+target of that host, which serves `track`, answers a request of a client of
+another host with a length of 67 MB and bytes without end, until its connection
+is closed (with TROUBLE=0 it answers as always). As on the platform, a process
+that exceeds `memory_mb` is killed; only its resident memory is counted here.
 """
 
 from __future__ import annotations
@@ -22,155 +22,125 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MEMORY_MB = 300
-LARGE_CLIENTS = 14
+STATED_BYTES = 67_000_000
+CLIENTS = 14
 """The clients of a zone of sappaya-mesh, 56, divided by its four hosts."""
-LARGE_BYTES = 24_000_000
-START_INTERVAL_S = 0.12
-READ_BYTES_PER_S = 3_200_000
-SMALL_CLIENTS = 8
-TIMEOUT_S = 8.0
-DEADLINE_MS = 15_000
-SERVICES = ["track", "wash"]
-
-
-class _KeptConnection:
-    """A connection of a client that carries one request after the other."""
-
-    def __init__(
-        self,
-        record: standins.Record,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
+WATCH_S = 4.0
+TIMEOUT_S = 2.0
+DEADLINE_MS = 5_000
+SERVICES = ["track", "track", "wash", "wash"]
+
+
+class _TargetInTrouble(standins.Target):
+    """A target that answers one request with a body that does not end."""
+
+    async def answer_at_length(
+        self, run: standins.Run, writer: asyncio.StreamWriter
     ) -> None:
-        self._record = record
-        self._reader = reader
-        self._writer = writer
+        """Writes the head of an answer, then bytes until it is closed."""
+        self._record.line("endless-answer", target=self.id, id=run.attempt_id)
+        writer.write(
+            "HTTP/1.1 200 OK\r\n"
+            f"X-Cyclamendale-Attempt-Id: {run.attempt_id}\r\n"
+            f"X-Cyclamendale-Server-Stamp: {self.id}.{run.attempt_id}\r\n"
+            f"Content-Length: {STATED_BYTES}\r\n\r\n".encode()
+        )
+        sent = 0
+        while sent < 4 * STATED_BYTES:
+            writer.write(b"m" * 65_536)
+            await writer.drain()
+            sent += 65_536
+
 
-    async def get(self, path: str, bytes_per_s: float = 0.0) -> standins.Answer:
+async def _send_small(
+    record: standins.Record,
+    address: str,
+    stopped: asyncio.Event,
+    answers: list[standins.Answer],
+) -> None:
+    """Sends one request after the other on a kept connection."""
+    reader, writer = await standins.connect(address)
+    while not stopped.is_set():
         answer = standins.Answer(standins.make_id())
-        answer.sent_s = self._record.now_s()
-        self._record.line("sent", id=answer.attempt_id, path=path)
+        answer.sent_s = record.now_s()
+        record.line("sent", id=answer.attempt_id, to=address, path="/batches/")
+        answers.append(answer)
         try:
-            self._writer.write(
+            writer.write(
                 standins.encode_request(
-                    "GET", path, answer.attempt_id, DEADLINE_MS
+                    "GET", "/batches/", answer.attempt_id, DEADLINE_MS
                 )
             )
-            await standins.read_answer(answer, self._reader, bytes_per_s)
+            await standins.read_answer(answer, reader)
         except ConnectionError as error:
             answer.detail = type(error).__name__
-        answer.ended_s = self._record.now_s()
-        self._record.line(
+        answer.ended_s = record.now_s()
+        record.line(
             "answered",
             id=answer.attempt_id,
             status=answer.status,
-            bytes=answer.body_bytes,
-            of=answer.expected_bytes,
             complete=answer.is_complete,
             detail=answer.detail or "-",
         )
-        return answer
-
-    def close(self) -> None:
-        self._writer.close()
-
-
-async def _connect(record: standins.Record, address: str) -> _KeptConnection:
-    reader, writer = await standins.connect(address, limit=65_536)
-    return _KeptConnection(record, reader, writer)
-
-
-async def _send_small(
-    record: standins.Record,
-    address: str,
-    stopped: asyncio.Event,
-    answers: list[standins.Answer],
-) -> None:
-    kept = await _connect(record, address)
-    while not stopped.is_set():
-        answer = await kept.get("/mats/small")
-        answers.append(answer)
         if not answer.is_complete:
             break
-        await asyncio.sleep(0.02)
-    kept.close()
-
-
-async def _send_large(
-    record: standins.Record, address: str, answers: list[standins.Answer]
-) -> None:
-    try:
-        kept = await _connect(record, address)
-    except (OSError, TimeoutError):
-        return
-    answers.append(await kept.get("/mats/small"))
-    rate = READ_BYTES_PER_S if TROUBLE else 0.0
-    answers.append(await kept.get("/mats/large", rate))
-    kept.close()
+    writer.close()
 
 
-async def _limit_memory(record: standins.Record, node: standins.Node) -> float:
-    peak_mb = 0.0
+async def _limit_memory(record: standins.Record, node: standins.Node) -> None:
     while node.is_running:
-        memory_mb = node.memory_mb()
-        if int(memory_mb / 50) > int(peak_mb / 50):
-            record.line("memory", node=node.ip, mb=round(memory_mb))
-        peak_mb = max(peak_mb, memory_mb)
+        memory_mb = node.peak_memory_mb()
         if memory_mb > MEMORY_MB:
             record.line("over-memory", node=node.ip, mb=round(memory_mb))
             node.signal(signal.SIGKILL)
-            return peak_mb
-        await asyncio.sleep(0.02)
-    return peak_mb
-
-
-def _make_body(path: str) -> bytes:
-    return b"m" * (LARGE_BYTES if path.endswith("large") else 500)
+            return
+        await asyncio.sleep(0.01)
 
 
 async def _play(record: standins.Record, fleet: standins.Fleet) -> int:
-    route = standins.make_route(
-        "mat-status", "/mats/", "track", "idempotent", TIMEOUT_S
-    )
-    await fleet.start(standins.make_manifest(1, ["track", "wash"], [route]))
+    routes = [
+        standins.make_route(
+            "mat-status", "/mats/", "track", "idempotent", TIMEOUT_S
+        ),
+        standins.make_route(
+            "batch-lookup", "/batches/", "wash", "idempotent", TIMEOUT_S
+        ),
+    ]
+    await fleet.start(standins.make_manifest(1, ["track", "wash"], routes))
     for node in fleet.nodes:
-        target = standins.Target(
-            record, f"i-{node.number:08x}", node.service, 0.1, _make_body
+        target = _TargetInTrouble(
+            record, f"i-{node.number:08x}", node.service, 0.1
         )
         fleet.targets.append(target)
         await target.start(node.app, node.control)
     await asyncio.sleep(standins.CONTACT_S + 2.0)
-    entry = fleet.nodes[0]
-    first = await standins.exchange(
-        record, entry.outbound, "GET", "/mats/0", DEADLINE_MS
-    )
-    if not first.is_complete or first.status != 200:
-        raise standins.CannotRunError("the fleet does not serve")
+    busy, other = fleet.nodes[0], fleet.nodes[2]
+    for path in ("/mats/", "/batches/"):
+        first = await standins.exchange(
+            record, other.outbound, "GET", path, DEADLINE_MS
+        )
+        if not first.is_complete or first.status != 200:
+            raise standins.CannotRunError("the fleet does not serve")
     limits = [
         asyncio.create_task(_limit_memory(record, node)) for node in fleet.nodes
     ]
     stopped = asyncio.Event()
     answers: list[standins.Answer] = []
-    small = [
+    clients = [
         asyncio.create_task(
-            _send_small(record, entry.outbound, stopped, answers)
+            _send_small(record, busy.outbound, stopped, answers)
         )
-        for _ in range(SMALL_CLIENTS)
+        for _ in range(CLIENTS)
     ]
-    large = []
-    for _ in range(LARGE_CLIENTS):
-        large.append(
-            asyncio.create_task(_send_large(record, entry.outbound, answers))
-        )
-        await asyncio.sleep(START_INTERVAL_S)
-        if not entry.is_running:
-            break
-    await asyncio.gather(*large)
+    await asyncio.sleep(1.0)
+    fleet.targets[0].is_in_trouble = TROUBLE
+    await standins.exchange(record, other.outbound, "GET", "/mats/", 5_000)
+    await asyncio.sleep(WATCH_S)
     stopped.set()
-    await asyncio.gather(*small)
-    killed = [node.ip for node in fleet.nodes if not node.is_running]
+    await asyncio.gather(*clients)
     for limit in limits:
         limit.cancel()
+    killed = [node.ip for node in fleet.nodes if not node.is_running]
     run_ids = {run.attempt_id for each in fleet.targets for run in each.runs}
     lost = [
         answer
@@ -185,6 +155,7 @@
         lost=len(lost),
         of=len(answers),
         killed=killed or "-",
+        peak_mb=[round(node.peak_memory_mb()) for node in fleet.nodes],
     )
     return 1 if len(lost) > 3 else 0
 
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -331,6 +331,13 @@
         self._beats: asyncio.Task | None = None
         self.runs: list[Run] = []
         self.has_exited = False
+        self.is_in_trouble = False
+
+    async def answer_at_length(
+        self, run: Run, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answers one request as a target in trouble; for cases."""
+        raise NotImplementedError
 
     async def start(self, address: str, control: str) -> None:
         """Listens and sends heartbeats."""
@@ -461,6 +468,10 @@
         )
         await asyncio.sleep(self._work_s)
         run.ended_s = self._record.now_s()
+        if self.is_in_trouble:
+            self.is_in_trouble = False
+            await self.answer_at_length(run, writer)
+            return
         body = self._make_body(path)
         writer.write(
             "HTTP/1.1 200 OK\r\n"
@@ -529,8 +540,8 @@
         """Returns whether the process runs."""
         return self.process is not None and self.process.poll() is None
 
-    def memory_mb(self) -> float:
-        """Returns the resident memory of the process."""
+    def peak_memory_mb(self) -> float:
+        """Returns the largest resident memory that the process had."""
         assert self.process is not None
         try:
             status = pathlib.Path(
@@ -539,7 +550,7 @@
         except OSError:
             return 0.0
         for line in status.splitlines():
-            if line.startswith("VmRSS:"):
+            if line.startswith("VmHWM:"):
                 return int(line.split()[1]) / 1024
         return 0.0
 
