Read the bodies of requests that offer an upgrade

Cause: the parser of httptools ends such a request after its head. It calls on_message_complete, which passed the request on, and then raises HttpParserUpgrade, which was answered with 400.

Evidence: the events of the parser for such a request have no on_body; the response parser does this only for a 101, which is refused as before.

--- a/src/cyclamendale/proxy/server.py
+++ b/src/cyclamendale/proxy/server.py
@@ -1,303 +1,22 @@
-"""HTTP/1.1 server for callers, based on the parser of `httptools`.
-
-Pipelined requests of a connection run concurrently, and their responses keep
-the order of the requests. A request is handled once it is complete.
-"""
+"""HTTP/1.1 server for callers."""
 
 from __future__ import annotations
 
-import collections
 from typing import Any
 
-import httptools
 from twisted.internet import protocol
-from twisted.python import failure
 
-from cyclamendale import _immediate_write
 from cyclamendale import clocks
 from cyclamendale import refusals
+from cyclamendale.proxy import caller_connection
 from cyclamendale.proxy import exchange as exchanges
 from cyclamendale.proxy import header_names
-from cyclamendale.proxy import heads
 from cyclamendale.proxy import messages
 
-MAX_PIPELINED = 64
-"""Requests in flight per connection at which reading from it pauses."""
-
-LINGER_S = 1.0
-"""How long a connection is drained after a refusal that closes it. A close
-with unread bytes would reset it, and the caller would lose the refusal."""
-
-_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-
 SWEEP_INTERVAL_S = 0.25
 """Interval of the check for idle and slow connections."""
 
 
-class CallerConnection(protocol.Protocol):
-    """A connection of a caller."""
-
-    transport: Any
-
-    def __init__(self, server: CallerServer) -> None:
-        self._server = server
-        self._parser: Any = httptools.HttpRequestParser(self)
-        self._exchanges: collections.deque[exchanges.Exchange] = (
-            collections.deque()
-        )
-        self._limits = server.handler.limits()
-        self._request = messages.CallerRequest()
-        self._header_lines: list[bytes] = []
-        self._connection_values: list[bytes] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._head_bytes = 0
-        self._unparsed_bytes = 0
-        self._in_head = False
-        self._in_body = False
-        self._is_paused = False
-        self._is_draining = False
-        self._is_last_request = False
-        self._is_refused = False
-        self._last_activity_s = server.clock.now_s()
-        self.is_closing = server.is_closing
-
-    # Time-outs and graceful close.
-
-    def check_timeouts(self, now_s: float) -> None:
-        """Closes a connection that is idle or slow for too long."""
-        limits = self._server.handler.limits()
-        elapsed_s = now_s - self._last_activity_s
-        limit_s = limits.idle_timeout_s
-        if self._is_draining:
-            if self._is_refused and self._is_idle() and elapsed_s > LINGER_S:
-                self.transport.abortConnection()
-        elif self._in_head or self._in_body:
-            if self._in_head:
-                limit_s = limits.head_timeout_s
-            if elapsed_s > limit_s:
-                self._refuse(408)
-        elif self._is_idle() and elapsed_s > limit_s:
-            self.transport.loseConnection()
-
-    def begin_close(self) -> None:
-        """Closes the connection once no request is in flight."""
-        self.is_closing = True
-        if self._is_idle():
-            self.transport.loseConnection()
-
-    def _is_idle(self) -> bool:
-        return not (self._exchanges or self._in_head or self._in_body)
-
-    @property
-    def in_flight(self) -> int:
-        """Returns the number of requests without a response."""
-        return len(self._exchanges)
-
-    # Twisted.
-
-    def connectionMade(self) -> None:
-        """Registers the connection."""
-        self.transport.setTcpNoDelay(True)
-        self._server.connections.add(self)
-
-    def dataReceived(self, data: bytes) -> None:
-        """Parses received bytes."""
-        if self._is_draining or self._is_last_request:
-            return
-        self._unparsed_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400)
-        except httptools.HttpParserError as error:
-            # Errors after the last request of the connection are ignored.
-            if not (self._is_draining or self._is_last_request):
-                self._server.log_malformed(str(error))
-                self._refuse(400)
-        head_bytes = self._head_bytes + self._unparsed_bytes
-        if self._in_head and head_bytes > self._limits.max_head_bytes:
-            self._refuse(431)
-        elif self._in_body and self._unparsed_bytes > (
-            self._limits.max_head_bytes
-            + heads.FRAMING_BYTES_PER_BODY_BYTE * self._body_bytes
-        ):
-            self._refuse(400)
-
-    def connectionLost(
-        self, reason: failure.Failure = protocol.connectionDone
-    ) -> None:
-        """Cancels the requests in flight."""
-        self._server.connections.discard(self)
-        cancelled, self._exchanges = self._exchanges, collections.deque()
-        for exchange in cancelled:
-            exchange.is_over = True
-            if exchange.cancel is not None:
-                exchange.cancel()
-                exchange.cancel = None
-        # Breaks the reference cycle between the parser and this object.
-        self._parser = None
-
-    # Parser callbacks.
-
-    def on_message_begin(self) -> None:
-        """Starts a request."""
-        self._request = messages.CallerRequest()
-        self._header_lines = []
-        self._connection_values = []
-        self._body = []
-        self._body_bytes = 0
-        self._head_bytes = 0
-        self._unparsed_bytes = 0
-        self._in_head = True
-        self._limits = self._server.handler.limits()
-        self._last_activity_s = self._server.clock.now_s()
-
-    def on_url(self, url: bytes) -> None:
-        """Appends a part of the request target."""
-        self._request.path += url
-        self._head_bytes += len(url)
-        self._unparsed_bytes = 0
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header or calls its handler."""
-        self._head_bytes += len(name) + len(value) + 4
-        self._unparsed_bytes = 0
-        if self._head_bytes > self._limits.max_head_bytes:
-            self._refuse(431)
-            return
-        lower = name.lower()
-        handle_header = self._server.header_handlers.get(lower)
-        if handle_header is None:
-            self._header_lines.append(heads.line(name, value))
-        else:
-            handle_header(self, name, value)
-
-    def on_headers_complete(self) -> None:
-        """Ends the head of a request; refuses targets that are not paths."""
-        self._in_head = False
-        self._in_body = True
-        self._unparsed_bytes = 0
-        if not self._request.path.startswith(b"/") and not self._is_draining:
-            self._refuse(400)
-
-    def on_body(self, data: bytes) -> None:
-        """Appends a part of the body."""
-        if self._is_draining:
-            return
-        self._body_bytes += len(data)
-        self._unparsed_bytes -= len(data)
-        self._last_activity_s = self._server.clock.now_s()
-        if self._body_bytes > self._limits.max_body_bytes:
-            self._refuse(413)
-            return
-        self._body.append(data)
-
-    def on_message_complete(self) -> None:
-        """Passes the complete request to the handler."""
-        self._in_body = False
-        if self._is_draining:
-            return
-        request = self._request
-        request.method = self._parser.get_method()
-        request.body = b"".join(self._body)
-        request.header_lines = heads.join_forwarded(
-            self._header_lines, self._connection_values
-        )
-        now_s = self._server.clock.now_s()
-        request.arrived_s = self._last_activity_s = now_s
-        self._is_last_request = not self._parser.should_keep_alive()
-        exchange = exchanges.Exchange(self, request, self._is_last_request)
-        self._exchanges.append(exchange)
-        if len(self._exchanges) >= MAX_PIPELINED and not self._is_paused:
-            self._is_paused = True
-            self.transport.pauseProducing()
-        self._server.handler.handle(exchange)
-
-    # Handlers of headers that are not simply forwarded.
-
-    def set_host(self, name: bytes, value: bytes) -> None:
-        """Stores the host; the header is forwarded too."""
-        self._request.host = value
-        self._header_lines.append(heads.line(name, value))
-
-    def set_request_id(self, name: bytes, value: bytes) -> None:
-        """Stores the request id; the header is forwarded unchanged."""
-        self._request.request_id = value
-        self._header_lines.append(heads.line(name, value))
-
-    def set_remaining(self, name: bytes, value: bytes) -> None:
-        """Stores the remaining time; the gate states it anew."""
-        try:
-            self._request.remaining_s = max(0.0, float(value) / 1000.0)
-        except ValueError:
-            self._server.log_malformed(f"{name!r}: {value!r}")
-
-    def set_key(self, name: bytes, value: bytes) -> None:
-        """Stores the key, which is not forwarded; the first one counts."""
-        if self._request.key is None:
-            self._request.key = value
-
-    def add_connection_options(self, name: bytes, value: bytes) -> None:
-        """Stores the value of a Connection header."""
-        self._connection_values.append(value)
-
-    def handle_expect(self, name: bytes, value: bytes) -> None:
-        """Asks for the body, since only complete bodies are forwarded."""
-        if value.lower() == b"100-continue" and not self._exchanges:
-            self.transport.write(_CONTINUE)
-
-    def drop_header(self, name: bytes, value: bytes) -> None:
-        """Drops a connection header or one that only nodes may set."""
-
-    # Output.
-
-    def flush(self) -> None:
-        """Writes the responses that are next in order."""
-        waiting = self._exchanges
-        ready: list[bytes] = []
-        closes = False
-        while waiting and not closes:
-            output = waiting[0].output
-            if output is None:
-                break
-            ready.append(output)
-            closes = waiting.popleft().closes
-        if not ready:
-            return
-        self._last_activity_s = self._server.clock.now_s()
-        _immediate_write.write_now(self.transport, b"".join(ready))
-        if closes:
-            self._close()
-        elif self._is_paused and len(waiting) < MAX_PIPELINED:
-            self._is_paused = False
-            self.transport.resumeProducing()
-
-    def _refuse(self, status: int) -> None:
-        """Refuses an unreadable request, after responding to earlier ones."""
-        if self._is_draining:
-            return
-        self._is_draining = self._is_refused = True
-        self._in_head = self._in_body = False
-        exchange = exchanges.Exchange(self, self._request, True)
-        self._exchanges.append(exchange)
-        self._server.log_refused(self._request, status)
-        exchange.respond(status, b"", b"")
-
-    def _close(self) -> None:
-        """Cancels later requests and closes after the written responses."""
-        for exchange in self._exchanges:
-            exchange.is_over = True
-            if exchange.cancel is not None:
-                exchange.cancel()
-        self._exchanges.clear()
-        if self._is_refused:
-            self.transport.loseWriteConnection()
-        else:
-            self._is_draining = True
-            self.transport.loseConnection()
-
-
 class CallerServer(protocol.Factory):
     """Accepts the connections of callers.
 
@@ -318,15 +37,17 @@
     ) -> None:
         self.clock = clock
         self.handler = handler
-        self.connections: set[CallerConnection] = set()
+        self.connections: set[caller_connection.CallerConnection] = set()
         self.is_closing = False
-        self.header_handlers = _make_header_handlers(header_names)
+        self.header_handlers = caller_connection.make_header_handlers(
+            header_names
+        )
         self._log = log
         self._timer: clocks.DelayedCall | None = None
 
-    def buildProtocol(self, addr: Any) -> CallerConnection:
+    def buildProtocol(self, addr: Any) -> caller_connection.CallerConnection:
         """See base class."""
-        return CallerConnection(self)
+        return caller_connection.CallerConnection(self)
 
     def start(self) -> None:
         """Starts the check for idle and slow connections."""
@@ -369,27 +90,6 @@
             connection.check_timeouts(now_s)
 
 
-def _make_header_handlers(names: header_names.HeaderNames) -> dict[bytes, Any]:
-    connection = CallerConnection
-    handlers: dict[bytes, Any] = dict.fromkeys(
-        heads.CONNECTION_HEADERS, connection.drop_header
-    )
-    handlers[b"connection"] = connection.add_connection_options
-    handlers[b"expect"] = connection.handle_expect
-    handlers[b"host"] = connection.set_host
-    handlers[names.request_id.lower()] = connection.set_request_id
-    handlers[names.remaining_ms.lower()] = connection.set_remaining
-    handlers[names.key.lower()] = connection.set_key
-    for name in (
-        names.customer,
-        names.caller_service,
-        names.expected_upstream,
-        names.not_run,
-    ):
-        handlers[name.lower()] = connection.drop_header
-    return handlers
-
-
 def make_caller_server(
     clock: clocks.Clock,
     handler: exchanges.Handler,
--- a/tests/test_proxy_server.py
+++ b/tests/test_proxy_server.py
@@ -11,6 +11,7 @@
 from cyclamendale import clocks
 from cyclamendale.intents import model
 from cyclamendale.platform import request_headers
+from cyclamendale.proxy import caller_connection
 from cyclamendale.proxy import exchange as exchanges
 from cyclamendale.proxy import server
 from tests.support import fake_log
@@ -119,6 +120,72 @@
         )
 
 
+class UpgradeOfferTest(ServerCase):
+    """A body that followed an offer of another protocol was dropped."""
+
+    scenarios = [
+        ("stated length", {
+            "offer": b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c",
+            "rest": b"Content-Length: 3\r\n\r\nabc", "body": b"abc",
+            "closes": False}),
+        ("chunked", {
+            "offer": b"Connection: Upgrade\r\nUpgrade: h2c",
+            "rest": b"Transfer-Encoding: chunked\r\n\r\n"
+                    b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+            "body": b"abc", "closes": False}),
+        ("no body", {
+            "offer": b"Connection: Upgrade\r\nUpgrade: websocket",
+            "rest": b"\r\n", "body": b"", "closes": False}),
+        ("no length", {
+            "offer": b"Upgrade: h2c\r\nConnection: upgrade",
+            "rest": b"Content-Length: 0\r\n\r\n", "body": b"",
+            "closes": False}),
+        ("last request", {
+            "offer": b"Connection: close, Upgrade\r\nUpgrade: h2c",
+            "rest": b"Content-Length: 3\r\n\r\nabc", "body": b"abc",
+            "closes": True}),
+    ]  # fmt: skip
+
+    def setUp(self):
+        super().setUp()
+        self.data = (
+            b"POST /a HTTP/1.1\r\nHost: one\r\n" + self.offer + b"\r\n"
+        ) + self.rest
+
+    def check(self, count):
+        requests = [held.request for held in self.handler.exchanges]
+        self.assertEqual(
+            [(b"POST", b"/a", self.body)] * count,
+            [(each.method, each.path, each.body) for each in requests],
+        )
+        for held_exchange in list(self.handler.exchanges):
+            held_exchange.respond(200, b"", b"")
+        self.assertEqual(count, self.output().count(b"HTTP/1.1 200"))
+        self.assertEqual(count, self.output().count(b"HTTP/1.1 "))
+        self.assertEqual(self.closes, self.transport.disconnecting)
+
+    def test_body_in_one_segment(self):
+        self.receive(self.data)
+        self.check(1)
+
+    def test_body_in_single_bytes(self):
+        for index in range(len(self.data)):
+            self.receive(self.data[index : index + 1])
+        self.check(1)
+
+    def test_pipelined_requests(self):
+        self.receive(self.data * 40)
+        self.check(1 if self.closes else 40)
+
+    def test_body_over_the_limit_is_refused(self):
+        self.receive(
+            b"POST /a HTTP/1.1\r\n" + self.offer + b"\r\n"
+            b"Content-Length: 51\r\n\r\n" + b"x" * 51
+        )
+        self.assertEqual([], self.handler.exchanges)
+        self.assertIn(b"413", self.output())
+
+
 class PipelineTest(ServerCase):
     def test_requests_run_concurrently_and_responses_keep_their_order(self):
         self.receive(GET * 3)
@@ -143,7 +210,7 @@
         self.assertTrue(self.transport.disconnecting)
 
     def test_reading_pauses_while_many_requests_are_in_flight(self):
-        self.receive(GET * server.MAX_PIPELINED)
+        self.receive(GET * caller_connection.MAX_PIPELINED)
         self.assertEqual("paused", self.transport.producerState)
         self.handler.exchanges[0].respond(200, b"", b"")
         self.assertEqual("producing", self.transport.producerState)
