Refuse requests that arrive while a stopping node closes

Cause: after the last pending request the node closes its connections to other nodes in several steps. Its callers' side still read requests meanwhile and passed them on; these lost their connections.

Evidence: with the reporter's close held back, a request that arrives in the gap is run by the upstream.

Change: Shutdown.end marks the end of serving before anything closes; callers get 503 (not run), other nodes a refusal that lets them send it elsewhere.

Why it works: there is no moment left in which a request is accepted and its connections are being closed.

--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -306,6 +306,7 @@
         self._server.begin_close()
         while not self._shutdown.should_exit(self._count_pending_requests()):
             yield load_limit.sleep(self._clock, DRAIN_POLL_INTERVAL_S)
+        self._shutdown.end()
         self.log.belief("stopped", in_work=self._count_pending_requests())
         closing = [
             defer.maybeDeferred(port.stopListening) for port in self._ports
--- a/src/cyclamendale/fleet/shutdown.py
+++ b/src/cyclamendale/fleet/shutdown.py
@@ -32,6 +32,7 @@
         self._clock = clock
         self._started_s: float | None = None
         self._exit_by_s = 0.0
+        self._has_ended = False
 
     @property
     def has_begun(self) -> bool:
@@ -47,6 +48,14 @@
         self._started_s = self._clock.now_s()
         self._exit_by_s = self._started_s + grace_s - EXIT_MARGIN_S
 
+    def end(self) -> None:
+        """Ends the serving; no request is accepted any more.
+
+        Closing the connections to other nodes takes a while, in which callers
+        may still send requests.
+        """
+        self._has_ended = True
+
     def accepts(self, deadline_s: float) -> bool:
         """Returns whether to serve a request that arrives now.
 
@@ -55,6 +64,8 @@
         """
         if self._started_s is None:
             return True
+        if self._has_ended:
+            return False
         if self._clock.now_s() - self._started_s <= ACCEPT_ALL_S:
             return True
         return self.can_finish(deadline_s)
@@ -70,6 +81,8 @@
         """
         if self._started_s is None:
             return True
+        if self._has_ended:
+            return False
         return deadline_s + ANSWER_MARGIN_S <= self._exit_by_s
 
     def should_exit(self, pending_requests: int) -> bool:
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -6,6 +6,7 @@
 import itertools
 import json
 import os
+import socket
 
 import msgspec
 from twisted.internet import defer
@@ -50,6 +51,7 @@
     """Responds to each request with the header lines that it received."""
 
     open = set()
+    runs = 0
 
     def __init__(self):
         self.data = b""
@@ -64,6 +66,7 @@
         self.data += data
         while b"\r\n\r\n" in self.data:
             head, _, self.data = self.data.partition(b"\r\n\r\n")
+            EchoUpstream.runs += 1
             lines = head.split(b"\r\n")
             echoed = [line for line in lines if b"attempt-id" in line.lower()]
             body = json.dumps([line.decode() for line in lines]).encode()
@@ -211,6 +214,44 @@
         status, _ = yield self.send_read()
         self.assertEqual(503, status)
 
+    @defer.inlineCallbacks
+    def test_a_request_is_refused_while_a_stopping_node_closes(self):
+        # It was passed on and lost its connection: its caller got a 502.
+        self.publish(manifest_bytes())
+        yield self.announce()
+        yield self.until_status(self.send_read, 200)
+        node = self.nodes[0]
+        stop_reporter, closing = node._reporter.stop, defer.Deferred()
+        closing.addCallback(lambda _: stop_reporter())
+        self.patch(node._reporter, "stop", lambda: closing)
+        stopped = node.stop()
+        caller = yield threads.deferToThread(self.connect)
+        self.addCleanup(caller.close)
+        for _ in range(int(TIMEOUT_S / 0.01)):
+            if "stopped" in self.log.events():
+                break
+            yield task.deferLater(reactor, 0.01)
+        runs = EchoUpstream.runs
+        response = yield threads.deferToThread(self.exchange_raw, caller)
+        self.assertIn(b"HTTP/1.1 503 ", response)
+        self.assertIn(b"Retry-After:", response)
+        self.assertEqual(runs, EchoUpstream.runs)
+        closing.callback(None)
+        yield stopped
+        self.nodes.remove(node)
+
+    def connect(self):
+        return socket.create_connection((f"{self.block}.1", 9001), TIMEOUT_S)
+
+    def exchange_raw(self, caller):
+        caller.sendall(
+            b"GET /read/x HTTP/1.1\r\nHost: one\r\n"
+            b"X-Cyclamendale-Attempt-Id: r2\r\n"
+            b"X-Cyclamendale-Deadline-Ms: 5000\r\n"
+            b"X-Cyclamendale-Credential: k1\r\n\r\n"
+        )
+        return caller.recv(65536)
+
     @defer.inlineCallbacks
     def test_a_valid_change_is_applied_and_an_invalid_one_is_not(self):
         self.publish(manifest_bytes())
