Wait for answers to be sent before a stopping node exits

Cause: a request counted as done once its answer was handed to the transport, which may hold megabytes of it. The process ended with what it held.

Evidence: with a caller that does not read, the node logs 'stopped' after the minimum time of serving.

Change: connections with unsent data count as pending, of callers and of other nodes. The grace period bounds the wait as before.

Why it works: the transport's buffers are the only copy of an answer that is written, and the process now outlives them.

--- a/src/cyclamendale/_immediate_write.py
+++ b/src/cyclamendale/_immediate_write.py
@@ -27,6 +27,18 @@
     transport.write(data)
 
 
+def has_unsent_data(transport: Any) -> bool:
+    """Returns whether the transport holds data that the socket has not taken.
+
+    Args:
+        transport: A Twisted TCP transport; others are taken to hold none.
+    """
+    try:
+        return bool(transport._tempDataLen or transport.dataBuffer)
+    except AttributeError:
+        return False
+
+
 def _has_empty_buffer(transport: Any) -> bool:
     """Returns whether the transport is open and has no unsent data."""
     try:
--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -329,6 +329,7 @@
             self._server.in_flight
             + self._run_server.in_flight
             + self._gate.in_flight
+            + self._peers.unsent_connections
         )
 
     def _listen(self, address: str, factory: Any) -> None:
--- a/src/cyclamendale/peer/connection.py
+++ b/src/cyclamendale/peer/connection.py
@@ -112,6 +112,11 @@
         """Returns whether any request waits for its reply."""
         return bool(self._pending)
 
+    @property
+    def has_unsent_data(self) -> bool:
+        """Returns whether the peer has yet to take some of the written data."""
+        return _immediate_write.has_unsent_data(self.transport)
+
     def connectionMade(self) -> None:
         """Starts the handshake by sending the challenge."""
         self.transport.setTcpNoDelay(True)
--- a/src/cyclamendale/peer/thrift_network.py
+++ b/src/cyclamendale/peer/thrift_network.py
@@ -87,12 +87,7 @@
             A Deferred that fires when all written data is sent, or after
             `CLOSE_TIMEOUT_S`.
         """
-        closing = {
-            link.connection
-            for link in self._links.values()
-            if link.connection is not None
-        }
-        closing |= self._accepted | self._detached
+        closing = self._connections()
         closed = [connection.close() for connection in closing]
         if self._port is not None:
             closed.append(defer.maybeDeferred(self._port.stopListening))
@@ -103,6 +98,13 @@
             lambda _: timer.cancel() if timer.active() else None
         )
 
+    @property
+    def unsent_connections(self) -> int:
+        """Returns the number of connections with data that is not sent yet."""
+        return sum(
+            connection.has_unsent_data for connection in self._connections()
+        )
+
     def with_connection(
         self, peer: ids.PeerAddress, callback: ConnectionCallback
     ) -> None:
@@ -210,6 +212,14 @@
         )
         return pending.result
 
+    def _connections(self) -> set[connections.PeerConnection]:
+        initiated = {
+            link.connection
+            for link in self._links.values()
+            if link.connection is not None
+        }
+        return initiated | self._accepted | self._detached
+
     def _make_acceptor(self) -> connections.PeerConnection:
         return connections.PeerConnection(
             self._secret,
--- a/src/cyclamendale/proxy/caller_connection.py
+++ b/src/cyclamendale/proxy/caller_connection.py
@@ -91,8 +91,13 @@
 
     @property
     def in_flight(self) -> int:
-        """Returns the number of requests without a response."""
-        return len(self._exchanges)
+        """Returns the number of requests whose response is not sent yet.
+
+        Responses that the caller has yet to read count as one.
+        """
+        return len(self._exchanges) + _immediate_write.has_unsent_data(
+            self.transport
+        )
 
     # Twisted.
 
--- a/src/cyclamendale/proxy/server.py
+++ b/src/cyclamendale/proxy/server.py
@@ -67,7 +67,7 @@
 
     @property
     def in_flight(self) -> int:
-        """Returns the number of requests without a response."""
+        """Returns the number of requests whose response is not sent yet."""
         return sum(connection.in_flight for connection in self.connections)
 
     def log_malformed(self, detail: str) -> None:
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -18,12 +18,15 @@
 
 from cyclamendale.fleet import node as nodes
 from cyclamendale.fleet import settings
+from cyclamendale.fleet import shutdown
 from cyclamendale.platform import daemon
 from cyclamendale.platform import manifest
 from tests.support import fake_log
 from tests.support import memory_rows
 
 TIMEOUT_S = 20.0
+LARGE_BYTES = 24_000_000
+"""Size of a body that the buffers of the kernel do not hold."""
 _address_blocks = itertools.count(1)
 
 
@@ -70,6 +73,7 @@
             lines = head.split(b"\r\n")
             echoed = [line for line in lines if b"attempt-id" in line.lower()]
             body = json.dumps([line.decode() for line in lines]).encode()
+            body += b" " * (LARGE_BYTES if b"/large " in lines[0] else 0)
             self.transport.write(
                 b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s\r\n\r\n%s"
                 % (len(body), b"\r\n".join(echoed), body)
@@ -240,12 +244,41 @@
         yield stopped
         self.nodes.remove(node)
 
+    @defer.inlineCallbacks
+    def test_a_response_that_is_read_slowly_is_whole_after_a_stop(self):
+        # The process ended with the part that its caller had not read.
+        self.publish(manifest_bytes())
+        yield self.announce()
+        yield self.until_status(self.send_read, 200)
+        node = self.nodes[0]
+        node.reload(
+            msgspec.structs.replace(
+                node._settings, bounds=settings.Bounds(grace_s=TIMEOUT_S)
+            )
+        )
+        caller = yield threads.deferToThread(self.connect)
+        self.addCleanup(caller.close)
+        head = yield threads.deferToThread(
+            self.exchange_raw, caller, b"/read/large"
+        )
+        self.assertIn(b"HTTP/1.1 200 ", head)
+        stopped = node.stop()
+        yield task.deferLater(reactor, shutdown.MIN_SERVING_S + 0.5)
+        self.assertNotIn("stopped", self.log.events())
+        rest_bytes = yield threads.deferToThread(self.read_all, caller)
+        self.assertGreater(len(head) + rest_bytes, LARGE_BYTES)
+        yield stopped
+        self.nodes.remove(node)
+
+    def read_all(self, caller):
+        return sum(map(len, iter(lambda: caller.recv(1 << 20), b"")))
+
     def connect(self):
         return socket.create_connection((f"{self.block}.1", 9001), TIMEOUT_S)
 
-    def exchange_raw(self, caller):
+    def exchange_raw(self, caller, path=b"/read/x"):
         caller.sendall(
-            b"GET /read/x HTTP/1.1\r\nHost: one\r\n"
+            b"GET " + path + b" HTTP/1.1\r\nHost: one\r\n"
             b"X-Cyclamendale-Attempt-Id: r2\r\n"
             b"X-Cyclamendale-Deadline-Ms: 5000\r\n"
             b"X-Cyclamendale-Credential: k1\r\n\r\n"
