Answer pipelined requests before a stopping node closes

Callers saw: of several pipelined requests in work at SIGTERM only the first was answered; upstreams had run the others.

Cause: while a node stops, any response carried Connection: close and closed the connection, also with others behind it.

Evidence: three tests with two to four requests on one connection.

Change: only the response to the last request of a connection closes it; later bytes are not read. A connection whose last response was ready before the stop closes once that is written.

Why it works: a connection closes when no request of it is left without an answer.

--- a/src/cyclamendale/proxy/caller_connection.py
+++ b/src/cyclamendale/proxy/caller_connection.py
@@ -60,7 +60,6 @@
         self._is_last_request = False
         self._is_refused = False
         self._last_activity_s = server.clock.now_s()
-        self.is_closing = server.is_closing
 
     # Time-outs and graceful close.
 
@@ -81,8 +80,10 @@
             self.transport.loseConnection()
 
     def begin_close(self) -> None:
-        """Closes the connection once no request is in flight."""
-        self.is_closing = True
+        """Closes the connection if no request is in flight.
+
+        Otherwise the last response closes it; see `closes_after`.
+        """
         if self._is_idle():
             self.transport.loseConnection()
 
@@ -199,7 +200,11 @@
 
     def on_message_complete(self) -> None:
         """Passes the complete request to the handler."""
-        if self._is_draining or self._parser.has_ignored_offer:
+        if (
+            self._is_draining
+            or self._is_last_request
+            or self._parser.has_ignored_offer
+        ):
             return
         self._in_body = False
         request = self._request
@@ -268,6 +273,17 @@
 
     # Output.
 
+    def closes_after(self, exchange: exchanges.Exchange) -> bool:
+        """Returns whether the connection closes after a response.
+
+        It does not while others follow: their requests may have been run.
+        """
+        if not self._server.is_closing or exchange is not self._exchanges[-1]:
+            return False
+        # What the caller sends from here on counts as not read.
+        self._is_last_request = True
+        return True
+
     def flush(self) -> None:
         """Writes the responses that are next in order."""
         waiting = self._exchanges
@@ -283,7 +299,7 @@
             return
         self._last_activity_s = self._server.clock.now_s()
         _immediate_write.write_now(self.transport, b"".join(ready))
-        if closes:
+        if closes or (self._server.is_closing and self._is_idle()):
             self._close()
         elif self._is_paused and len(waiting) < MAX_PIPELINED:
             self._is_paused = False
--- a/src/cyclamendale/proxy/exchange.py
+++ b/src/cyclamendale/proxy/exchange.py
@@ -13,7 +13,8 @@
 class Connection(Protocol):
     """Interface of the connection that an exchange belongs to."""
 
-    is_closing: bool
+    def closes_after(self, exchange: Exchange) -> bool:
+        """Returns whether the response to this request is the last one."""
 
     def flush(self) -> None:
         """Writes the responses that are next in order."""
@@ -56,7 +57,7 @@
             return
         self.is_over = True
         self.cancel = None
-        closes = self._closes or self._connection.is_closing
+        closes = self._closes or self._connection.closes_after(self)
         parts = [heads.status_line(status), header_lines]
         if heads.may_have_body(status):
             parts.append(b"Content-Length: %d\r\n" % len(body))
--- a/tests/test_proxy_server.py
+++ b/tests/test_proxy_server.py
@@ -338,6 +338,36 @@
         self.assertIn(b"Connection: close\r\n", transport.value())
         self.assertTrue(transport.disconnecting)
 
+    def test_a_graceful_close_answers_pipelined_requests(self):
+        # The first response closed; the others were run and not answered.
+        self.receive(GET * 4)
+        self.factory.begin_close()
+        for number in (2, 0, 1, 3):
+            self.assertFalse(self.transport.disconnecting)
+            self.handler.exchanges[number].respond(200, b"", b"%d" % number)
+        self.assertEqual(4, self.output().count(b"HTTP/1.1 200"))
+        self.assertEqual(1, self.output().count(b"Connection: close\r\n"))
+        self.assertTrue(self.output().endswith(b"close\r\n\r\n3"))
+        self.assertTrue(self.transport.disconnecting)
+
+    def test_a_request_after_the_closing_response_is_not_passed_on(self):
+        self.receive(GET * 2)
+        self.factory.begin_close()
+        self.handler.exchanges[1].respond(200, b"", b"")
+        self.receive(GET * 2)
+        self.assertEqual(2, len(self.handler.exchanges))
+        self.handler.exchanges[0].respond(200, b"", b"")
+        self.assertEqual(2, self.output().count(b"HTTP/1.1 200"))
+        self.assertTrue(self.transport.disconnecting)
+
+    def test_a_close_begun_after_the_last_response_was_ready(self):
+        self.receive(GET * 2)
+        self.handler.exchanges[1].respond(200, b"", b"")
+        self.factory.begin_close()
+        self.handler.exchanges[0].respond(200, b"", b"")
+        self.assertEqual(2, self.output().count(b"HTTP/1.1 200"))
+        self.assertTrue(self.transport.disconnecting)
+
     def test_a_graceful_close_waits_for_requests_in_flight(self):
         self.receive(GET)
         self.factory.begin_close()
