Remember each departure that is confirmed

Cause: a departure was recorded only if the last heartbeat was of that upstream. A node that has just started has heard none; it confirmed the departure, kept it nowhere, and a late heartbeat opened the gate.

Ten tests for five orders of heartbeats and departures.

Change: each confirmed departure goes into memory and the store. It covers the processes of its id up to the stated start time, or up to now if it states none.

Why it works: the gate opens only after a look at the recorded departures, and no confirmed one is missing there.

--- a/src/cyclamendale/fleet/departures.py
+++ b/src/cyclamendale/fleet/departures.py
@@ -55,7 +55,8 @@
         self._rows = rows
         self._own_address = own_address
         self._log = log
-        self._departed: set[tuple[str, int]] = set()
+        # Latest start time of a departed process, by upstream id.
+        self._departed: dict[str, int] = {}
         self._tasks: set[defer.Deferred[None]] = set()
         self.is_loaded = False
 
@@ -79,13 +80,21 @@
             task.cancel()
 
     def has_departed(self, upstream_id: str, started_at_ms: int) -> bool:
-        """Returns whether a process announced its departure."""
-        return (upstream_id, started_at_ms) in self._departed
+        """Returns whether a process, or a later one of its id, departed."""
+        return started_at_ms <= self._departed.get(upstream_id, -1)
 
-    def record(self, upstream_id: str, started_at_ms: int) -> None:
-        """Records and stores a departure, once per process."""
+    def record(self, upstream_id: str, started_at_ms: int | None) -> None:
+        """Records and stores a departure, once per process.
+
+        Args:
+            upstream_id: Id of the upstream process.
+            started_at_ms: Its start time; None if unknown, which means every
+                process of the id that has started until now.
+        """
+        if started_at_ms is None:
+            started_at_ms = int(self._clock.wall_s() * 1000.0)
         if not self.has_departed(upstream_id, started_at_ms):
-            self._departed.add((upstream_id, started_at_ms))
+            self._departed[upstream_id] = started_at_ms
             self._start_task(self._write(upstream_id, started_at_ms))
 
     async def _load(self, on_loaded: Callable[[], None]) -> None:
@@ -115,7 +124,9 @@
             and row.value is not None
             and start_time.isdecimal()
         ):
-            self._departed.add((upstream_id, int(start_time)))
+            self._departed[upstream_id] = max(
+                int(start_time), self._departed.get(upstream_id, -1)
+            )
             self._schedule_removal(row.key, row.version)
 
     async def _write(self, upstream_id: str, started_at_ms: int) -> None:
--- a/src/cyclamendale/fleet/own_upstream.py
+++ b/src/cyclamendale/fleet/own_upstream.py
@@ -68,14 +68,23 @@
     def handle_departure(
         self, upstream_id: str, started_at_ms: int | None
     ) -> None:
-        """Handles the upstream's announcement that it leaves."""
+        """Handles the upstream's announcement that it leaves.
+
+        It is remembered also if no heartbeat of the process was received yet:
+        one may arrive late, and the announcement is confirmed either way.
+        """
         verdict = self._announced.record_departure(upstream_id, started_at_ms)
         self._log.belief(
             "upstream-leaves", upstream=upstream_id, verdict=verdict.value
         )
         current = self._announced.last_heartbeat
-        if verdict is announcements.Verdict.ACCEPTED and current is not None:
-            self._departure_store.record(upstream_id, current.started_at_ms)
+        if (
+            started_at_ms is None
+            and verdict is announcements.Verdict.ACCEPTED
+            and current is not None
+        ):
+            started_at_ms = current.started_at_ms
+        self._departure_store.record(upstream_id, started_at_ms)
         self._update_gate()
 
     def handle_malformed(self, detail: str) -> None:
--- a/tests/test_fleet_departures.py
+++ b/tests/test_fleet_departures.py
@@ -41,9 +41,9 @@
     current = None
 
 
-def heartbeat(sequence=1, state=READY, started_at=5):
+def heartbeat(sequence=1, state=READY, started_at=5, upstream_id="i-1"):
     return announcements.Heartbeat(
-        upstream_id="i-1",
+        upstream_id=upstream_id,
         started_at_ms=started_at,
         sequence=sequence,
         service="wash",
@@ -53,20 +53,7 @@
     )
 
 
-class RestartTest(testtools.TestCase):
-    scenarios = [
-        ("draining", {
-            "depart": lambda node: node.handle_heartbeat(
-                heartbeat(7, DRAINING))}),
-        ("deregistered", {
-            "depart": lambda node: node.handle_departure("i-1", 5)}),
-        ("deregistered without a start time", {
-            "depart": lambda node: node.handle_departure("i-1", None)}),
-        # Only announcements told that an upstream leaves.
-        ("said so in a response", {
-            "depart": lambda node: node._gate.on_leaving("i-1")}),
-    ]  # fmt: skip
-
+class DepartureCase(testtools.TestCase):
     def setUp(self):
         super().setUp()
         self.reactor = task.Clock()
@@ -92,6 +79,21 @@
         started.start(is_first_start=False)
         return started
 
+
+class RestartTest(DepartureCase):
+    scenarios = [
+        ("draining", {
+            "depart": lambda node: node.handle_heartbeat(
+                heartbeat(7, DRAINING))}),
+        ("deregistered", {
+            "depart": lambda node: node.handle_departure("i-1", 5)}),
+        ("deregistered without a start time", {
+            "depart": lambda node: node.handle_departure("i-1", None)}),
+        # Only announcements told that an upstream leaves.
+        ("said so in a response", {
+            "depart": lambda node: node._gate.on_leaving("i-1")}),
+    ]  # fmt: skip
+
     def test_a_late_heartbeat_does_not_open_the_gate_after_a_restart(self):
         node = self.start_node()
         node.handle_heartbeat(heartbeat())
@@ -165,3 +167,47 @@
         self.start_node()
         self.reactor.advance(departures.RETENTION_S + 1.0)
         self.assertEqual(set(), self.rows.keys(departures.TABLE))
+
+
+class BeforeTheFirstHeartbeatTest(DepartureCase):
+    """A departure was confirmed and forgotten if no heartbeat was known."""
+
+    scenarios = [
+        ("of a process", {"started_at_ms": 5, "known": []}),
+        ("without a start time", {"started_at_ms": None, "known": []}),
+        ("after another upstream", {
+            "started_at_ms": 5, "known": [heartbeat(9, READY, 3, "i-0")]}),
+        ("after another upstream, without a start time", {
+            "started_at_ms": None,
+            "known": [heartbeat(9, READY, 3, "i-0")]}),
+        ("after an earlier process of its id", {
+            "started_at_ms": 5, "known": [heartbeat(9, started_at=4)]}),
+    ]  # fmt: skip
+
+    def setUp(self):
+        super().setUp()
+        self.reactor.advance(1.0)
+
+    def check_late_heartbeat(self, node):
+        node.handle_heartbeat(heartbeat())
+        self.assertIsNot(gates.GateState.OPEN, self.gate.state)
+
+    def test_a_late_heartbeat_does_not_open_the_gate(self):
+        node = self.start_node()
+        for each in self.known:
+            node.handle_heartbeat(each)
+        node.handle_departure("i-1", self.started_at_ms)
+        self.check_late_heartbeat(node)
+
+    def test_a_late_heartbeat_does_not_open_the_gate_after_a_restart(self):
+        node = self.start_node()
+        for each in self.known:
+            node.handle_heartbeat(each)
+        node.handle_departure("i-1", self.started_at_ms)
+        self.check_late_heartbeat(self.start_node())
+
+    def test_a_process_started_later_opens_the_gate(self):
+        node = self.start_node()
+        node.handle_departure("i-1", self.started_at_ms)
+        node.handle_heartbeat(heartbeat(started_at=1500))
+        self.assertIs(gates.GateState.OPEN, self.gate.state)
