Bound the memory of all bodies that a node holds

Cause: bodies with a stated length had a budget of 64 MiB, but were in memory up to five times; requests, frames of other nodes and unsent answers had no common bound. The process exceeded memory_mb and was killed.

Change: one budget a node, from the memory in its settings, for bodies, large frames and unsent data, with room for two copies of the largest body. Parts are dropped once joined; frames are collected in parts; large writes are not split. Without room: 502 for responses, 503 (not run) for requests.

Why it works: one thread handles one message at a time, so that what is held and the copies of one body are all there can be.

--- a/src/cyclamendale/_immediate_write.py
+++ b/src/cyclamendale/_immediate_write.py
@@ -9,6 +9,10 @@
 
 from typing import Any
 
+MAX_IMMEDIATE_BYTES = 256 * 1024
+"""Size up to which data is sent at once. The socket takes only a part of more,
+and the rest would have to be copied."""
+
 
 def write_now(transport: Any, data: bytes) -> None:
     """Sends what the socket accepts at once and buffers the rest.
@@ -17,7 +21,7 @@
         transport: A Twisted TCP transport; other transports only buffer.
         data: Bytes to send; the order of writes is preserved.
     """
-    if _has_empty_buffer(transport):
+    if len(data) <= MAX_IMMEDIATE_BYTES and _has_empty_buffer(transport):
         # A failed send fails again in the buffered write, which handles it.
         sent = transport.writeSomeData(data)
         if isinstance(sent, int) and sent > 0:
@@ -27,16 +31,16 @@
     transport.write(data)
 
 
-def has_unsent_data(transport: Any) -> bool:
-    """Returns whether the transport holds data that the socket has not taken.
+def unsent_bytes(transport: Any) -> int:
+    """Returns the size of the buffers whose data the socket has yet to take.
 
     Args:
         transport: A Twisted TCP transport; others are taken to hold none.
     """
     try:
-        return bool(transport._tempDataLen or transport.dataBuffer)
+        return int(transport._tempDataLen) + len(transport.dataBuffer)
     except AttributeError:
-        return False
+        return 0
 
 
 def _has_empty_buffer(transport: Any) -> bool:
--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -8,6 +8,7 @@
 import msgspec
 from twisted.internet import defer
 
+from cyclamendale import buffer_budget
 from cyclamendale import clocks
 from cyclamendale import ids
 from cyclamendale.fleet import call_learning
@@ -17,6 +18,7 @@
 from cyclamendale.fleet import formats as formats_module
 from cyclamendale.fleet import hosts
 from cyclamendale.fleet import journal
+from cyclamendale.fleet import node_gauges
 from cyclamendale.fleet import observation
 from cyclamendale.fleet import own_upstream
 from cyclamendale.fleet import permits
@@ -72,9 +74,12 @@
         self._observer = observation.Observer(clock, self.log)
         self._shutdown = shutdown.Shutdown(clock)
         self._ports: list[Any] = []
+        self._budget = buffer_budget.BufferBudget(settings.memory_bytes)
         self._build_fleet_parts(rows)
         self._build_request_path(rows)
-        self._add_gauges()
+        node_gauges.add_gauges(
+            self._observer, self._active_configuration, self._view, self._gate
+        )
 
     # Construction.
 
@@ -86,7 +91,9 @@
             self._clock,
             b"",
             max_frame_bytes=links.MAX_FRAME_BYTES,
+            budget=self._budget,
         )
+        self._budget.add_unsent_source(lambda: self._peers.unsent_bytes)
         self._view = hosts.HostView(
             self._clock,
             own_address,
@@ -183,6 +190,7 @@
             self._formats.http_header_names,
             self.log,
             self._reporter.send_now,
+            self._budget,
         )
         self._gate.on_run = self._call_learner.record_run
         self._own_upstream = own_upstream.OwnUpstream(
@@ -200,6 +208,7 @@
             self._gate,
             self._gate.load,
             self._shutdown,
+            self._budget,
         )
         self._links = links.Links(
             self._peers, self._clock, self._update_load, self.log
@@ -241,18 +250,9 @@
             self._dispatcher,
             self._formats.http_header_names,
             self.log,
+            self._budget,
         )
-
-    def _add_gauges(self) -> None:
-        gauge = self._observer.add_gauge
-        gauge(
-            "configuration_version", lambda: self._active_configuration.version
-        )
-        gauge("hosts_live", lambda: 1 + len(self._view.live_others()))
-        gauge("gate_in_service", lambda: self._gate.load().in_service)
-        gauge("gate_queued", lambda: self._gate.load().queued)
-        gauge("gate_pressure", lambda: self._gate.pressure)
-        gauge("gate_refused_share", lambda: self._gate.refused_share)
+        self._budget.add_unsent_source(lambda: self._server.unsent_bytes)
 
     # Start and stop.
 
@@ -329,7 +329,7 @@
             self._server.in_flight
             + self._run_server.in_flight
             + self._gate.in_flight
-            + self._peers.unsent_connections
+            + bool(self._peers.unsent_bytes)
         )
 
     def _listen(self, address: str, factory: Any) -> None:
--- a/src/cyclamendale/fleet/settings.py
+++ b/src/cyclamendale/fleet/settings.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from cyclamendale import buffer_budget
 from cyclamendale import ids
 
 
@@ -57,6 +58,7 @@
         store_address: Address of the store.
         bounds: Limits that the fleet must meet.
         first_start: Whether the whole fleet starts for the first time.
+        memory_bytes: Memory over which the process is killed.
     """
 
     host: str
@@ -74,6 +76,7 @@
     store_address: str
     bounds: Bounds
     first_start: bool
+    memory_bytes: int = buffer_budget.DEFAULT_MEMORY_BYTES
 
     @property
     def peer_address(self) -> ids.PeerAddress:
--- a/src/cyclamendale/peer/connection.py
+++ b/src/cyclamendale/peer/connection.py
@@ -14,16 +14,16 @@
 import hashlib
 import hmac
 import secrets
-import struct
 from typing import Any, TYPE_CHECKING
 
 from twisted.internet import defer
 from twisted.internet import protocol
-from twisted.protocols import basic
 from twisted.python import failure
 
 from cyclamendale import _immediate_write
+from cyclamendale import buffer_budget
 from cyclamendale import events
+from cyclamendale.peer import frames
 from cyclamendale.peer import network
 
 if TYPE_CHECKING:
@@ -37,8 +37,6 @@
 PROTOCOL_VERSION = b"cyclamendale-peer-2"
 
 _CHALLENGE_BYTES = 16
-_HEADER = struct.Struct("!BBIQI")
-_HEADER_BYTES = _HEADER.size
 _COUNTER_MASK = 0xFFFFFFFF
 
 
@@ -64,14 +62,13 @@
 """Called with the connection, kind, call id and payload of a request."""
 
 
-class PeerConnection(basic.Int32StringReceiver):
+class PeerConnection(protocol.Protocol, frames.Receiver):
     """Protocol of either end of a connection.
 
     Attributes:
         lost_listeners: Functions to call when the connection is lost.
     """
 
-    MAX_LENGTH = MAX_HANDSHAKE_BYTES
     # Type-checking Twisted's interfaces would need a mypy plugin.
     transport: Any
 
@@ -85,8 +82,12 @@
         call_later: Callable[..., Any],
         hlc: events.HybridLogicalClock,
         max_frame_bytes: int = MAX_FRAME_BYTES,
+        budget: buffer_budget.BufferBudget | None = None,
     ) -> None:
-        self._max_frame_bytes = max_frame_bytes
+        self._max_open_frame_bytes = max_frame_bytes
+        self._reader = frames.FrameReader(
+            self, budget or buffer_budget.BufferBudget()
+        )
         self._secret = secret
         self._is_initiator = is_initiator
         self._on_request = on_request
@@ -113,9 +114,23 @@
         return bool(self._pending)
 
     @property
-    def has_unsent_data(self) -> bool:
-        """Returns whether the peer has yet to take some of the written data."""
-        return _immediate_write.has_unsent_data(self.transport)
+    def unsent_bytes(self) -> int:
+        """Returns the size of the written data that is not sent yet."""
+        return _immediate_write.unsent_bytes(self.transport)
+
+    @property
+    def max_frame_bytes(self) -> int:
+        """See base class."""
+        return (
+            self._max_open_frame_bytes
+            if self.is_open
+            else (MAX_HANDSHAKE_BYTES)
+        )
+
+    @property
+    def is_closed(self) -> bool:
+        """See base class."""
+        return self._phase is _Phase.CLOSED
 
     def connectionMade(self) -> None:
         """Starts the handshake by sending the challenge."""
@@ -123,18 +138,25 @@
         self._handshake_timer = self._call_later(
             HANDSHAKE_TIMEOUT_S, self.transport.abortConnection
         )
-        self.sendString(PROTOCOL_VERSION + self._challenge)
+        self._send_message(PROTOCOL_VERSION + self._challenge)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Handles received bytes."""
+        self._reader.feed(data)
 
-    def stringReceived(self, string: bytes) -> None:
-        """Handles a frame or a handshake message."""
+    def handle_frame(self, frame: bytes) -> None:
+        """See base class."""
         if self._phase is _Phase.OPEN:
-            self._frame_received(string)
+            if len(frame) < frames.HEADER_BYTES:
+                self._abort()
+                return
+            self.handle_parts(frame, frame[frames.HEADER_BYTES :])
         elif self._phase is _Phase.AWAITING_CHALLENGE:
-            self._challenge_received(string)
+            self._challenge_received(frame)
         elif self._phase is _Phase.AWAITING_PROOF:
-            self._proof_received(string)
+            self._proof_received(frame)
 
-    def lengthLimitExceeded(self, length: int) -> None:
+    def handle_oversized_frame(self) -> None:
         """Aborts the connection to a peer that sends an oversized frame."""
         self._abort()
 
@@ -143,6 +165,7 @@
     ) -> None:
         """Fails all requests that wait for a reply."""
         self._phase = _Phase.CLOSED
+        self._reader.release()
         if self._handshake_timer.active():
             self._handshake_timer.cancel()
         # Must come first: reply handlers may send a new request, which
@@ -220,28 +243,37 @@
         self, kind: int, flag: FrameFlag, call_id: int, payload: bytes
     ) -> None:
         stamp = self._hlc.tick()
-        length = _HEADER_BYTES + len(payload)
-        header = _HEADER.pack(
+        length = frames.HEADER_BYTES + len(payload)
+        header = frames.HEADER.pack(
             kind, flag, call_id, stamp.wall_ms, stamp.counter & _COUNTER_MASK
         )
-        _immediate_write.write_now(
-            self.transport, length.to_bytes(4, "big") + header + payload
-        )
+        head = length.to_bytes(frames.PREFIX_BYTES, "big") + header
+        if length < frames.LARGE_BYTES:
+            _immediate_write.write_now(self.transport, head + payload)
+        else:
+            self.transport.writeSequence((head, payload))
 
-    def _frame_received(self, frame: bytes) -> None:
-        if len(frame) < _HEADER_BYTES:
-            self._abort()
-            return
-        kind, flag, call_id, wall_ms, counter = _HEADER.unpack_from(frame)
+    def _send_message(self, message: bytes) -> None:
+        """Sends a message of the handshake."""
+        length = len(message).to_bytes(frames.PREFIX_BYTES, "big")
+        self.transport.write(length + message)
+
+    def handle_parts(self, header: bytes, payload: bytes | None) -> None:
+        """See base class."""
+        kind, flag, call_id, wall_ms, counter = frames.HEADER.unpack_from(
+            header
+        )
         self._hlc.observe(events.HlcStamp(wall_ms, counter))
-        payload = frame[_HEADER_BYTES:]
         if flag == FrameFlag.REQUEST:
-            self._on_request(self, kind, call_id, payload)
+            if payload is None:
+                self.reject(kind, call_id)
+            else:
+                self._on_request(self, kind, call_id, payload)
             return
         handler = self._pending.pop(call_id << 8 | kind, None)
         if handler is None:
             return
-        if flag == FrameFlag.REPLY:
+        if flag == FrameFlag.REPLY and payload is not None:
             handler(payload)
         else:
             handler(network.PeerErrorKind.REJECTED)
@@ -256,7 +288,7 @@
             return
         self._peer_challenge = challenge
         self._phase = _Phase.AWAITING_PROOF
-        self.sendString(self._compute_proof(self._is_initiator))
+        self._send_message(self._compute_proof(self._is_initiator))
 
     def _proof_received(self, message: bytes) -> None:
         expected = self._compute_proof(not self._is_initiator)
@@ -265,7 +297,6 @@
             return
         self._handshake_timer.cancel()
         self._phase = _Phase.OPEN
-        self.MAX_LENGTH = self._max_frame_bytes
         self._on_open(self)
 
     def _compute_proof(self, by_initiator: bool) -> bytes:
--- a/src/cyclamendale/peer/thrift_network.py
+++ b/src/cyclamendale/peer/thrift_network.py
@@ -12,6 +12,7 @@
 from twisted.internet import protocol
 from twisted.python import failure
 
+from cyclamendale import buffer_budget
 from cyclamendale import clocks
 from cyclamendale import events
 from cyclamendale import ids
@@ -60,7 +61,9 @@
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         hlc: events.HybridLogicalClock | None = None,
         max_frame_bytes: int = connections.MAX_FRAME_BYTES,
+        budget: buffer_budget.BufferBudget | None = None,
     ) -> None:
+        self._budget = budget or buffer_budget.BufferBudget()
         self._max_frame_bytes = max_frame_bytes
         self._reactor = reactor
         self._hlc = hlc or events.HybridLogicalClock(clock)
@@ -99,10 +102,10 @@
         )
 
     @property
-    def unsent_connections(self) -> int:
-        """Returns the number of connections with data that is not sent yet."""
+    def unsent_bytes(self) -> int:
+        """Returns the size of the written data that is not sent yet."""
         return sum(
-            connection.has_unsent_data for connection in self._connections()
+            connection.unsent_bytes for connection in self._connections()
         )
 
     def with_connection(
@@ -230,6 +233,7 @@
             self._clock.call_later,
             self._hlc,
             self._max_frame_bytes,
+            self._budget,
         )
 
     def _dispatch(
@@ -280,6 +284,7 @@
                 self._clock.call_later,
                 self._hlc,
                 self._max_frame_bytes,
+                self._budget,
             ),
             on_failed,
         )
--- a/src/cyclamendale/platform/settings.py
+++ b/src/cyclamendale/platform/settings.py
@@ -12,6 +12,7 @@
 from expression import Result
 import msgspec
 
+from cyclamendale import buffer_budget
 from cyclamendale import decoding
 from cyclamendale import ids
 from cyclamendale.fleet import settings
@@ -60,6 +61,10 @@
     address: str
 
 
+class _Limits(msgspec.Struct):
+    memory_mb: float = buffer_budget.DEFAULT_MEMORY_BYTES / 1e6
+
+
 class _SettingsFile(msgspec.Struct):
     """Contents of the settings file; the platform defines the names."""
 
@@ -75,6 +80,7 @@
     heartbeat_s: float = 1.5
     bounds: list[str] = []
     first_start: bool = False
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def load(
@@ -126,6 +132,7 @@
         store_address=file.platform.address,
         bounds=settings.Bounds(**dict(_parse_bounds(file.bounds))),
         first_start=file.first_start,
+        memory_bytes=int(file.limits.memory_mb * 1e6),
     )
 
 
--- a/src/cyclamendale/proxy/caller_connection.py
+++ b/src/cyclamendale/proxy/caller_connection.py
@@ -14,6 +14,7 @@
 from twisted.python import failure
 
 from cyclamendale import _immediate_write
+from cyclamendale import buffer_budget
 from cyclamendale.proxy import exchange as exchanges
 from cyclamendale.proxy import header_names
 from cyclamendale.proxy import heads
@@ -30,6 +31,9 @@
 """How long a connection is drained after a refusal that closes it. A close
 with unread bytes would reset it, and the caller would lose the refusal."""
 
+RETRY_AFTER_S = 1.0
+"""Retry-After of a request that is refused for lack of memory."""
+
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -51,6 +55,7 @@
         self._connection_values: list[bytes] = []
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._reservation: buffer_budget.Reservation | None = None
         self._head_bytes = 0
         self._unparsed_bytes = 0
         self._in_head = False
@@ -96,9 +101,12 @@
 
         Responses that the caller has yet to read count as one.
         """
-        return len(self._exchanges) + _immediate_write.has_unsent_data(
-            self.transport
-        )
+        return len(self._exchanges) + bool(self.unsent_bytes)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Returns the size of the responses that are not sent yet."""
+        return _immediate_write.unsent_bytes(self.transport)
 
     # Twisted.
 
@@ -134,8 +142,9 @@
         """Cancels the requests in flight."""
         self._server.connections.discard(self)
         cancelled, self._exchanges = self._exchanges, collections.deque()
+        self._release()
         for exchange in cancelled:
-            exchange.is_over = True
+            exchange.end()
             if exchange.cancel is not None:
                 exchange.cancel()
                 exchange.cancel = None
@@ -152,6 +161,7 @@
         self._connection_values = []
         self._body = []
         self._body_bytes = 0
+        self._release()
         self._head_bytes = 0
         self._unparsed_bytes = 0
         self._in_head = True
@@ -196,8 +206,18 @@
         if self._body_bytes > self._limits.max_body_bytes:
             self._refuse(413)
             return
+        if self._reservation is None:
+            self._reservation = self._server.budget.make_reservation()
+        if not self._reservation.add(len(data)):
+            self._refuse(503)
+            return
         self._body.append(data)
 
+    def _release(self) -> None:
+        if self._reservation is not None:
+            self._reservation.release()
+            self._reservation = None
+
     def on_message_complete(self) -> None:
         """Passes the complete request to the handler."""
         if (
@@ -210,6 +230,7 @@
         request = self._request
         request.method = self._parser.method()
         request.body = b"".join(self._body)
+        self._body = []
         request.header_lines = heads.join_forwarded(
             self._header_lines, self._connection_values
         )
@@ -217,6 +238,7 @@
         request.arrived_s = self._last_activity_s = now_s
         self._is_last_request = not self._parser.should_keep_alive()
         exchange = exchanges.Exchange(self, request, self._is_last_request)
+        exchange.reservation, self._reservation = self._reservation, None
         self._exchanges.append(exchange)
         if len(self._exchanges) >= MAX_PIPELINED and not self._is_paused:
             self._is_paused = True
@@ -314,12 +336,17 @@
         exchange = exchanges.Exchange(self, self._request, True)
         self._exchanges.append(exchange)
         self._server.log_refused(self._request, status)
-        exchange.respond(status, b"", b"")
+        self._body = []
+        self._release()
+        header_lines = b""
+        if status == 503:
+            header_lines = heads.line(b"Retry-After", b"%g" % RETRY_AFTER_S)
+        exchange.respond(status, header_lines, b"")
 
     def _close(self) -> None:
         """Cancels later requests and closes after the written responses."""
         for exchange in self._exchanges:
-            exchange.is_over = True
+            exchange.end()
             if exchange.cancel is not None:
                 exchange.cancel()
         self._exchanges.clear()
--- a/src/cyclamendale/proxy/exchange.py
+++ b/src/cyclamendale/proxy/exchange.py
@@ -5,6 +5,7 @@
 import abc
 from typing import Any, Protocol
 
+from cyclamendale import buffer_budget
 from cyclamendale.intents import model
 from cyclamendale.proxy import heads
 from cyclamendale.proxy import messages
@@ -27,10 +28,11 @@
         request: The request.
         cancel: Cancels the processing; set by the handler.
         is_over: Whether a response was sent or the caller disconnected.
+        reservation: Memory that the body of the request takes, if any.
     """
 
     __slots__ = ("_closes", "_connection", "_output", "cancel", "is_over",
-                 "request")  # fmt: skip
+                 "request", "reservation")  # fmt: skip
 
     def __init__(
         self,
@@ -41,6 +43,7 @@
         self.request = request
         self.cancel: Any = None
         self.is_over = False
+        self.reservation: buffer_budget.Reservation | None = None
         self._connection = connection
         self._closes = closes
         self._output: bytes | None = None
@@ -55,7 +58,7 @@
         """
         if self.is_over:
             return
-        self.is_over = True
+        self.end()
         self.cancel = None
         closes = self._closes or self._connection.closes_after(self)
         parts = [heads.status_line(status), header_lines]
@@ -70,6 +73,13 @@
         self._output = b"".join(parts)
         self._connection.flush()
 
+    def end(self) -> None:
+        """Marks the request as over and releases its memory."""
+        self.is_over = True
+        if self.reservation is not None:
+            self.reservation.release()
+            self.reservation = None
+
     @property
     def output(self) -> bytes | None:
         """Returns the encoded response, or None before there is one."""
--- a/src/cyclamendale/proxy/gate.py
+++ b/src/cyclamendale/proxy/gate.py
@@ -10,13 +10,16 @@
 
 from collections.abc import Callable
 import enum
+import functools
 from typing import Any
 
+from cyclamendale import buffer_budget
 from cyclamendale import clocks
 from cyclamendale import refusals
 from cyclamendale.overload import gate_queue
 from cyclamendale.overload import pressure
 from cyclamendale.overload import usable_slots
+from cyclamendale.proxy import gate_run
 from cyclamendale.proxy import header_names
 from cyclamendale.proxy import limit_observer
 from cyclamendale.proxy import messages
@@ -45,29 +48,6 @@
     LOST = "lost"
 
 
-class _Run(messages.Handle):
-    """A request that is queued at the gate or running on the upstream."""
-
-    __slots__ = ("gate", "lease", "receiver", "ticket", "upstream_id")
-
-    def __init__(
-        self,
-        gate: Gate,
-        ticket: gate_queue.Ticket,
-        receiver: messages.OutcomeReceiver,
-    ) -> None:
-        self.gate = gate
-        self.ticket = ticket
-        self.receiver: messages.OutcomeReceiver | None = receiver
-        self.lease: upstream_pool.Lease | None = None
-        self.upstream_id = ""
-
-    def cancel(self) -> None:
-        """See base class."""
-        self.receiver = None
-        self.gate.cancel_run(self)
-
-
 class Gate(messages.Runner):
     """Queue and connections in front of one upstream process.
 
@@ -86,8 +66,8 @@
         header_names: header_names.HeaderNames,
         log: Any,
         on_state_change: Callable[[], None],
+        budget: buffer_budget.BufferBudget | None = None,
     ) -> None:
-        self._reactor = reactor
         self._clock = clock
         self._header_names = header_names
         self._log = log
@@ -98,8 +78,15 @@
         )
         self._pressure = pressure.PressureControl(clock.now_s())
         self._refused_share = pressure.RefusedShare()
+        self._make_pool = functools.partial(
+            upstream_pool.make_upstream_pool,
+            reactor,
+            clock,
+            header_names,
+            budget or buffer_budget.BufferBudget(),
+        )
         self._pool: upstream_pool.UpstreamPool | None = None
-        self._runs: dict[gate_queue.Ticket, _Run] = {}
+        self._runs: dict[gate_queue.Ticket, gate_run.GateRun] = {}
         self._consecutive_timeouts = 0
         self._slots = usable_slots.UsableSlots()
         self._timer: clocks.DelayedCall | None = None
@@ -187,7 +174,7 @@
         if verdict is gate_queue.Verdict.REFUSE:
             receiver(self._refusal(refusals.RefusalReason.QUEUE_FULL))
             return None
-        run = _Run(self, ticket, receiver)
+        run = gate_run.GateRun(self._cancel_run, ticket, receiver)
         self._runs[ticket] = run
         if verdict is gate_queue.Verdict.START:
             self._forward(run)
@@ -195,7 +182,7 @@
             self._schedule_start(now_s)
         return run
 
-    def cancel_run(self, run: _Run) -> None:
+    def _cancel_run(self, run: gate_run.GateRun) -> None:
         """Cancels a request whose outcome is no longer needed."""
         ticket = run.ticket
         if self._queue.withdraw(ticket):
@@ -210,7 +197,7 @@
 
     # Forwarding and outcome.
 
-    def _forward(self, run: _Run) -> None:
+    def _forward(self, run: gate_run.GateRun) -> None:
         request = run.ticket.request
         run.upstream_id = self.upstream_id
         pool = self._pool
@@ -233,7 +220,7 @@
 
     def _on_result(
         self,
-        run: _Run,
+        run: gate_run.GateRun,
         result: connections.UpstreamResponse | connections.Failure,
     ) -> None:
         if isinstance(result, connections.UpstreamResponse):
@@ -254,7 +241,7 @@
             run.receiver(outcome)
 
     def _on_response(
-        self, run: _Run, response: connections.UpstreamResponse
+        self, run: gate_run.GateRun, response: connections.UpstreamResponse
     ) -> messages.Outcome:
         if not response.not_run and response.status != 421:
             self._refused_share.record(False)
@@ -280,7 +267,7 @@
             self._refused_share.record(True)
 
     def _on_failure(
-        self, run: _Run, reason: connections.Failure
+        self, run: gate_run.GateRun, reason: connections.Failure
     ) -> messages.Outcome:
         request = run.ticket.request
         self._log.decision(
@@ -298,7 +285,9 @@
             refusals.Execution.UNKNOWN,
         )
 
-    def _finish_run(self, run: _Run, counts_service_time: bool) -> None:
+    def _finish_run(
+        self, run: gate_run.GateRun, counts_service_time: bool
+    ) -> None:
         if self._runs.pop(run.ticket, None) is None:
             return
         self._queue.finish(run.ticket, self._clock.now_s(), counts_service_time)
@@ -357,7 +346,7 @@
         load = self._queue.load()
         self._pressure.update(load.wait_s, load.service_time_s, now_s)
 
-    def _time_out(self, run: _Run) -> None:
+    def _time_out(self, run: gate_run.GateRun) -> None:
         self._consecutive_timeouts += 1
         self._log.decision(
             "upstream-silent",
@@ -382,9 +371,7 @@
         self.upstream_id = upstream_id
         self._queue.replace_upstream(self._clock.now_s())
         self._refused_share = pressure.RefusedShare()
-        self._pool = upstream_pool.make_upstream_pool(
-            self._reactor, self._clock, self._header_names, address
-        )
+        self._pool = self._make_pool(address)
 
     def _set_state(self, state: GateState) -> None:
         self._log.belief(
--- a/src/cyclamendale/proxy/run_server.py
+++ b/src/cyclamendale/proxy/run_server.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from cyclamendale import buffer_budget
 from cyclamendale import clocks
 from cyclamendale import refusals
 from cyclamendale.fleet import shutdown as shutdowns
@@ -18,6 +19,25 @@
 from cyclamendale.proxy import run_codec
 
 
+class _HeldRun(messages.Handle):
+    """A run and the memory that the body of its request takes."""
+
+    __slots__ = ("_handle", "_reservation")
+
+    def __init__(
+        self,
+        handle: messages.Handle,
+        reservation: buffer_budget.Reservation,
+    ) -> None:
+        self._handle = handle
+        self._reservation = reservation
+
+    def cancel(self) -> None:
+        """See base class."""
+        self._handle.cancel()
+        self._reservation.release()
+
+
 class RunServer:
     """Runs the requests of other nodes at this host's gate."""
 
@@ -28,7 +48,9 @@
         gate: messages.Runner,
         load: Callable[[], gate_queue.GateLoad],
         shutdown: shutdowns.Shutdown,
+        budget: buffer_budget.BufferBudget | None = None,
     ) -> None:
+        self._budget = budget or buffer_budget.BufferBudget()
         self._shutdown = shutdown
         self._clock = clock
         self._gate = gate
@@ -65,7 +87,13 @@
                 lambda: self._on_connection_lost(connection)
             )
 
+        request = run_codec.decode_request(message, self._clock.now_s())
+        reservation = self._budget.make_reservation()
+        # Its frame was within the budget and is dropped after this call.
+        reservation.hold(len(request.body))
+
         def on_outcome(outcome: messages.Outcome) -> None:
+            reservation.release()
             runs.pop(call_id, None)
             connection.reply(
                 kinds.MessageKind.RUN,
@@ -73,13 +101,12 @@
                 run_codec.encode_outcome(outcome, self._load()),
             )
 
-        request = run_codec.decode_request(message, self._clock.now_s())
         if not self._shutdown.can_finish(request.deadline_s):
             on_outcome(refusals.Refusal(refusals.RefusalReason.LEAVING))
             return
         handle = self._gate.run(request, on_outcome)
         if handle is not None:
-            runs[call_id] = handle
+            runs[call_id] = _HeldRun(handle, reservation)
 
     def _cancel(
         self,
--- a/src/cyclamendale/proxy/server.py
+++ b/src/cyclamendale/proxy/server.py
@@ -6,6 +6,7 @@
 
 from twisted.internet import protocol
 
+from cyclamendale import buffer_budget
 from cyclamendale import clocks
 from cyclamendale import refusals
 from cyclamendale.proxy import caller_connection
@@ -23,6 +24,7 @@
     Attributes:
         header_handlers: Handlers of special headers, by lower-case name.
         connections: Open connections.
+        budget: Memory for the bodies of requests.
         is_closing: Whether connections close once nothing is in flight.
     """
 
@@ -34,7 +36,9 @@
         handler: exchanges.Handler,
         header_names: header_names.HeaderNames,
         log: Any,
+        budget: buffer_budget.BufferBudget,
     ) -> None:
+        self.budget = budget
         self.clock = clock
         self.handler = handler
         self.connections: set[caller_connection.CallerConnection] = set()
@@ -70,6 +74,11 @@
         """Returns the number of requests whose response is not sent yet."""
         return sum(connection.in_flight for connection in self.connections)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Returns the size of the responses that are not sent yet."""
+        return sum(connection.unsent_bytes for connection in self.connections)
+
     def log_malformed(self, detail: str) -> None:
         """Logs bytes of a caller that are not valid HTTP."""
         self._log.decision("malformed", "", detail=detail)
@@ -79,7 +88,11 @@
         self._log.decision(
             "refused",
             request.request_id.decode("latin-1"),
-            reason=refusals.RefusalReason.BAD_REQUEST.value,
+            reason=(
+                refusals.RefusalReason.QUEUE_FULL.value
+                if status == 503
+                else refusals.RefusalReason.BAD_REQUEST.value
+            ),
             status=status,
         )
 
@@ -95,6 +108,21 @@
     handler: exchanges.Handler,
     header_names: header_names.HeaderNames,
     log: Any,
+    budget: buffer_budget.BufferBudget | None = None,
 ) -> CallerServer:
-    """Returns the server, which is a factory of caller connections."""
-    return CallerServer(clock, handler, header_names, log)
+    """Returns the server, which is a factory of caller connections.
+
+    Args:
+        clock: Clock of time-outs.
+        handler: Handles complete requests.
+        header_names: Header names of the platform.
+        log: Log of decisions.
+        budget: Memory for bodies; None for one of its own.
+    """
+    return CallerServer(
+        clock,
+        handler,
+        header_names,
+        log,
+        budget or buffer_budget.BufferBudget(),
+    )
--- a/src/cyclamendale/proxy/upstream_connection.py
+++ b/src/cyclamendale/proxy/upstream_connection.py
@@ -18,7 +18,7 @@
 from twisted.python import failure
 
 from cyclamendale import _immediate_write
-from cyclamendale.proxy import buffer_budget
+from cyclamendale import buffer_budget
 from cyclamendale.proxy import header_names
 from cyclamendale.proxy import heads
 from cyclamendale.proxy import messages
@@ -247,7 +247,12 @@
         if self._receiver is None:
             return
         self._received_body_bytes += len(data)
-        if not self._buffer.add(len(data)):
+        add = (
+            self._buffer.add
+            if self._stated_body_bytes
+            else self._buffer.add_unstated
+        )
+        if not add(len(data)):
             self._fail(Failure.TOO_LARGE)
             return
         self._body.append(data)
@@ -324,10 +329,11 @@
         if self._is_encoded:
             self._fail(Failure.GARBLED)
             return
+        body, self._body = b"".join(self._body), []
         response = UpstreamResponse(
             self._status,
             heads.join_forwarded(self._header_lines, self._connection_values),
-            b"".join(self._body),
+            body,
             self._not_run,
             stated_limit.decode(self._limits),
             self._is_leaving,
--- a/src/cyclamendale/proxy/upstream_pool.py
+++ b/src/cyclamendale/proxy/upstream_pool.py
@@ -8,9 +8,9 @@
 from twisted.internet import protocol
 from twisted.python import failure
 
+from cyclamendale import buffer_budget
 from cyclamendale import clocks
 from cyclamendale.fleet import settings
-from cyclamendale.proxy import buffer_budget
 from cyclamendale.proxy import header_names
 from cyclamendale.proxy import upstream_connection as connections
 
@@ -66,8 +66,9 @@
         header_names: header_names.HeaderNames,
         host: str,
         port: int,
+        budget: buffer_budget.BufferBudget,
     ) -> None:
-        self._budget = buffer_budget.BufferBudget()
+        self._budget = budget
         self._reactor = reactor
         self._clock = clock
         self._header_names = header_names
@@ -210,6 +211,7 @@
     reactor: Any,
     clock: clocks.Clock,
     header_names: header_names.HeaderNames,
+    budget: buffer_budget.BufferBudget,
     address: str,
 ) -> UpstreamPool:
     """Returns a pool without open connections.
@@ -218,7 +220,8 @@
         reactor: The twisted reactor.
         clock: Clock for idle times.
         header_names: Header names of the upstream.
+        budget: Memory for the bodies of responses.
         address: Address the upstream listens on, `ip:port`.
     """
     host, port = settings.split_address(address)
-    return UpstreamPool(reactor, clock, header_names, host, port)
+    return UpstreamPool(reactor, clock, header_names, host, port, budget)
--- a/tests/test_proxy_faulty_upstream.py
+++ b/tests/test_proxy_faulty_upstream.py
@@ -8,7 +8,7 @@
 
 import itertools
 
-from cyclamendale.proxy import buffer_budget
+from cyclamendale import buffer_budget
 from cyclamendale.proxy import upstream_connection as connections
 from tests import test_proxy_upstream
 
@@ -153,7 +153,7 @@
         self.assertLessEqual(sent_bytes, max_bytes)
         self.assertTrue(self.transport.aborted)
         self.assertEqual(0, self.budget.unstated_bytes)
-        self.assertEqual(0, self.budget.stated_bytes)
+        self.assertEqual(0, self.budget.held_bytes)
 
 
 class SharedBudgetTest(test_proxy_upstream.UpstreamConnectionCase):
@@ -166,8 +166,8 @@
         ("length stated", {
             "head": OK + ID % b"r1" + b"Content-Length: 30000000\r\n\r\n",
             "part": b"a" * 0x2000,
-            "held": "stated_bytes",
-            "max_bytes": buffer_budget.MAX_STATED_BYTES}),
+            "held": "held_bytes",
+            "max_bytes": buffer_budget.BufferBudget().max_held_bytes}),
     ]  # fmt: skip
 
     def test_ten_connections_hold_no_more_than_one_budget(self):
--- a/tests/test_proxy_server.py
+++ b/tests/test_proxy_server.py
@@ -8,6 +8,7 @@
 from twisted.internet import testing
 from twisted.python import failure
 
+from cyclamendale import buffer_budget
 from cyclamendale import clocks
 from cyclamendale.intents import model
 from cyclamendale.platform import request_headers
@@ -58,11 +59,13 @@
         self.reactor = task.Clock()
         self.handler = RecordingHandler()
         self.log = fake_log.FakeLog()
+        self.budget = buffer_budget.BufferBudget()
         self.factory = server.make_caller_server(
             clocks.ReactorClock(self.reactor),
             self.handler,
             request_headers.HEADER_NAMES,
             self.log,
+            self.budget,
         )
         self.factory.start()
         self.transport = Transport()
@@ -186,6 +189,33 @@
         self.assertIn(b"413", self.output())
 
 
+class BodyMemoryTest(ServerCase):
+    """Bodies of requests had no common bound."""
+
+    data = b"POST /a HTTP/1.1\r\nHost: one\r\nContent-Length: 9\r\n\r\n" + (
+        b"a" * 9
+    )
+
+    def test_a_request_without_room_is_refused_as_not_run(self):
+        self.budget.make_reservation().hold(self.budget.max_held_bytes - 8)
+        self.receive(self.data)
+        self.assertEqual([], self.handler.exchanges)
+        self.assertIn(b"HTTP/1.1 503 ", self.output())
+        self.assertIn(b"Retry-After: 1\r\n", self.output())
+
+    def test_memory_is_held_until_the_response(self):
+        self.receive(self.data)
+        self.assertEqual(9, self.budget.held_bytes)
+        self.handler.exchanges[0].respond(200, b"", b"")
+        self.assertEqual(0, self.budget.held_bytes)
+
+    def test_memory_is_returned_when_the_caller_leaves(self):
+        self.receive(self.data + self.data[:-1])
+        self.assertEqual(17, self.budget.held_bytes)
+        self.lose()
+        self.assertEqual(0, self.budget.held_bytes)
+
+
 class PipelineTest(ServerCase):
     def test_requests_run_concurrently_and_responses_keep_their_order(self):
         self.receive(GET * 3)
--- a/tests/test_proxy_upstream.py
+++ b/tests/test_proxy_upstream.py
@@ -11,8 +11,8 @@
 from twisted.internet import testing
 from twisted.python import failure
 
+from cyclamendale import buffer_budget
 from cyclamendale.platform import request_headers
-from cyclamendale.proxy import buffer_budget
 from cyclamendale.proxy import upstream_connection as connections
 
 OWN = b"X-Cyclamendale-Attempt-Id: r1\r\n"
