--- a/src/cyclamendale/platform/daemon.py
+++ b/src/cyclamendale/platform/daemon.py
@@ -58,6 +58,8 @@
 
     def run(self) -> int:
         """Serves until a signal arrives; returns the exit code."""
+        # Before the settings are read, so that a later change is noticed.
+        self._file_state = _stat_settings_file()
         loaded = settings.load()
         if loaded.is_error():
             sys.stderr.write(f"{loaded.error}\n")
@@ -108,7 +110,7 @@
 
     def _poll_settings(self) -> None:
         state = _stat_settings_file()
-        if state != self._file_state and self._file_state is not None:
+        if state != self._file_state:
             self._reload()
         self._file_state = state
         self._reactor.callLater(SETTINGS_POLL_INTERVAL_S, self._poll_settings)
--- /dev/null
+++ b/tests/test_platform_daemon.py
@@ -0,0 +1,136 @@
+"""The daemon as a process: signals at any moment of its life."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import os
+import pathlib
+import select
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import tomllib
+
+import testtools
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+WAIT_S = 30.0
+_numbers = itertools.count(1)
+
+
+class DaemonCase(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "node.json"
+        block = os.getpid() % 200 + 20
+        ip = f"127.{block}.77.{next(_numbers)}"
+        self.settings = {
+            "node_name": "node-1",
+            "ip": ip,
+            "zone": "north",
+            "zones": {"north": "r"},
+            "listen": {
+                "outbound": f"{ip}:9001",
+                "ready": f"{ip}:9002",
+                "control": f"{ip}:9003",
+            },
+            "internal_ports": [9004, 9005],
+            "app_addr": f"{ip}:9009",
+            "service": "wash",
+            "platform": {"address": f"{ip}:9010"},
+            "bounds": ["grace_s=6"],
+            "first_start": True,
+        }
+        self.write_settings()
+
+    def write_settings(self, **changes):
+        self.path.write_text(json.dumps(self.settings | changes))
+
+    def start(self, preamble=""):
+        """Starts the deploy file's program; `preamble` runs before it."""
+        deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+        words = deploy["roles"]["node"]["run"].split(" ")
+        program = str(ROOT / words[-1])
+        command = [sys.executable, *words[1:-1], program]
+        if preamble:
+            command = [
+                sys.executable,
+                *words[1:-1],
+                "-c",
+                f"import runpy; {preamble};"
+                f" runpy.run_path({program!r}, run_name='__main__')",
+            ]
+        process = subprocess.Popen(
+            command,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            env={
+                "CYCLAMENDALE_BOOT": str(self.path),
+                "PYTHONPATH": os.pathsep.join(sys.path),
+            },
+        )
+        self.addCleanup(process.stdout.close)
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        return process
+
+    def wait_event(self, process, event):
+        """Reads the log up to an event; fails if the process ends."""
+        ends_s = time.monotonic() + WAIT_S
+        data = b""
+        while f'"event":"{event}"'.encode() not in data:
+            left_s = max(0.0, ends_s - time.monotonic())
+            if not select.select([process.stdout], [], [], left_s)[0]:
+                self.fail(f"no {event}: {data!r}")
+            part = os.read(process.stdout.fileno(), 65536)
+            if not part:
+                self.fail(f"ended with {process.wait(WAIT_S)}: {data!r}")
+            data += part
+
+    def stop(self, process):
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(0, process.wait(WAIT_S))
+
+
+class EarlySignalTest(DaemonCase):
+    """A SIGHUP before the handlers were set ended the process."""
+
+    scenarios = [
+        ("while modules are imported", {
+            "preamble": "import sys, os, signal;"
+            " sys.addaudithook(lambda name, args: os.kill(os.getpid(),"
+            " signal.SIGHUP) if name == 'import'"
+            " and args[0] == 'twisted.internet.protocol' else None)"}),
+        ("while the settings are read", {
+            "preamble": "import sys, os, signal;"
+            " sys.addaudithook(lambda name, args: os.kill(os.getpid(),"
+            " signal.SIGHUP) if name == 'open'"
+            " and str(args[0]).endswith('node.json') else None)"}),
+    ]  # fmt: skip
+
+    def test_a_reload_signal_does_not_end_the_process(self):
+        process = self.start(self.preamble)
+        self.wait_event(process, "start")
+        process.send_signal(signal.SIGHUP)
+        self.stop(process)
+
+
+class ChangeAtTheStartTest(DaemonCase):
+    def test_settings_that_change_while_the_process_starts_are_applied(self):
+        # Only changes after the first look at the file were noticed.
+        new = self.settings | {"service": "dry"}
+        pathlib.Path(f"{self.path}.new").write_text(json.dumps(new))
+        process = self.start(
+            "import sys, os;"
+            f" path = {str(self.path)!r};"
+            " sys.addaudithook(lambda name, args: os.path.exists(path + '.new')"
+            " and os.rename(path + '.new', path) if name == 'socket.bind'"
+            " else None)"
+        )
+        self.wait_event(process, "reload")
+        self.stop(process)
