Wait for the addresses of a process that still drains

Operators saw: a process that was started while its predecessor still drained ended by itself, with code 1 and start-failed.

Cause: the first listen failed with EADDRINUSE, which ended the process.

Change: the process polls until its addresses are free, for the grace period and two seconds; SIGTERM ends it meanwhile.

Why it works: the platform kills the predecessor at the end of its grace period.

Result: both new tests failed before (code 1) and pass.

--- a/src/cyclamendale/platform/daemon.py
+++ b/src/cyclamendale/platform/daemon.py
@@ -14,7 +14,9 @@
 from cyclamendale import lean_reactor
 from cyclamendale.fleet import formats
 from cyclamendale.fleet import journal
+from cyclamendale.fleet import listen_addresses
 from cyclamendale.fleet import node as nodes
+from cyclamendale.fleet import settings as host_settings
 from cyclamendale.platform import interfaces
 from cyclamendale.platform import manifest
 from cyclamendale.platform import request_headers
@@ -37,6 +39,11 @@
 The platform may change the file without sending SIGHUP.
 """
 
+ADDRESS_POLL_INTERVAL_S = 0.05
+ADDRESS_WAIT_MARGIN_S = 2.0
+"""How much longer than the grace period a process waits for the addresses of
+an earlier one, which the platform kills at its end."""
+
 FORMATS = formats.Formats(
     request_headers.HEADER_NAMES,
     manifest.decode,
@@ -55,6 +62,8 @@
         self._is_stopping = False
         self._file_state: tuple[int, int] | None = None
         self._exit_code = 0
+        self._has_started = False
+        self._settings: host_settings.HostSettings | None = None
 
     def run(self) -> int:
         """Serves until a signal arrives; returns the exit code."""
@@ -65,6 +74,7 @@
             sys.stderr.write(f"{loaded.error}\n")
             return EXIT_INVALID_SETTINGS
         clock = clocks.SystemClock(self._reactor)
+        self._settings = loaded.ok
         self._node = nodes.make_node(
             self._reactor,
             loaded.ok,
@@ -81,6 +91,31 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._handle_stop_signal)
         signal.signal(signal.SIGHUP, self._handle_reload_signal)
+        self._wait_for_addresses(None)
+
+    def _wait_for_addresses(self, since_s: float | None) -> None:
+        """Starts the node once an earlier process has left its addresses."""
+        assert self._node is not None and self._settings is not None
+        if self._is_stopping:
+            return
+        now_s = self._reactor.seconds()
+        max_wait_s = self._settings.bounds.grace_s + ADDRESS_WAIT_MARGIN_S
+        address = listen_addresses.find_in_use(self._settings)
+        if address is None or (
+            since_s is not None and now_s - since_s > max_wait_s
+        ):
+            self._start_node()
+            return
+        if since_s is None:
+            since_s = now_s
+            self._node.log.belief("addresses-in-use", address=address)
+        self._reactor.callLater(
+            ADDRESS_POLL_INTERVAL_S, self._wait_for_addresses, since_s
+        )
+
+    def _start_node(self) -> None:
+        assert self._node is not None
+        self._has_started = True
         try:
             self._node.start()
         except (OSError, error.CannotListenError) as failure:
@@ -103,6 +138,9 @@
         if self._is_stopping or self._node is None:
             return
         self._is_stopping = True
+        if not self._has_started:
+            self._reactor.stop()
+            return
         node = self._node
         stopped = node.stop()
         stopped.addErrback(lambda failure: node.log.defect("stop", failure))
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -134,3 +134,25 @@
         )
         self.wait_event(process, "reload")
         self.stop(process)
+
+
+class OverlappingProcessesTest(DaemonCase):
+    def test_a_process_started_while_another_drains_takes_its_place(self):
+        # It ended with code 1, since the addresses were in use.
+        old = self.start()
+        self.wait_event(old, "start")
+        old.send_signal(signal.SIGTERM)
+        self.wait_event(old, "stop")
+        new = self.start()
+        self.wait_event(new, "addresses-in-use")
+        self.assertEqual(0, old.wait(WAIT_S))
+        self.wait_event(new, "start")
+        self.stop(new)
+
+    def test_a_process_that_waits_for_its_addresses_can_be_stopped(self):
+        old = self.start()
+        self.wait_event(old, "start")
+        new = self.start()
+        self.wait_event(new, "addresses-in-use")
+        self.stop(new)
+        self.stop(old)
