Refuse settings whose addresses can't be used

Operators saw: a node whose settings had an empty address of the store started, logged a defect and was never ready.

Cause: only the port of listening addresses was looked at, once in use.

Change: addresses are checked when the settings are read; the error names the field.

Result: the two new rows of MalformedSettingsTest failed before and pass.

--- a/src/cyclamendale/platform/settings.py
+++ b/src/cyclamendale/platform/settings.py
@@ -12,6 +12,7 @@
 from expression import Result
 import msgspec
 
+from cyclamendale import addresses
 from cyclamendale import buffer_budget
 from cyclamendale import decoding
 from cyclamendale import ids
@@ -112,6 +113,7 @@
 
 
 def _translate(file: _SettingsFile) -> settings.HostSettings:
+    _check_addresses(file)
     first_port, last_port = file.internal_ports
     return settings.HostSettings(
         host=file.node_name,
@@ -136,6 +138,19 @@
     )
 
 
+def _check_addresses(file: _SettingsFile) -> None:
+    """Raises ValueError if the node can't listen or connect somewhere."""
+    for name, address in (
+        ("listen.outbound", file.listen.outbound),
+        ("listen.ready", file.listen.ready),
+        ("listen.control", file.listen.control),
+        ("app_addr", file.app_addr),
+        ("platform.address", file.platform.address),
+    ):
+        if not addresses.is_valid(address):
+            raise ValueError(f"{name} is no address: {address!r}")
+
+
 def _parse_bounds(texts: Iterable[str]) -> Iterator[tuple[str, Any]]:
     for text in texts:
         name, _, value = text.partition("=")
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -65,6 +65,12 @@
         ("no address", {"data": encoded(ip=None)}),
         ("bound without a number", {"data": encoded(bounds=["drain_s=x"])}),
         ("one port", {"data": encoded(internal_ports=[1])}),
+        # The node started and was never ready, with a defect as only hint.
+        (
+            "empty address of the store",
+            {"data": encoded(platform={"address": ""})},
+        ),
+        ("port out of range", {"data": encoded(app_addr="10.1.0.26:70000")}),
     ]
 
     def test_gives_a_typed_error(self):
