Move later requests off a connection whose ping is unanswered

Cause: a silent connection between nodes was replaced 0.9 s after its last bytes; until then every request to that peer was written to it.

Change: pings start after 0.2 s (0.3) of silence; without an answer within 0.15 s later requests use a new connection. Giving up what waits still takes 0.6 s. A slow peer gets at most one new connection every two seconds. LocalRunner has a module of its own.

Why it works: moving on costs a handshake at worst and needs less evidence than giving up, which would repeat work.

Two of the three new tests failed before and pass; the third guards the cost.

--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -39,6 +39,7 @@
 from cyclamendale.proxy import dispatcher
 from cyclamendale.proxy import gate as gates
 from cyclamendale.proxy import links
+from cyclamendale.proxy import local_runner
 from cyclamendale.proxy import messages
 from cyclamendale.proxy import run_server
 from cyclamendale.proxy import server
@@ -213,7 +214,7 @@
         self._links = links.Links(
             self._peers, self._clock, self._update_load, self.log
         )
-        self._local_runner = links.LocalRunner(
+        self._local_runner = local_runner.LocalRunner(
             own_address, self._gate, self._gate.load, self._update_load
         )
         self._dispatcher = dispatcher.Dispatcher(
@@ -340,8 +341,6 @@
             )
         )
 
-    # Reloading of settings.
-
     def reload(self, settings: settings_module.HostSettings) -> None:
         """Applies changed settings; listening addresses stay unchanged."""
         if settings == self._settings:
--- a/src/cyclamendale/proxy/links.py
+++ b/src/cyclamendale/proxy/links.py
@@ -1,9 +1,10 @@
 """Forwarding of requests between nodes, from the caller's to the upstream's.
 
 A connection may fail silently, without a reset, or its peer may only be paused,
-so links ping peers that have requests in flight. A connection that stays silent
-is used for no further request. Idempotent requests may run elsewhere; the
-others wait on it, since the peer may be running them.
+so links ping peers that have requests in flight. A connection whose ping is not
+answered soon is used for no further request; once it counts as silent, its
+idempotent requests may run elsewhere. The others wait on it, since the peer may
+be running them.
 """
 
 from __future__ import annotations
@@ -14,7 +15,6 @@
 from cyclamendale import clocks
 from cyclamendale import ids
 from cyclamendale import refusals
-from cyclamendale.overload import gate_queue
 from cyclamendale.peer import codec
 from cyclamendale.peer import connection as connections
 from cyclamendale.peer import kinds
@@ -27,13 +27,20 @@
 MAX_FRAME_BYTES = 72 * 1024 * 1024
 """Maximum frame size: the largest body, its head and the struct's overhead."""
 
-SILENCE_BEFORE_PING_S = 0.3
+SILENCE_BEFORE_PING_S = 0.2
 """Silence after which a peer with requests in flight is pinged."""
 
+SUSPICION_S = 0.15
+"""Time without an answer to a ping after which later requests use a new
+connection. If the peer is only slow, that costs one handshake."""
+
+MIN_SUSPICION_INTERVAL_S = 2.0
+"""Minimum time between two such handshakes with one peer."""
+
 PING_TIMEOUT_S = 0.6
-"""Time-out of a ping, after which the connection is retired. A connection may
-go silent without a reset while a new one would work. A host that runs several
-times slower than usual still answers in time."""
+"""Time-out of a ping, after which requests on the connection are given up. A
+connection may go silent without a reset while a new one would work. A host that
+runs several times slower than usual still answers in time."""
 
 CONNECT_TIMEOUT_S = 0.35
 """How long a request waits for a connection to a host: many round trips, but
@@ -129,7 +136,8 @@
         if isinstance(reply, network.PeerErrorKind):
             self._finish(refusals.make_lost_refusal())
             return
-        self._link.record_received()
+        assert self._connection is not None
+        self._link.record_received(self._connection)
         try:
             response = codec.decode(ttypes.RunAnswer, reply, MAX_FRAME_BYTES)
         except codec.DecodeError:
@@ -146,6 +154,22 @@
             receiver(outcome)
 
 
+class _Detached:
+    """A connection that is used for no further request.
+
+    Attributes:
+        runs: Requests that wait on it.
+        pinged_s: When its unanswered ping was sent; None once it is known
+            whether it is silent.
+    """
+
+    __slots__ = ("pinged_s", "runs")
+
+    def __init__(self, runs: set[_RemoteRun], pinged_s: float) -> None:
+        self.runs = runs
+        self.pinged_s: float | None = pinged_s
+
+
 class _Link(messages.Runner):
     """Forwards requests to one other host's gate."""
 
@@ -165,7 +189,8 @@
         self._on_active = on_active
         self._log = log
         self._in_flight: set[_RemoteRun] = set()
-        self._retired: dict[connections.PeerConnection, set[_RemoteRun]] = {}
+        self._detached: dict[connections.PeerConnection, _Detached] = {}
+        self._suspected_s = -MIN_SUSPICION_INTERVAL_S
         self.unsent: set[_RemoteRun] = set()
         self._last_received_s = 0.0
         self._ping_sent_s: float | None = None
@@ -185,8 +210,15 @@
 
     @property
     def is_active(self) -> bool:
-        """Returns whether any request is unsent or in flight."""
-        return bool(self.unsent or self._in_flight)
+        """Returns whether any request is unsent or its silence is checked."""
+        return bool(
+            self.unsent
+            or self._in_flight
+            or any(
+                detached.pinged_s is not None
+                for detached in self._detached.values()
+            )
+        )
 
     def record_sent(self, run: _RemoteRun) -> None:
         """Records a request as in flight."""
@@ -197,21 +229,25 @@
     def record_finished(self, run: _RemoteRun) -> None:
         """Removes a request that has an outcome or was cancelled.
 
-        A retired connection is closed after its last request.
+        A detached connection is closed after its last request.
         """
         self._in_flight.discard(run)
         connection = run.connection
-        if connection is None or connection not in self._retired:
+        if connection is None or connection not in self._detached:
             return
-        waiting = self._retired[connection]
-        waiting.discard(run)
-        if not waiting:
-            del self._retired[connection]
+        runs = self._detached[connection].runs
+        runs.discard(run)
+        if not runs:
+            del self._detached[connection]
             # Later, since this may be called while the connection is read.
             self.clock.call_later(0.0, connection.abort)
 
-    def record_received(self) -> None:
-        """Records that the peer answered."""
+    def record_received(self, connection: connections.PeerConnection) -> None:
+        """Records that the peer answered on a connection."""
+        detached = self._detached.get(connection)
+        if detached is not None:
+            detached.pinged_s = None
+            return
         self._last_received_s = self.clock.now_s()
         self._ping_sent_s = None
 
@@ -220,44 +256,69 @@
         self._on_load(self._peer, at_gate)
 
     def check(self, now_s: float) -> None:
-        """Pings a silent peer; retires a connection that stays silent."""
+        """Pings a silent peer; detaches a connection that stays silent."""
         for run in tuple(self.unsent):
             if now_s - run.started_s > CONNECT_TIMEOUT_S:
                 run.fail_connect()
+        for detached in tuple(self._detached.values()):
+            if (
+                detached.pinged_s is not None
+                and now_s - detached.pinged_s > PING_TIMEOUT_S
+            ):
+                self._give_up(detached)
         if not self._in_flight:
             self._ping_sent_s = None
         elif self._ping_sent_s is not None:
-            if now_s - self._ping_sent_s > PING_TIMEOUT_S:
-                self._retire_connection()
+            if now_s - self._ping_sent_s > self._patience_s(now_s):
+                self._detach_connection(now_s)
         elif now_s - self._last_received_s > SILENCE_BEFORE_PING_S:
             self._ping_sent_s = now_s
             self._peers.with_connection(self._peer, self._ping)
 
+    def _patience_s(self, now_s: float) -> float:
+        if now_s - self._suspected_s >= MIN_SUSPICION_INTERVAL_S:
+            return SUSPICION_S
+        return PING_TIMEOUT_S
+
     def _ping(self, connection: connections.PeerConnection | None) -> None:
         if connection is not None:
             connection.request(
                 kinds.MessageKind.PING,
                 connection.next_call_id(),
                 b"",
-                self._on_pong,
+                lambda reply: self._on_pong(connection, reply),
             )
 
-    def _on_pong(self, reply: bytes | network.PeerErrorKind) -> None:
+    def _on_pong(
+        self,
+        connection: connections.PeerConnection,
+        reply: bytes | network.PeerErrorKind,
+    ) -> None:
         if not isinstance(reply, network.PeerErrorKind):
-            self.record_received()
-
-    def _retire_connection(self) -> None:
-        self._ping_sent_s = None
-        runs, self._in_flight = self._in_flight, set()
-        self._log.belief("link-silent", peer=self._peer, in_work=len(runs))
+            self.record_received(connection)
+
+    def _detach_connection(self, now_s: float) -> None:
+        pinged_s = self._ping_sent_s
+        assert pinged_s is not None
+        detached = _Detached(self._in_flight, pinged_s)
+        self._in_flight, self._ping_sent_s = set(), None
+        self._suspected_s = now_s
         connection = self._peers.detach_connection(self._peer)
-        waiting = {run for run in runs if not run.may_run_elsewhere}
-        if connection is not None and waiting:
-            self._retired[connection] = waiting
-        for run in runs - waiting:
-            run.give_up()
-        if connection is not None and not waiting:
-            connection.abort()
+        if connection is None:
+            self._give_up(detached)
+            return
+        self._detached[connection] = detached
+        if now_s - pinged_s > PING_TIMEOUT_S:
+            self._give_up(detached)
+
+    def _give_up(self, detached: _Detached) -> None:
+        """Gives up the requests that may run elsewhere."""
+        detached.pinged_s = None
+        runs = tuple(detached.runs)
+        self._log.belief("link-silent", peer=self._peer, in_work=len(runs))
+        for run in runs:
+            if run.may_run_elsewhere:
+                run.give_up()
 
 
 class Links:
@@ -313,32 +374,3 @@
             link.check(now_s)
             if not link.is_active:
                 self._active.discard(link)
-
-
-class LocalRunner(messages.Runner):
-    """Runs requests at this host's gate and reports its load as links do."""
-
-    def __init__(
-        self,
-        own: ids.PeerAddress,
-        gate: messages.Runner,
-        load: Callable[[], gate_queue.GateLoad],
-        on_load: LoadListener,
-    ) -> None:
-        self._own = own
-        self._gate = gate
-        self._load = load
-        self._on_load = on_load
-
-    def run(
-        self,
-        request: messages.UpstreamRequest,
-        receiver: messages.OutcomeReceiver,
-    ) -> messages.Handle | None:
-        """See base class."""
-
-        def on_outcome(outcome: messages.Outcome) -> None:
-            self._on_load(self._own, self._load().at_gate)
-            receiver(outcome)
-
-        return self._gate.run(request, on_outcome)
--- a/tests/test_proxy_links.py
+++ b/tests/test_proxy_links.py
@@ -166,6 +166,56 @@
         self.assertTrue(connection.aborted)
         self.assertEqual((REASON.LOST, UNKNOWN), self.refused())
 
+    def answer_pings(self, connection):
+        for kind, _, _, on_reply in connection.requests:
+            if kind is kinds.MessageKind.PING:
+                on_reply(b"")
+
+    def test_later_requests_leave_a_connection_whose_ping_is_unanswered(self):
+        # All requests of a second went to a connection that was silent.
+        silent = self.peers.connection
+        self.run_request()
+        self.advance(0.5)
+        self.run_request()
+        self.assertEqual(1, silent.kinds().count(kinds.MessageKind.RUN))
+        self.assertEqual([], self.outcomes)
+        *_, on_reply = self.peers.connection.requests[0]
+        on_reply(
+            run_codec.encode_outcome(messages.Response(200, b"", b""), LOAD)
+        )
+        self.advance(0.6)
+        self.assertTrue(silent.aborted)
+        (answered, refused) = self.outcomes
+        self.assertEqual(200, answered.status)
+        self.assertEqual(REASON.LOST, refused.reason)
+
+    def test_a_late_pong_keeps_the_requests_of_a_slow_peer(self):
+        slow = self.peers.connection
+        self.run_request()
+        self.advance(0.6)
+        self.answer_pings(slow)
+        self.advance(2.0)
+        self.assertEqual([], self.outcomes)
+        self.assertFalse(slow.aborted)
+        *_, on_reply = slow.requests[0]
+        on_reply(
+            run_codec.encode_outcome(messages.Response(200, b"", b""), LOAD)
+        )
+        self.assertEqual(200, self.outcomes[0].status)
+        self.advance(0.1)
+        self.assertTrue(slow.aborted)
+
+    def test_a_slow_peer_gets_few_connections(self):
+        used = set()
+        for _ in range(40):
+            connection = self.peers.connection
+            used.add(connection)
+            self.run_request()
+            self.advance(0.5)
+            self.answer_pings(connection)
+        self.assertLessEqual(len(used), 11)
+        self.assertEqual([], self.outcomes)
+
     def test_an_unsafe_request_outlasts_the_silence_of_its_peer(self):
         connection = self.peers.connection
         self.run_request(idempotent=False)
