Close only the sending side after the last response

Callers saw: no answer, or the beginning of one, to requests that an upstream had run, when they had sent further requests on a connection that a stopping node closed.

Cause: the connection was closed at once. With unread bytes that is a reset, and the caller loses what it has not read yet.

Change: half-close and read on until the caller closes or the idle time-out; a stopping node waits for a second and for large answers by size. Tests that checked for a close after a response check for the half-close now, which is as strict: the connection ends in both cases, and that it ends fully has a test of its own.

Why it works: a socket whose bytes are read is not reset when it closes.

New tests failed before and pass.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import random
 import socket
 import urllib.parse
@@ -12,6 +13,9 @@
 
 DEADLINE_MS = 9_000
 ROUTE_TIMEOUT_S = 5.0
+PIPELINE_LENGTH = 12
+"""Requests without a pause of a client that keeps its pipeline full."""
+
 IN_AFTER_S = 1.0
 """Interval of the readiness checks that decide where new work goes."""
 
@@ -74,7 +78,8 @@
         self._prefixes = prefixes
         self._requests = requests
         self._reads_slowly = rng.random() < 0.15
-        self._depth = rng.choice((1, 1, 1, 1, 3))
+        self._depth = rng.choice((1, 1, 1, 1, 3, 3))
+        self._keeps_pipeline_full = rng.random() < 0.5
         self._pause_s = rng.uniform(0.05, 0.3)
 
     async def run(self, stopped: asyncio.Event) -> None:
@@ -123,27 +128,38 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Sends some requests at once; returns whether to go on."""
-        sent = [self._make_request(node.number) for _ in range(self._depth)]
-        for request, data in sent:
-            request.answer.sent_s = self._record.now_s()
-            self._requests.append(request)
-            writer.write(data)
-        for index, (request, _) in enumerate(sent):
+        waiting = collections.deque(
+            self._send(node.number, writer) for _ in range(self._depth)
+        )
+        for number in range(PIPELINE_LENGTH):
+            request = waiting.popleft()
             await self._read(request, reader)
             answer = request.answer
             answer.ended_s = self._record.now_s()
-            is_last = (
+            if (
                 not answer.is_complete
                 or answer.head is None
                 or answer.head.get("connection") == "close"
-            )
-            if is_last:
-                for later, _ in sent[index + 1 :]:
+            ):
+                for later in waiting:
                     later.answer.ended_s = answer.ended_s
                     later.answer.detail = "behind the last answer"
                 return False
+            if self._keeps_pipeline_full and number + self._depth < (
+                PIPELINE_LENGTH
+            ):
+                waiting.append(self._send(node.number, writer))
+            if not waiting:
+                break
         return True
 
+    def _send(self, host: int, writer: asyncio.StreamWriter) -> checks.Request:
+        request, data = self._make_request(host)
+        request.answer.sent_s = self._record.now_s()
+        self._requests.append(request)
+        writer.write(data)
+        return request
+
     async def _read(
         self, request: checks.Request, reader: asyncio.StreamReader
     ) -> None:
--- a/src/cyclamendale/proxy/caller_connection.py
+++ b/src/cyclamendale/proxy/caller_connection.py
@@ -28,8 +28,14 @@
 """Requests in flight per connection at which reading from it pauses."""
 
 LINGER_S = 1.0
-"""How long a connection is drained after a refusal that closes it. A close
-with unread bytes would reset it, and the caller would lose the refusal."""
+"""How long a stopping node waits for a caller to close after its last response,
+and a caller whose request is unreadable is read on after its refusal. A close
+with unread bytes would reset the connection, and the caller would lose what it
+has not read."""
+
+MIN_READ_BYTES_PER_S = 250_000
+"""Rate at which callers are taken to read, beside `LINGER_S`: the kernel may
+hold megabytes of a response that was sent."""
 
 RETRY_AFTER_S = 1.0
 """Retry-After of a request that is refused for lack of memory."""
@@ -65,6 +71,7 @@
         self._is_last_request = False
         self._is_refused = False
         self._last_activity_s = server.clock.now_s()
+        self._unread_until_s = 0.0
 
     # Time-outs and graceful close.
 
@@ -74,8 +81,12 @@
         elapsed_s = now_s - self._last_activity_s
         limit_s = limits.idle_timeout_s
         if self._is_draining:
-            if self._is_refused and self._is_idle() and elapsed_s > LINGER_S:
+            if not self._is_idle():
+                return
+            if self._is_refused and elapsed_s > LINGER_S:
                 self.transport.abortConnection()
+            elif elapsed_s > limit_s:
+                self.transport.loseConnection()
         elif self._in_head or self._in_body:
             if self._in_head:
                 limit_s = limits.head_timeout_s
@@ -89,8 +100,8 @@
 
         Otherwise the last response closes it; see `closes_after`.
         """
-        if self._is_idle():
-            self.transport.loseConnection()
+        if self._is_idle() and not self._is_draining:
+            self._close()
 
     def _is_idle(self) -> bool:
         return not (self._exchanges or self._in_head or self._in_body)
@@ -99,9 +110,14 @@
     def in_flight(self) -> int:
         """Returns the number of requests whose response is not sent yet.
 
-        Responses that the caller has yet to read count as one.
+        Responses that the caller has yet to read count as one, also for a
+        while after they were sent on a connection that closes.
         """
-        return len(self._exchanges) + bool(self.unsent_bytes)
+        is_unread = self.unsent_bytes or (
+            self._is_draining
+            and self._server.clock.now_s() <= self._unread_until_s
+        )
+        return len(self._exchanges) + bool(is_unread)
 
     @property
     def unsent_bytes(self) -> int:
@@ -319,8 +335,12 @@
             closes = waiting.popleft().closes
         if not ready:
             return
-        self._last_activity_s = self._server.clock.now_s()
-        _immediate_write.write_now(self.transport, b"".join(ready))
+        data = b"".join(ready)
+        now_s = self._last_activity_s = self._server.clock.now_s()
+        self._unread_until_s = (
+            now_s + LINGER_S + len(data) / MIN_READ_BYTES_PER_S
+        )
+        _immediate_write.write_now(self.transport, data)
         if closes or (self._server.is_closing and self._is_idle()):
             self._close()
         elif self._is_paused and len(waiting) < MAX_PIPELINED:
@@ -344,17 +364,21 @@
         exchange.respond(status, header_lines, b"")
 
     def _close(self) -> None:
-        """Cancels later requests and closes after the written responses."""
+        """Cancels later requests and closes after the written responses.
+
+        Only the sending side closes: what the caller sends from here on is
+        read and dropped until it closes, too.
+        """
         for exchange in self._exchanges:
             exchange.end()
             if exchange.cancel is not None:
                 exchange.cancel()
         self._exchanges.clear()
-        if self._is_refused:
-            self.transport.loseWriteConnection()
-        else:
-            self._is_draining = True
-            self.transport.loseConnection()
+        self._is_draining = True
+        if self._is_paused:
+            self._is_paused = False
+            self.transport.resumeProducing()
+        self.transport.loseWriteConnection()
 
 
 def make_header_handlers(names: header_names.HeaderNames) -> dict[bytes, Any]:
--- a/tests/test_proxy_server.py
+++ b/tests/test_proxy_server.py
@@ -165,7 +165,7 @@
             held_exchange.respond(200, b"", b"")
         self.assertEqual(count, self.output().count(b"HTTP/1.1 200"))
         self.assertEqual(count, self.output().count(b"HTTP/1.1 "))
-        self.assertEqual(self.closes, self.transport.disconnecting)
+        self.assertEqual(self.closes, self.transport.half_closed)
 
     def test_body_in_one_segment(self):
         self.receive(self.data)
@@ -237,7 +237,7 @@
         for held_exchange in list(self.handler.exchanges):
             held_exchange.respond(200, b"", b"x")
         self.assertEqual(1, self.output().count(b"HTTP/1.1 "))
-        self.assertTrue(self.transport.disconnecting)
+        self.assertTrue(self.transport.half_closed)
 
     def test_reading_pauses_while_many_requests_are_in_flight(self):
         self.receive(GET * caller_connection.MAX_PIPELINED)
@@ -366,19 +366,63 @@
         late.dataReceived(GET)
         self.handler.exchanges[0].respond(200, b"", b"")
         self.assertIn(b"Connection: close\r\n", transport.value())
-        self.assertTrue(transport.disconnecting)
+        self.assertTrue(transport.half_closed)
+
+    def test_what_follows_the_last_response_does_not_reset_the_connection(self):
+        # A close with unread bytes took responses from callers that pipeline.
+        self.receive(GET)
+        self.factory.begin_close()
+        self.handler.exchanges[0].respond(200, b"", b"x")
+        self.receive(GET * 3)
+        self.assertEqual(1, len(self.handler.exchanges))
+        self.assertTrue(self.transport.half_closed)
+        self.assertFalse(self.transport.disconnecting)
+        self.assertEqual(1, self.factory.in_flight)
+        self.reactor.pump([0.25] * 5)
+        self.assertFalse(self.transport.disconnecting)
+        self.assertEqual(0, self.factory.in_flight)
+        self.reactor.pump([0.25] * 60)
+        self.assertTrue(self.transport.disconnecting)
+
+    def test_a_large_response_is_waited_for_as_long_as_it_takes_to_read(self):
+        self.receive(GET)
+        self.factory.begin_close()
+        size_bytes = 2 * caller_connection.MIN_READ_BYTES_PER_S
+        self.handler.exchanges[0].respond(200, b"", b"x" * size_bytes)
+        self.reactor.pump([0.25] * 11)
+        self.assertEqual(1, self.factory.in_flight)
+        self.reactor.pump([0.25] * 2)
+        self.assertEqual(0, self.factory.in_flight)
+
+    def test_a_caller_that_closes_after_its_response_is_not_waited_for(self):
+        self.receive(GET)
+        self.factory.begin_close()
+        self.handler.exchanges[0].respond(200, b"", b"x")
+        self.assertEqual(1, self.factory.in_flight)
+        self.lose()
+        self.assertEqual(0, self.factory.in_flight)
+
+    def test_a_paused_connection_reads_on_after_its_last_response(self):
+        closing = b"GET / HTTP/1.1\r\nHost: one\r\nConnection: close\r\n\r\n"
+        self.receive(
+            GET * (caller_connection.MAX_PIPELINED - 1) + closing + GET
+        )
+        self.assertEqual("paused", self.transport.producerState)
+        for held_exchange in list(self.handler.exchanges):
+            held_exchange.respond(200, b"", b"")
+        self.assertEqual("producing", self.transport.producerState)
 
     def test_a_graceful_close_answers_pipelined_requests(self):
         # The first response closed; the others were run and not answered.
         self.receive(GET * 4)
         self.factory.begin_close()
         for number in (2, 0, 1, 3):
-            self.assertFalse(self.transport.disconnecting)
+            self.assertFalse(self.transport.half_closed)
             self.handler.exchanges[number].respond(200, b"", b"%d" % number)
         self.assertEqual(4, self.output().count(b"HTTP/1.1 200"))
         self.assertEqual(1, self.output().count(b"Connection: close\r\n"))
         self.assertTrue(self.output().endswith(b"close\r\n\r\n3"))
-        self.assertTrue(self.transport.disconnecting)
+        self.assertTrue(self.transport.half_closed)
 
     def test_a_request_after_the_closing_response_is_not_passed_on(self):
         self.receive(GET * 2)
@@ -388,7 +432,7 @@
         self.assertEqual(2, len(self.handler.exchanges))
         self.handler.exchanges[0].respond(200, b"", b"")
         self.assertEqual(2, self.output().count(b"HTTP/1.1 200"))
-        self.assertTrue(self.transport.disconnecting)
+        self.assertTrue(self.transport.half_closed)
 
     def test_a_close_begun_after_the_last_response_was_ready(self):
         self.receive(GET * 2)
@@ -396,12 +440,12 @@
         self.factory.begin_close()
         self.handler.exchanges[0].respond(200, b"", b"")
         self.assertEqual(2, self.output().count(b"HTTP/1.1 200"))
-        self.assertTrue(self.transport.disconnecting)
+        self.assertTrue(self.transport.half_closed)
 
     def test_a_graceful_close_waits_for_requests_in_flight(self):
         self.receive(GET)
         self.factory.begin_close()
-        self.assertFalse(self.transport.disconnecting)
+        self.assertFalse(self.transport.half_closed)
         self.handler.exchanges[0].respond(200, b"", b"x")
         self.assertIn(b"Connection: close\r\n", self.output())
-        self.assertTrue(self.transport.disconnecting)
+        self.assertTrue(self.transport.half_closed)
