Add up the time that callers need for responses in a row

Callers saw: no answer to a request that an upstream had run, when the answer before it was large and still being read as the node ended.

Cause: the wait of a stopping node for unread responses was computed from the last one alone; a small one behind a large one made it shorter.

Change: the times add up.

Why it works: a caller reads the responses of a connection in order.

--- a/soak/runner.py
+++ b/soak/runner.py
@@ -54,6 +54,7 @@
         Broken promises and counts of what happened.
     """
     if log_folder is not None:
+        log_folder = f"{log_folder}/{seed}"
         pathlib.Path(log_folder).mkdir(parents=True, exist_ok=True)
         os.environ["KEEP_LOGS"] = log_folder
     with tempfile.TemporaryDirectory(prefix="soak-") as folder:
--- a/src/cyclamendale/proxy/caller_connection.py
+++ b/src/cyclamendale/proxy/caller_connection.py
@@ -337,8 +337,10 @@
             return
         data = b"".join(ready)
         now_s = self._last_activity_s = self._server.clock.now_s()
+        # The caller reads earlier responses first.
         self._unread_until_s = (
-            now_s + LINGER_S + len(data) / MIN_READ_BYTES_PER_S
+            max(self._unread_until_s, now_s + LINGER_S)
+            + len(data) / MIN_READ_BYTES_PER_S
         )
         _immediate_write.write_now(self.transport, data)
         if closes or (self._server.is_closing and self._is_idle()):
--- a/tests/test_proxy_server.py
+++ b/tests/test_proxy_server.py
@@ -394,6 +394,16 @@
         self.reactor.pump([0.25] * 2)
         self.assertEqual(0, self.factory.in_flight)
 
+    def test_a_response_behind_a_large_one_is_waited_for_as_long(self):
+        # The process ended while its caller still read the one before.
+        self.receive(GET * 2)
+        self.factory.begin_close()
+        size_bytes = 2 * caller_connection.MIN_READ_BYTES_PER_S
+        self.handler.exchanges[0].respond(200, b"", b"x" * size_bytes)
+        self.handler.exchanges[1].respond(200, b"", b"x")
+        self.reactor.pump([0.25] * 11)
+        self.assertEqual(1, self.factory.in_flight)
+
     def test_a_caller_that_closes_after_its_response_is_not_waited_for(self):
         self.receive(GET)
         self.factory.begin_close()
