Ping silent links after 0.3 s again; no reservation without a body

Suspected cause, not traced: upstreams of 120 to 300 ms leave links silent for 0.2 s all the time, so pings grew by a half; each forwarded request made a reservation, also without a body.

Change: the old 0.3 s, and reservations only for bodies.

--- a/src/cyclamendale/proxy/links.py
+++ b/src/cyclamendale/proxy/links.py
@@ -27,7 +27,7 @@
 MAX_FRAME_BYTES = 72 * 1024 * 1024
 """Maximum frame size: the largest body, its head and the struct's overhead."""
 
-SILENCE_BEFORE_PING_S = 0.2
+SILENCE_BEFORE_PING_S = 0.3
 """Silence after which a peer with requests in flight is pinged."""
 
 SUSPICION_S = 0.15
--- a/src/cyclamendale/proxy/run_server.py
+++ b/src/cyclamendale/proxy/run_server.py
@@ -88,12 +88,15 @@
             )
 
         request = run_codec.decode_request(message, self._clock.now_s())
-        reservation = self._budget.make_reservation()
-        # Its frame was within the budget and is dropped after this call.
-        reservation.hold(len(request.body))
+        reservation: buffer_budget.Reservation | None = None
+        if request.body:
+            # Its frame was within the budget and is dropped after this call.
+            reservation = self._budget.make_reservation()
+            reservation.hold(len(request.body))
 
         def on_outcome(outcome: messages.Outcome) -> None:
-            reservation.release()
+            if reservation is not None:
+                reservation.release()
             runs.pop(call_id, None)
             connection.reply(
                 kinds.MessageKind.RUN,
@@ -106,7 +109,9 @@
             return
         handle = self._gate.run(request, on_outcome)
         if handle is not None:
-            runs[call_id] = _HeldRun(handle, reservation)
+            runs[call_id] = (
+                handle if reservation is None else _HeldRun(handle, reservation)
+            )
 
     def _cancel(
         self,
