--- a/src/cyclamendale/proxy/caller_connection.py
+++ b/src/cyclamendale/proxy/caller_connection.py
@@ -16,7 +16,6 @@
 from cyclamendale import _immediate_write
 from cyclamendale import buffer_budget
 from cyclamendale.proxy import exchange as exchanges
-from cyclamendale.proxy import header_names
 from cyclamendale.proxy import heads
 from cyclamendale.proxy import messages
 from cyclamendale.proxy import request_parser
@@ -381,27 +380,3 @@
             self._is_paused = False
             self.transport.resumeProducing()
         self.transport.loseWriteConnection()
-
-
-def make_header_handlers(names: header_names.HeaderNames) -> dict[bytes, Any]:
-    """Returns the handlers of special headers, by lower-case name."""
-    connection = CallerConnection
-    handlers: dict[bytes, Any] = dict.fromkeys(
-        heads.CONNECTION_HEADERS, connection.drop_header
-    )
-    handlers[b"connection"] = connection.add_connection_options
-    handlers[b"content-length"] = connection.add_framing_line
-    handlers[b"transfer-encoding"] = connection.add_framing_line
-    handlers[b"expect"] = connection.handle_expect
-    handlers[b"host"] = connection.set_host
-    handlers[names.request_id.lower()] = connection.set_request_id
-    handlers[names.remaining_ms.lower()] = connection.set_remaining
-    handlers[names.key.lower()] = connection.set_key
-    for name in (
-        names.customer,
-        names.caller_service,
-        names.expected_upstream,
-        names.not_run,
-    ):
-        handlers[name.lower()] = connection.drop_header
-    return handlers
--- a/src/cyclamendale/proxy/server.py
+++ b/src/cyclamendale/proxy/server.py
@@ -12,6 +12,7 @@
 from cyclamendale.proxy import caller_connection
 from cyclamendale.proxy import exchange as exchanges
 from cyclamendale.proxy import header_names
+from cyclamendale.proxy import heads
 from cyclamendale.proxy import messages
 
 SWEEP_INTERVAL_S = 0.25
@@ -43,9 +44,7 @@
         self.handler = handler
         self.connections: set[caller_connection.CallerConnection] = set()
         self.is_closing = False
-        self.header_handlers = caller_connection.make_header_handlers(
-            header_names
-        )
+        self.header_handlers = _make_header_handlers(header_names)
         self._log = log
         self._timer: clocks.DelayedCall | None = None
 
@@ -103,6 +102,29 @@
             connection.check_timeouts(now_s)
 
 
+def _make_header_handlers(names: header_names.HeaderNames) -> dict[bytes, Any]:
+    connection = caller_connection.CallerConnection
+    handlers: dict[bytes, Any] = dict.fromkeys(
+        heads.CONNECTION_HEADERS, connection.drop_header
+    )
+    handlers[b"connection"] = connection.add_connection_options
+    handlers[b"content-length"] = connection.add_framing_line
+    handlers[b"transfer-encoding"] = connection.add_framing_line
+    handlers[b"expect"] = connection.handle_expect
+    handlers[b"host"] = connection.set_host
+    handlers[names.request_id.lower()] = connection.set_request_id
+    handlers[names.remaining_ms.lower()] = connection.set_remaining
+    handlers[names.key.lower()] = connection.set_key
+    for name in (
+        names.customer,
+        names.caller_service,
+        names.expected_upstream,
+        names.not_run,
+    ):
+        handlers[name.lower()] = connection.drop_header
+    return handlers
+
+
 def make_caller_server(
     clock: clocks.Clock,
     handler: exchanges.Handler,
--- /dev/null
+++ b/tests/test_proxy_server_close.py
@@ -0,0 +1,112 @@
+"""Tests of closes by the HTTP server for callers: none costs a response."""
+
+from __future__ import annotations
+
+from cyclamendale.proxy import caller_connection
+from tests import test_proxy_server
+
+
+class CloseTest(test_proxy_server.ServerCase):
+    def test_a_connection_opened_during_the_shutdown_closes_too(self):
+        self.factory.begin_close()
+        late = self.factory.buildProtocol(None)
+        transport = test_proxy_server.Transport()
+        late.makeConnection(transport)
+        late.dataReceived(test_proxy_server.GET)
+        self.handler.exchanges[0].respond(200, b"", b"")
+        self.assertIn(b"Connection: close\r\n", transport.value())
+        self.assertTrue(transport.half_closed)
+
+    def test_what_follows_the_last_response_does_not_reset_the_connection(self):
+        # A close with unread bytes took responses from callers that pipeline.
+        self.receive(test_proxy_server.GET)
+        self.factory.begin_close()
+        self.handler.exchanges[0].respond(200, b"", b"x")
+        self.receive(test_proxy_server.GET * 3)
+        self.assertEqual(1, len(self.handler.exchanges))
+        self.assertTrue(self.transport.half_closed)
+        self.assertFalse(self.transport.disconnecting)
+        self.assertEqual(1, self.factory.in_flight)
+        self.reactor.pump([0.25] * 5)
+        self.assertFalse(self.transport.disconnecting)
+        self.assertEqual(0, self.factory.in_flight)
+        self.reactor.pump([0.25] * 60)
+        self.assertTrue(self.transport.disconnecting)
+
+    def test_a_large_response_is_waited_for_as_long_as_it_takes_to_read(self):
+        self.receive(test_proxy_server.GET)
+        self.factory.begin_close()
+        size_bytes = 2 * caller_connection.MIN_READ_BYTES_PER_S
+        self.handler.exchanges[0].respond(200, b"", b"x" * size_bytes)
+        self.reactor.pump([0.25] * 11)
+        self.assertEqual(1, self.factory.in_flight)
+        self.reactor.pump([0.25] * 2)
+        self.assertEqual(0, self.factory.in_flight)
+
+    def test_a_response_behind_a_large_one_is_waited_for_as_long(self):
+        # The process ended while its caller still read the one before.
+        self.receive(test_proxy_server.GET * 2)
+        self.factory.begin_close()
+        size_bytes = 2 * caller_connection.MIN_READ_BYTES_PER_S
+        self.handler.exchanges[0].respond(200, b"", b"x" * size_bytes)
+        self.handler.exchanges[1].respond(200, b"", b"x")
+        self.reactor.pump([0.25] * 11)
+        self.assertEqual(1, self.factory.in_flight)
+
+    def test_a_caller_that_closes_after_its_response_is_not_waited_for(self):
+        self.receive(test_proxy_server.GET)
+        self.factory.begin_close()
+        self.handler.exchanges[0].respond(200, b"", b"x")
+        self.assertEqual(1, self.factory.in_flight)
+        self.lose()
+        self.assertEqual(0, self.factory.in_flight)
+
+    def test_a_paused_connection_reads_on_after_its_last_response(self):
+        closing = b"GET / HTTP/1.1\r\nHost: one\r\nConnection: close\r\n\r\n"
+        self.receive(
+            test_proxy_server.GET * (caller_connection.MAX_PIPELINED - 1)
+            + closing
+            + test_proxy_server.GET
+        )
+        self.assertEqual("paused", self.transport.producerState)
+        for held_exchange in list(self.handler.exchanges):
+            held_exchange.respond(200, b"", b"")
+        self.assertEqual("producing", self.transport.producerState)
+
+    def test_a_graceful_close_answers_pipelined_requests(self):
+        # The first response closed; the others were run and not answered.
+        self.receive(test_proxy_server.GET * 4)
+        self.factory.begin_close()
+        for number in (2, 0, 1, 3):
+            self.assertFalse(self.transport.half_closed)
+            self.handler.exchanges[number].respond(200, b"", b"%d" % number)
+        self.assertEqual(4, self.output().count(b"HTTP/1.1 200"))
+        self.assertEqual(1, self.output().count(b"Connection: close\r\n"))
+        self.assertTrue(self.output().endswith(b"close\r\n\r\n3"))
+        self.assertTrue(self.transport.half_closed)
+
+    def test_a_request_after_the_closing_response_is_not_passed_on(self):
+        self.receive(test_proxy_server.GET * 2)
+        self.factory.begin_close()
+        self.handler.exchanges[1].respond(200, b"", b"")
+        self.receive(test_proxy_server.GET * 2)
+        self.assertEqual(2, len(self.handler.exchanges))
+        self.handler.exchanges[0].respond(200, b"", b"")
+        self.assertEqual(2, self.output().count(b"HTTP/1.1 200"))
+        self.assertTrue(self.transport.half_closed)
+
+    def test_a_close_begun_after_the_last_response_was_ready(self):
+        self.receive(test_proxy_server.GET * 2)
+        self.handler.exchanges[1].respond(200, b"", b"")
+        self.factory.begin_close()
+        self.handler.exchanges[0].respond(200, b"", b"")
+        self.assertEqual(2, self.output().count(b"HTTP/1.1 200"))
+        self.assertTrue(self.transport.half_closed)
+
+    def test_a_graceful_close_waits_for_requests_in_flight(self):
+        self.receive(test_proxy_server.GET)
+        self.factory.begin_close()
+        self.assertFalse(self.transport.half_closed)
+        self.handler.exchanges[0].respond(200, b"", b"x")
+        self.assertIn(b"Connection: close\r\n", self.output())
+        self.assertTrue(self.transport.half_closed)
