Read idle connections once more right before their last close

Callers saw: a request that was sent on a kept connection at the end of a stop ended with a reset and without an answer.

Cause: `loseConnection` stops to read at once and closes an iteration of the reactor later, and the last close does this for all idle connections before the first one closes. Bytes that come meanwhile are never read. The class: a close with unread bytes.

Change: each connection is read once more, and one that is still idle is closed at once. A request that has arrived is refused (503) by the step that refuses all requests at that time.

Why it works: between the last read of a connection and its close nothing else runs. What is left is a request on its way, which no node can read.

--- a/src/cyclamendale/proxy/caller_connection.py
+++ b/src/cyclamendale/proxy/caller_connection.py
@@ -13,6 +13,7 @@
 from twisted.internet import protocol
 from twisted.python import failure
 
+from cyclamendale import _immediate_close
 from cyclamendale import _immediate_write
 from cyclamendale import buffer_budget
 from cyclamendale.proxy import exchange as exchanges
@@ -96,14 +97,13 @@
         """Closes the connection, or refuses a request that is incomplete."""
         if self._is_draining or self._exchanges:
             return
+        is_recent = self._server.clock.now_s() <= self.read_by_s + LINGER_S
         if self._in_head or self._in_body:
             self._refuse(503)
-        elif self.unsent_bytes or (
-            self._server.clock.now_s() <= self.read_by_s + LINGER_S
-        ):
+        elif self.unsent_bytes or is_recent:
             self._close()
         else:
-            self.transport.loseConnection()
+            _immediate_close.close_now(self.transport)
 
     def _is_idle(self) -> bool:
         return not (self._exchanges or self._in_head or self._in_body)
--- a/src/cyclamendale/proxy/server.py
+++ b/src/cyclamendale/proxy/server.py
@@ -7,6 +7,7 @@
 
 from twisted.internet import protocol
 
+from cyclamendale import _immediate_close
 from cyclamendale import buffer_budget
 from cyclamendale import clocks
 from cyclamendale import refusals
@@ -90,8 +91,13 @@
             port.doRead()
 
     def end_close(self) -> None:
-        """Closes the connections on which no request is in flight."""
+        """Closes the connections on which no request is in flight.
+
+        Each is read once more: a request that has arrived gets a response.
+        """
         for connection in tuple(self.connections):
+            if not connection.in_flight:
+                _immediate_close.read_now(connection.transport)
             connection.end_close()
 
     @property
