Set the reactor's timers by a clock that doesn't step

Callers would see: a node whose time of day steps back while it stops is killed at the end of its grace period, with what it has in work; on a node that serves, deadlines, link checks, reports and time-outs wait for the time of day to catch up.

Cause: Twisted's reactor sets its timers by `time.time`, while the node compares deadlines on CLOCK_BOOTTIME. The class: two clocks for one thing.

Change: the reactor of the daemon takes the clock of `SystemClock`.

Why it works: all that is set by the reactor and all that is compared with now is on one clock, which neither steps nor stops.

The test failed before: the process took longer than its grace period.

--- a/src/cyclamendale/lean_reactor.py
+++ b/src/cyclamendale/lean_reactor.py
@@ -1,13 +1,16 @@
-"""Twisted's epoll reactor without a log context around each event.
+"""Twisted's epoll reactor, with a steady clock and fewer log contexts.
 
 Twisted enters a logging context around every read and write, which costs
 an eighth of a node's CPU time. No code of the node logs through that
 context. The reactor still handles failures of a read or write itself.
+
+Twisted's timers follow the time of day, which may step.
 """
 
 from __future__ import annotations
 
 import errno
+import time
 from typing import Any
 
 from twisted.internet import epollreactor
@@ -17,6 +20,11 @@
 class LeanEpollReactor(epollreactor.EPollReactor):
     """Epoll reactor that calls readers and writers directly."""
 
+    @staticmethod
+    def seconds() -> float:
+        """Returns the time of the timers, as `clocks.SystemClock` does."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def doPoll(self, timeout: float | None) -> None:
         """Polls for events and handles them.
 
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -143,3 +143,26 @@
                 is_open = True
         self.assertTrue(is_open)
         self.stop(process)
+
+
+class ClockStepTest(daemon_process.DaemonCase):
+    """A step back of the time of day stopped all timers for as long."""
+
+    STEP_S = 10.0
+
+    def test_a_process_ends_in_time_though_the_time_of_day_steps_back(self):
+        stepped = self.path.with_name("stepped")
+        process = self.start(
+            "import os, time; now = time.time; time.time = lambda:"
+            f" now() - {self.STEP_S} * os.path.exists({str(stepped)!r})"
+        )
+        self.wait_event(process, "start")
+        stopped_s = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        # While a timer of the stop is set.
+        self.wait_event(process, "stop")
+        time.sleep(0.5)
+        stepped.touch()
+        self.assertEqual(0, process.wait(daemon_process.WAIT_S))
+        # The grace period of the settings.
+        self.assertLess(time.monotonic() - stopped_s, 6.0)
