Stand early signals with an interpreter without a shared library

Where the interpreter has no shared library, SIGHUP in the first 8 ms ended a process by signal 1. Where it names a library that is not installed, target/python3 ran python3 of the path at each start.

Cause: the build knew one way to put its first statement before the interpreter, and its check of the result passed for the way out that is meant for a build that was moved.

Why it works: the same first statements run, and nothing but the C and mathematics libraries is loaded before them.

--- a/deploy/interpreter.c
+++ b/deploy/interpreter.c
@@ -13,10 +13,9 @@
   _exit(0);
 }
 
-int main(int argc, char **argv) {
-  signal(SIGHUP, SIG_IGN);
-  signal(SIGTERM, leave);
-  signal(SIGINT, leave);
+#ifdef LIBRARY
+
+static int run(int argc, char **argv) {
   /* Loaded only now, as that takes longer than all before it. */
   void *library = dlopen(LIBRARY, RTLD_NOW | RTLD_GLOBAL);
   Main run = library ? (Main)dlsym(library, "Py_BytesMain") : 0;
@@ -28,3 +27,18 @@
   perror("python3");
   return 127;
 }
+
+#else
+
+int Py_BytesMain(int argc, char **argv);
+
+static int run(int argc, char **argv) { return Py_BytesMain(argc, argv); }
+
+#endif
+
+int main(int argc, char **argv) {
+  signal(SIGHUP, SIG_IGN);
+  signal(SIGTERM, leave);
+  signal(SIGINT, leave);
+  return run(argc, argv);
+}
