--- a/tests/test_platform_build.py
+++ b/tests/test_platform_build.py
@@ -165,3 +165,68 @@
             check=True,
             capture_output=True,
         )
+
+
+class CarriedOverPackagesTest(BuildCase):
+    """Packages for another kind of machine were kept if they were newer."""
+
+    scenarios = [
+        ("machine", {"old": "machine ", "new": "machine other-"}),
+        ("interpreter", {"old": "interpreter ", "new": "interpreter other-"}),
+        ("system library", {"old": "library ", "new": "library other-"}),
+    ]
+
+    def test_packages_of_another_kind_are_replaced(self):
+        self.build()
+        marker = self.deps / "made-for.txt"
+        text = marker.read_text()
+        self.assertIn(self.old, text)
+        marker.write_text(text.replace(self.old, self.new))
+        (self.deps / "soap.py").write_text("raise ImportError('wrong ELF')")
+        (self.deps / "left.py").touch()
+        self.build()
+        self.check_package("1.0")
+        self.assertFalse((self.deps / "left.py").exists())
+        self.assertEqual(
+            {"deps", "python3"},
+            {path.name for path in self.deps.parent.iterdir()},
+        )
+
+    def check_package(self, version):
+        self.assertEqual(
+            f"{version}\n",
+            self.run_interpreter(
+                "import sys; sys.path.insert(0, 'target/deps');"
+                " import soap; print(soap.VERSION)"
+            ).stdout,
+        )
+
+
+class PackagesFolderTest(BuildCase):
+    check_package = CarriedOverPackagesTest.check_package
+
+    def test_packages_without_a_marker_are_replaced(self):
+        self.deps.mkdir(parents=True)
+        (self.deps / "soap.py").write_text("raise ImportError('wrong ELF')")
+        self.build()
+        self.check_package("1.0")
+
+    def test_changed_requirements_replace_them(self):
+        # A checkout may give the file an older time than the folder has.
+        self.build()
+        self.require("2.0")
+        self.build()
+        self.check_package("2.0")
+
+    def test_packages_of_this_machine_are_kept_without_an_index(self):
+        self.build()
+        self.build(PIP_FIND_LINKS="")
+        self.check_package("1.0")
+
+    def test_an_installation_that_failed_is_done_again(self):
+        self.require("3.0")
+        self.assertRaises(subprocess.CalledProcessError, self.build)
+        self.assertFalse(self.deps.exists())
+        self.require("2.0")
+        self.build()
+        self.check_package("2.0")
