Let no part that fails cut a stop short

If a part of a node raises at a stop, the process ended at once: requests in work were cut (LOST).

Cause: Node.stop ran its parts in a row, and a failure of any ended it; the daemon then stopped the reactor.

Change: each step runs by itself, and one that fails is logged as a defect, once. Requests that can't be counted get the whole grace period.

Result: tests.test_fleet_node, two new tests: a request on a kept connection is answered during a stop whose last report fails, and all addresses are free after a stop of which two parts fail. Why it works: no step depends on the result of another one but the Deferreds that are waited for.

--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -29,6 +29,7 @@
 from cyclamendale.fleet import routing
 from cyclamendale.fleet import settings as settings_module
 from cyclamendale.fleet import shutdown
+from cyclamendale.fleet import steps
 from cyclamendale.intents import model
 from cyclamendale.membership import udp
 from cyclamendale.overload import fleet_retries
@@ -75,8 +76,6 @@
             self._observer, self._active_configuration, self._view, self._gate
         )
 
-    # Construction.
-
     def _build_fleet_parts(self, rows: watched_rows.WatchedRows) -> None:
         settings = self._settings
         own_address = settings.peer_address
@@ -307,29 +306,39 @@
     @defer.inlineCallbacks
     def stop(self) -> Any:
         """Serves while callers move away, then stops; cuts off no request."""
+        run = steps.Steps(self.log, "stop").run
         self._shutdown.begin(self._settings.bounds.grace_s)
-        self.log.belief("stop", in_work=self._count_pending_requests())
-        self._reporter.send_now()
-        self._server.begin_close(self._shutdown.exit_by_s)
-        yield self._shutdown.wait_while_serving(self._count_pending_requests)
+        self.log.belief("stop", in_work=run(self._count_pending_requests))
+        run(self._reporter.send_now)
+        run(self._server.begin_close, self._shutdown.exit_by_s)
+        # Requests that can't be counted get all the time there is.
+        yield self._shutdown.wait_while_serving(
+            lambda: run(self._count_pending_requests, otherwise=1)
+        )
         self._shutdown.end()
-        self.log.belief("stopped", in_work=self._count_pending_requests())
+        self.log.belief("stopped", in_work=run(self._count_pending_requests))
         self._reactor.callLater(0, self._server.accept_waiting, self._port)
-        closing = self._listeners.close()
-        self._call_learner.stop()
-        self._own_upstream.stop()
-        self._configuration_sync.stop()
-        self._discovery.stop()
-        self._gate.stop()
-        self._dispatcher.stop()
-        self._server.stop()
-        self._links.stop()
-        self._permits.stop()
-        closing += [self._reporter.stop(), self._peers.close()]
-        closed = defer.gatherResults(closing, consumeErrors=True)
+        closing = run(self._listeners.close, otherwise=[])
+        closing += map(
+            run,
+            (
+                self._call_learner.stop,
+                self._own_upstream.stop,
+                self._configuration_sync.stop,
+                self._discovery.stop,
+                self._gate.stop,
+                self._dispatcher.stop,
+                self._server.stop,
+                self._links.stop,
+                self._permits.stop,
+                self._reporter.stop,
+                self._peers.close,
+            ),
+        )
+        closed = defer.gatherResults(filter(None, closing), consumeErrors=True)
         closed.addErrback(lambda failure: self.log.defect("stop", failure))
         yield self._shutdown.wait_while_closing(lambda: not closed.called)
-        self._server.end_close()
+        run(self._server.end_close)
         yield self._shutdown.wait_while_closing(lambda: self._server.in_flight)
 
     def _count_pending_requests(self) -> int:
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -255,6 +255,46 @@
         yield defer.gatherResults([stop_reporter(), close_peers()])
         self.nodes.remove(node)
 
+    @defer.inlineCallbacks
+    def test_a_part_that_fails_at_a_stop_cuts_no_request(self):
+        # The process ended at once.
+        self.publish(manifest_bytes())
+        yield self.announce()
+        yield self.until_status(self.send_read, 200)
+        node = self.nodes[0]
+        self.extend_grace(node)
+        caller = yield threads.deferToThread(self.connect)
+        self.addCleanup(caller.close)
+        self.fail_after(node._reporter, "send_now")
+        stopped = node.stop()
+        response = yield threads.deferToThread(self.exchange_raw, caller)
+        self.assertIn(b"HTTP/1.1 200 ", response)
+        yield stopped
+        self.assertIn("defect", self.log.events())
+        self.nodes.remove(node)
+
+    @defer.inlineCallbacks
+    def test_a_part_that_fails_to_stop_keeps_no_other_from_it(self):
+        node = self.nodes[0]
+        self.fail_after(node._call_learner, "stop")
+        self.fail_after(node._reporter, "stop")
+        yield node.stop()
+        self.assertIn("defect", self.log.events())
+        # Its address is free.
+        self.nodes[0] = self.make_node(1)
+        self.nodes[0].start()
+
+    def fail_after(self, part, name):
+        """Lets a method of a part raise once, after it has run."""
+        method = getattr(part, name)
+
+        def fail():
+            setattr(part, name, method)
+            method()
+            raise RuntimeError("a defect of this part")
+
+        setattr(part, name, fail)
+
     def extend_grace(self, node):
         node.reload(
             msgspec.structs.replace(
