Drop log lines and refuse settings that can't be converted

Settings with an endless number raised instead of being unusable, so that no line told why nothing started; a bound that is no number passed. A field of a log line that can't be encoded (a path that is no UTF-8, an integer over 64 bits) raised in what had logged it.

Cause: errors of conversion other than ValueError and OSError were not expected.

Change: numbers have to be finite, an overflow is a malformed file, and a line that can't be formatted is dropped and counted.

--- a/src/cyclamendale/fleet/journal.py
+++ b/src/cyclamendale/fleet/journal.py
@@ -30,8 +30,8 @@
 class NonBlockingHandler(logging.Handler):
     """Writes lines to a file descriptor; drops those that it does not take.
 
-    A reader may be too slow or gone, or a disk full. None of it concerns the
-    part of the node that logs.
+    A reader may be too slow or gone, a disk full, or a field of no form that
+    can be written. None of it concerns the part of the node that logs.
 
     Attributes:
         dropped: Number of lines dropped.
@@ -49,7 +49,7 @@
         """See base class."""
         try:
             os.write(self._descriptor, self.format(record).encode() + b"\n")
-        except OSError:
+        except Exception:
             self.dropped += 1
 
 
--- a/src/cyclamendale/platform/settings.py
+++ b/src/cyclamendale/platform/settings.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 import enum
+import math
 import os
 from typing import Any
 
@@ -107,7 +108,7 @@
     try:
         file = msgspec.json.decode(data, type=_SettingsFile, strict=False)
         return Ok(_translate(file))
-    except (*decoding.ERRORS, ValueError) as error:
+    except (*decoding.ERRORS, ValueError, OverflowError) as error:
         return Error(SettingsError(Problem.MALFORMED, str(error)))
 
 
@@ -156,4 +157,7 @@
         name, _, value = text.partition("=")
         field = _BOUND_FIELDS.get(name)
         if field is not None:
-            yield field, float(value)
+            number = float(value)
+            if not math.isfinite(number):
+                raise ValueError(f"{name} is not finite: {value!r}")
+            yield field, number
--- a/tests/test_fleet_journal.py
+++ b/tests/test_fleet_journal.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import os
+import tempfile
 
 import testtools
 from twisted.internet import task
@@ -116,3 +117,24 @@
         log.decision("refused", "r1", reason="shed")
         log.defect("stop", failure.Failure(ValueError("x")))
         self.assertEqual(3, logger.handlers[0].dropped)
+
+
+class OddFieldTest(testtools.TestCase):
+    """A field that could not be encoded failed what had logged it."""
+
+    scenarios = [
+        ("undecodable path", {"value": "/etc/\udcff"}),
+        ("large number", {"value": 2**70}),
+        ("key of no text", {"value": {(1, 2): 3}}),
+    ]
+
+    def test_a_field_that_cannot_be_encoded_loses_its_line_only(self):
+        clock = clocks.ReactorClock(task.Clock())
+        with tempfile.TemporaryFile() as file:
+            log = journal.make_journal(clock, "node-1", file.fileno())
+            logger = logging.getLogger("cyclamendale.fleet")
+            self.addCleanup(logger.handlers.clear)
+            log.belief("odd", value=self.value)
+            log.belief("next")
+            file.seek(0)
+            self.assertIn(b'"event":"next"', file.read())
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -75,6 +75,10 @@
             "internal port out of range",
             {"data": encoded(internal_ports=[70000, 70001])},
         ),
+        # They raised, so that no log told why nothing started.
+        ("endless memory", {"data": encoded(limits={"memory_mb": "inf"})}),
+        ("endless bound", {"data": encoded(bounds=["grace_s=inf"])}),
+        ("bound that is no number", {"data": encoded(bounds=["grace_s=nan"])}),
         ("host without an IP address", {"data": encoded(ip="host-1")}),
     ]
 
