A request that crosses the close of a link has not run

Cause: a node that ends its serving closed its connections to other nodes at once. What others had just sent was not read, which (1) its sender could not tell from a run that was lost, and (2) resets the connection, so that replies that were not read yet are dropped. The class: an end that closes before it refuses.

Change: a stopping node first replies to what is at its gate (may have run), then sends a last frame, CLOSING, closes its sending side only, and drops what comes until the peer has closed (a second at most, as before). The peer fails its requests without a reply as UNREAD: not run, offered to another host. A node of an earlier version ignores the frame.

Why it works: frames keep their order, so a request without a reply when CLOSING comes is one that the sender of CLOSING never handled; nothing is left unread at the close, so no reset takes replies.

--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -321,6 +321,7 @@
         self._configuration_sync.stop()
         self._discovery.stop()
         self._gate.stop()
+        self._run_server.stop()
         self._dispatcher.stop()
         self._server.stop()
         self._links.stop()
--- a/src/cyclamendale/peer/connection.py
+++ b/src/cyclamendale/peer/connection.py
@@ -46,6 +46,8 @@
     REQUEST = 0
     REPLY = 1
     REJECTION = 2
+    CLOSING = 3
+    """Last frame of a sender, which reads no more; kind and call id are 0."""
 
 
 class _Phase(enum.Enum):
@@ -101,6 +103,7 @@
         self._pending: dict[int, ReplyHandler] = {}
         self._last_call_id = 0
         self._handshake_timer: Any = None
+        self._has_ended = False
         self.lost_listeners: set[Callable[[], None]] = set()
 
     @property
@@ -141,7 +144,9 @@
         self._send_message(PROTOCOL_VERSION + self._challenge)
 
     def dataReceived(self, data: bytes) -> None:
-        """Handles received bytes."""
+        """Handles received bytes; drops those after the end."""
+        if self._phase is _Phase.CLOSED:
+            return
         self._reader.feed(data)
 
     def handle_frame(self, frame: bytes) -> None:
@@ -168,12 +173,19 @@
         self._reader.release()
         if self._handshake_timer.active():
             self._handshake_timer.cancel()
+        self._end(network.PeerErrorKind.LOST)
+
+    def _end(self, kind: network.PeerErrorKind) -> None:
+        """Fails the requests that wait for a reply, and reports the end."""
+        if self._has_ended:
+            return
+        self._has_ended = True
         # Must come first: reply handlers may send a new request, which
         # must not use this connection.
         self._on_closed(self)
         pending, self._pending = self._pending, {}
         for handler in pending.values():
-            handler(network.PeerErrorKind.LOST)
+            handler(kind)
         for listener in tuple(self.lost_listeners):
             listener()
 
@@ -227,12 +239,22 @@
     def close(self) -> defer.Deferred[None]:
         """Closes the connection after all written data is sent.
 
+        The peer takes requests without a reply as not read, so those that
+        were read must have been replied to.
+
         Returns:
-            A Deferred that fires when the connection is closed.
+            A Deferred that fires when the peer has closed its side, too.
         """
         closed: defer.Deferred[None] = defer.Deferred()
         self.lost_listeners.add(lambda: closed.callback(None))
-        self.transport.loseConnection()
+        if self.is_open:
+            self._send(0, FrameFlag.CLOSING, 0, b"")
+            self._phase = _Phase.CLOSED
+            # A close with unread bytes would reset the connection, and the
+            # peer would lose replies that it has not read.
+            self.transport.loseWriteConnection()
+        else:
+            self.transport.loseConnection()
         return closed
 
     def abort(self) -> None:
@@ -270,6 +292,11 @@
             else:
                 self._on_request(self, kind, call_id, payload)
             return
+        if flag == FrameFlag.CLOSING:
+            self._phase = _Phase.CLOSED
+            self.transport.loseConnection()
+            self._end(network.PeerErrorKind.UNREAD)
+            return
         handler = self._pending.pop(call_id << 8 | kind, None)
         if handler is None:
             return
--- a/src/cyclamendale/peer/network.py
+++ b/src/cyclamendale/peer/network.py
@@ -29,6 +29,8 @@
     """The request was certainly not sent."""
     LOST = "lost"
     """The request may have been received."""
+    UNREAD = "unread"
+    """The peer closed the connection and did not read the request."""
     TIMEOUT = "timeout"
     """No reply came in time; the request may have been received."""
     REJECTED = "rejected"
--- a/src/cyclamendale/proxy/links.py
+++ b/src/cyclamendale/proxy/links.py
@@ -133,6 +133,9 @@
             )
 
     def _on_reply(self, reply: bytes | network.PeerErrorKind) -> None:
+        if reply is network.PeerErrorKind.UNREAD:
+            self._finish(refusals.Refusal(refusals.RefusalReason.LEAVING))
+            return
         if isinstance(reply, network.PeerErrorKind):
             self._finish(refusals.make_lost_refusal())
             return
--- a/src/cyclamendale/proxy/run_server.py
+++ b/src/cyclamendale/proxy/run_server.py
@@ -67,6 +67,26 @@
         """Returns the number of requests without an outcome."""
         return sum(map(len, self._runs.values()))
 
+    def stop(self) -> None:
+        """Cancels the requests without an outcome, which may have run."""
+        for connection, runs in tuple(self._runs.items()):
+            while runs:
+                call_id, handle = runs.popitem()
+                handle.cancel()
+                self._reply(connection, call_id, refusals.make_lost_refusal())
+
+    def _reply(
+        self,
+        connection: connections.PeerConnection,
+        call_id: int,
+        outcome: messages.Outcome,
+    ) -> None:
+        connection.reply(
+            kinds.MessageKind.RUN,
+            call_id,
+            run_codec.encode_outcome(outcome, self._load()),
+        )
+
     def _run(
         self,
         connection: connections.PeerConnection,
@@ -98,11 +118,7 @@
             if reservation is not None:
                 reservation.release()
             runs.pop(call_id, None)
-            connection.reply(
-                kinds.MessageKind.RUN,
-                call_id,
-                run_codec.encode_outcome(outcome, self._load()),
-            )
+            self._reply(connection, call_id, outcome)
 
         if not self._shutdown.can_finish(request.deadline_s):
             on_outcome(refusals.Refusal(refusals.RefusalReason.LEAVING))
--- a/tests/test_peer_contract.py
+++ b/tests/test_peer_contract.py
@@ -191,7 +191,8 @@
 
     def test_it_waits_for_incoming_and_outgoing_connections(self):
         for connection in (self.acceptor, self.initiator):
-            self.assertTrue(connection.transport.disconnecting)
+            self.assertTrue(connection.transport.half_closed)
+            self.assertFalse(connection.transport.disconnecting)
             self.assertEqual([], self.closed)
             connection.connectionLost(gate_bench.CLOSED)
         self.assertEqual(1, len(self.closed))
