Nothing is passed on behind another request once a stop has begun

Three came at once 2.7 s after SIGTERM and were all passed on; the caller read the first answer (2.4 MB) until the process ended, the two behind it were cut.

Cause: whether a pipeline could be read in time was guessed from the largest answer so far; a process that has just started has none, and passed all on. The class: an end that takes on more than it can deliver. Sizes aren't known before an upstream answers, so no guess holds.

Change: once a stop has begun, a request behind another one of its connection is not passed on: the connection closes with the response before it, and the request counts as not read (callers send it again). Where it can't count so, as the response before it was encoded already or is still unsent, it is refused (503, not run). The guess and its figures are gone.

Why it works: each connection owes at most one response beyond those in flight at SIGTERM, whatever their size.

Tests: three new ones in test_proxy_server_close.py failed before (requests passed on: 4 for 2, 4 for 2, 3 for 1).

--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -310,7 +310,7 @@
         self._shutdown.begin(self._settings.bounds.grace_s)
         self.log.belief("stop", in_work=self._count_pending_requests())
         self._reporter.send_now()
-        self._server.begin_close(self._shutdown.exit_by_s)
+        self._server.begin_close()
         yield self._shutdown.wait_while_serving(self._count_pending_requests)
         self._shutdown.end()
         self.log.belief("stopped", in_work=self._count_pending_requests())
--- a/src/cyclamendale/proxy/caller_connection.py
+++ b/src/cyclamendale/proxy/caller_connection.py
@@ -245,13 +245,10 @@
         ):
             return
         self._in_body = False
-        if (
-            self._exchanges
-            and not self._server.may_be_read(
-                len(self._exchanges) + 1, self.read_by_s
-            )
-            and self._close_after_last()
-        ):
+        if self._server.is_closing and (self._exchanges or self.unsent_bytes):
+            # Its response might be read too late behind those before it.
+            if not (self._exchanges and self._close_after_last()):
+                self._refuse(503)
             return
         request = self._request
         request.method = self._parser.method()
@@ -351,8 +348,6 @@
         if not ready:
             return
         data = b"".join(ready)
-        if len(data) > self._server.largest_response_bytes:
-            self._server.largest_response_bytes = len(data)
         now_s = self._last_activity_s = self._server.clock.now_s()
         # The caller reads earlier responses first.
         self.read_by_s = (
--- a/src/cyclamendale/proxy/server.py
+++ b/src/cyclamendale/proxy/server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import Any
 
 from twisted.internet import protocol
@@ -28,7 +27,6 @@
         connections: Open connections.
         budget: Memory for the bodies of requests.
         is_closing: Whether connections close after their next response.
-        largest_response_bytes: Size of the largest response so far.
     """
 
     noisy = False
@@ -46,8 +44,6 @@
         self.handler = handler
         self.connections: set[caller_connection.CallerConnection] = set()
         self.is_closing = False
-        self._read_by_s = math.inf
-        self.largest_response_bytes = 0
         self.header_handlers = _make_header_handlers(header_names)
         self._log = log
         self._timer: clocks.DelayedCall | None = None
@@ -66,18 +62,13 @@
         """Stops the check for idle and slow connections."""
         clocks.cancel(self._timer)
 
-    def begin_close(self, read_by_s: float = math.inf) -> None:
+    def begin_close(self) -> None:
         """Lets each connection close after what is in flight on it.
 
         Idle connections stay open until `end_close`, and new ones are
         accepted: a request that crosses a close gets no response.
-
-        Args:
-            read_by_s: Clock time by which callers should have read what they
-                are sent.
         """
         self.is_closing = True
-        self._read_by_s = read_by_s
 
     def accept_waiting(self, port: Any) -> None:
         """Accepts connections that wait in the queue of a listening port.
@@ -104,20 +95,6 @@
         """Returns the size of the responses that are not sent yet."""
         return sum(connection.unsent_bytes for connection in self.connections)
 
-    def may_be_read(self, count: int, begin_s: float) -> bool:
-        """Returns whether a caller can read its responses before the exit.
-
-        Args:
-            count: Number of responses in a row. Their sizes are not known; the
-                largest response so far is assumed.
-            begin_s: Clock time at which it begins, if that is not past.
-        """
-        if not self.is_closing:
-            return True
-        size_bytes = count * self.largest_response_bytes
-        read_s = size_bytes / caller_connection.MIN_READ_BYTES_PER_S
-        return max(begin_s, self.clock.now_s()) + read_s <= self._read_by_s
-
     def log_malformed(self, detail: str) -> None:
         """Logs bytes of a caller that are not valid HTTP."""
         self._log.decision("malformed", "", detail=detail)
--- a/tests/test_proxy_server_close.py
+++ b/tests/test_proxy_server_close.py
@@ -84,27 +84,42 @@
         self.assertTrue(self.output().endswith(b"close\r\n\r\n2"))
         self.assertTrue(self.transport.half_closed)
 
-    def test_small_responses_of_a_pipeline_are_made_during_the_shutdown(self):
+    def test_nothing_is_passed_on_behind_another_request_at_a_stop(self):
+        # The process ended while its caller still read the responses before.
         self.receive(test_proxy_server.GET)
         self.handler.exchanges[0].respond(200, b"", b"small")
-        self.factory.begin_close(self.reactor.seconds() + 5.0)
+        self.factory.begin_close()
         self.receive(test_proxy_server.GET * 3)
-        for held_exchange in self.handler.exchanges[1:]:
-            held_exchange.respond(200, b"", b"small")
-        self.assertEqual(4, self.output().count(b"HTTP/1.1 200"))
+        self.assertEqual(2, len(self.handler.exchanges))
+        self.handler.exchanges[1].respond(200, b"", b"small")
+        self.assertEqual(2, self.output().count(b"HTTP/1.1 "))
         self.assertTrue(self.output().endswith(b"close\r\n\r\nsmall"))
+        self.assertTrue(self.transport.half_closed)
+
+    def test_a_request_behind_a_response_that_was_ready_is_refused(self):
+        # That response can't say any more that the connection closes.
+        self.receive(test_proxy_server.GET * 2)
+        self.handler.exchanges[1].respond(200, b"", b"")
+        self.factory.begin_close()
+        self.receive(test_proxy_server.GET * 2)
+        self.assertEqual(2, len(self.handler.exchanges))
+        self.handler.exchanges[0].respond(200, b"", b"")
+        self.assert_ends_with_a_refusal(behind=2)
 
-    def test_a_pipeline_is_not_run_if_it_may_not_be_read_in_time(self):
-        # The process ended while its caller still read the responses.
+    def test_a_request_behind_a_response_that_is_unsent_is_refused(self):
+        # The process ended while its caller still read that response.
         self.receive(test_proxy_server.GET)
-        size_bytes = 2 * caller_connection.MIN_READ_BYTES_PER_S
-        self.handler.exchanges[0].respond(200, b"", b"x" * size_bytes)
-        self.reactor.advance(2.0)
-        self.factory.begin_close(self.reactor.seconds() + 5.0)
-        self.receive(test_proxy_server.GET * 4)
-        self.assertEqual(3, len(self.handler.exchanges))
-        for held_exchange in self.handler.exchanges[1:]:
-            held_exchange.respond(200, b"", b"")
+        self.handler.exchanges[0].respond(200, b"", b"large")
+        self.transport._tempDataLen, self.transport.dataBuffer = 0, b"large"
+        self.factory.begin_close()
+        self.receive(test_proxy_server.GET * 2)
+        self.assertEqual(1, len(self.handler.exchanges))
+        self.assert_ends_with_a_refusal(behind=1)
+
+    def assert_ends_with_a_refusal(self, behind):
+        self.assertEqual(behind, self.output().count(b"HTTP/1.1 200 "))
+        self.assertEqual(1, self.output().count(b"HTTP/1.1 503 "))
+        self.assertIn(b"Retry-After: ", self.output())
         self.assertEqual(1, self.output().count(b"Connection: close\r\n"))
         self.assertTrue(self.transport.half_closed)
 
