A process that stood still at its end refuses what came meanwhile

Cause: the end of a stop took for granted that the reactor goes round while it waits. If the process stood still (no processor) until its time was over, all waits ended at once: connections with an unread request were closed, and those that had just been accepted. The class: an end that takes the time that passed for work that was done.

Evidence: test_what_came_while_a_process_stood_still_at_its_end_is_refused blocks the process over its end; before the change the kept connection ended without an answer.

Change: before it closes idle connections a node lets the reactor go round twice, however late it is: accept in one iteration, read and refuse in the next.

Why it works: each iteration polls all sockets, so what was there when the process went on is accepted, read and refused (503, not run) before the close.

--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -45,6 +45,7 @@
 from cyclamendale.proxy import run_server
 from cyclamendale.proxy import server
 from cyclamendale.quotas import bounds as quota_bounds
+from cyclamendale.store import load_limit
 from cyclamendale.store import watched_rows
 
 
@@ -330,6 +331,10 @@
         closed = defer.gatherResults(closing, consumeErrors=True)
         closed.addErrback(lambda failure: self.log.defect("stop", failure))
         yield self._shutdown.wait_while_closing(lambda: not closed.called)
+        # The reactor accepts what waits in one iteration and reads it in the
+        # next, also if the process stood still until it had to end.
+        for _ in range(2):
+            yield load_limit.sleep(self._clock, 0.0)
         self._server.end_close()
         yield self._shutdown.wait_while_closing(lambda: self._server.in_flight)
 
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -7,6 +7,7 @@
 import json
 import os
 import socket
+import time
 
 import msgspec
 from twisted.internet import defer
@@ -306,6 +307,34 @@
         self.assertIn(b"HTTP/1.1 503 ", response)
         self.assertIn(b"Retry-After:", response)
 
+    @defer.inlineCallbacks
+    def test_what_came_while_a_process_stood_still_at_its_end_is_refused(self):
+        # Kept and waiting connections were closed with the request unread.
+        self.publish(manifest_bytes())
+        yield self.until_status(lambda: self.get_readiness(1), 200)
+        node = self.nodes[0]
+        kept = yield threads.deferToThread(self.connect)
+        self.addCleanup(kept.close)
+        yield threads.deferToThread(self.exchange_raw, kept, b"/none")
+        callers = [kept]
+
+        def stand_still():
+            callers.append(self.connect())
+            self.addCleanup(callers[-1].close)
+            for caller in callers:
+                self.send_raw(caller)
+            time.sleep(node._settings.bounds.grace_s)
+
+        stop_learner = node._call_learner.stop
+        self.patch(
+            node._call_learner, "stop", lambda: (stand_still(), stop_learner())
+        )
+        yield node.stop()
+        self.nodes.remove(node)
+        for caller in callers:
+            response = yield threads.deferToThread(caller.recv, 65536)
+            self.assertIn(b"HTTP/1.1 503 ", response)
+
     @defer.inlineCallbacks
     def test_a_response_that_is_read_slowly_is_whole_after_a_stop(self):
         # The process ended with the part that its caller had not read.
@@ -335,13 +364,16 @@
         return socket.create_connection((f"{self.block}.1", 9001), TIMEOUT_S)
 
     def exchange_raw(self, caller, path=b"/read/x"):
+        self.send_raw(caller, path)
+        return caller.recv(65536)
+
+    def send_raw(self, caller, path=b"/read/x"):
         caller.sendall(
             b"GET " + path + b" HTTP/1.1\r\nHost: one\r\n"
             b"X-Cyclamendale-Attempt-Id: r2\r\n"
             b"X-Cyclamendale-Deadline-Ms: 5000\r\n"
             b"X-Cyclamendale-Credential: k1\r\n\r\n"
         )
-        return caller.recv(65536)
 
     @defer.inlineCallbacks
     def test_a_valid_change_is_applied_and_an_invalid_one_is_not(self):
