An interim response is no response that a caller has yet to read

A request with `Expect: 100-continue` whose body comes at once would have been refused (503) by a stopping node.

Cause: the interim response waits in the transport until the next iteration of the reactor, and counted as an unsent response of an earlier request.

Evidence: test_a_request_that_asks_for_its_body_is_not_behind_a_response, with a transport that buffers as a TCP one does: no request was passed on before.

Change: the interim response is sent at once, as responses are.

Why it works: nothing of it is left unsent unless the caller has stopped to read.

--- a/src/cyclamendale/proxy/caller_connection.py
+++ b/src/cyclamendale/proxy/caller_connection.py
@@ -312,7 +312,7 @@
     def handle_expect(self, name: bytes, value: bytes) -> None:
         """Asks for the body, since only complete bodies are forwarded."""
         if value.lower() == b"100-continue" and not self._exchanges:
-            self.transport.write(_CONTINUE)
+            _immediate_write.write_now(self.transport, _CONTINUE)
 
     def drop_header(self, name: bytes, value: bytes) -> None:
         """Drops a connection header or one that only nodes may set."""
--- a/tests/test_proxy_server_close.py
+++ b/tests/test_proxy_server_close.py
@@ -6,6 +6,21 @@
 from tests import test_proxy_server
 
 
+class BufferingTransport(test_proxy_server.Transport):
+    """A transport that sends what is written later, as a TCP one does."""
+
+    dataBuffer = b""
+    _tempDataLen = 0
+
+    def write(self, data):
+        super().write(data)
+        self._tempDataLen += len(data)
+
+    def writeSomeData(self, data):
+        super().write(data)
+        return len(data)
+
+
 class CloseTest(test_proxy_server.ServerCase):
     def test_a_connection_opened_during_the_shutdown_closes_too(self):
         self.factory.begin_close()
@@ -116,6 +131,19 @@
         self.assertEqual(1, len(self.handler.exchanges))
         self.assert_ends_with_a_refusal(behind=1)
 
+    def test_a_request_that_asks_for_its_body_is_not_behind_a_response(self):
+        # The interim response counted as one that is unsent.
+        transport = BufferingTransport()
+        connection = self.factory.buildProtocol(None)
+        connection.makeConnection(transport)
+        self.factory.begin_close()
+        connection.dataReceived(
+            b"POST / HTTP/1.1\r\nExpect: 100-continue\r\n"
+            b"Content-Length: 1\r\n\r\na"
+        )
+        self.assertEqual(1, len(self.handler.exchanges))
+        self.assertEqual(b"HTTP/1.1 100 Continue\r\n\r\n", transport.value())
+
     def assert_ends_with_a_refusal(self, behind):
         self.assertEqual(behind, self.output().count(b"HTTP/1.1 200 "))
         self.assertEqual(1, self.output().count(b"HTTP/1.1 503 "))
