Soak: stops beside faults of the store and upstreams that end

`--work stops` restarts one process, several in turn, or failure domains at once in two lanes, while the store is impaired in turn in all its ways and upstreams leave or crash. No kills, freezes or faults of links to upstreams, which excuse lost requests, so that a request that a stop loses is not excused by chance. Slow uploads, pipelines and slow readers are those of the other work.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -33,7 +33,8 @@
         choices=[work.value for work in runner.Work],
         default=runner.Work.ALL.value,
         help="planned: without kills, freezes and upstreams that leave;"
-        " faults: with those of the store and of links besides",
+        " faults: with those of the store and of links besides;"
+        " stops: beside faults of the store and upstreams that leave or end",
     )
     parser.add_argument("--logs", help="folder that keeps the nodes' logs")
     options = parser.parse_args()
--- a/soak/departures.py
+++ b/soak/departures.py
@@ -116,3 +116,8 @@
         CrashTarget(),
         LeaveMachine(),
     ]
+
+
+def make_ends_of_upstreams() -> list[planned_work.Action]:
+    """Returns departures that impair no process."""
+    return [LeaveTarget(), LeaveTarget(), CrashTarget(), LeaveMachine()]
--- a/soak/planned_work.py
+++ b/soak/planned_work.py
@@ -137,3 +137,8 @@
         RewriteSettings(),
         ChangeConfiguration(),
     ]
+
+
+def make_stops() -> list[Action]:
+    """Returns planned work that stops processes, one or many at once."""
+    return [RestartOne(), RestartInTurn(), RestartFailureDomain()]
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -53,6 +53,7 @@
     PLANNED = "planned"
     ALL = "all"
     FAULTS = "faults"
+    STOPS = "stops"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -121,7 +122,7 @@
         self._hosts = hosts
         self._requests: list[checks.Request] = []
         self._links: links.Links | None = None
-        if plan.work is Work.FAULTS:
+        if plan.work in (Work.FAULTS, Work.STOPS):
             self._links = links.Links(hosts)
         self._kinds = connections.make_kinds(plan.site)
         self._history = history.History()
@@ -199,6 +200,21 @@
                 )
             )
         )
+        await asyncio.gather(*map(self._work_in_series, self._make_lanes()))
+        stopped.set()
+        await asyncio.gather(*senders)
+        for watcher in watchers:
+            watcher.cancel()
+
+    def _make_lanes(self) -> list[list[planned_work.Action]]:
+        """Returns the kinds of actions that follow one another, by lane."""
+        if self._plan.work is Work.STOPS:
+            assert self._links is not None
+            return [
+                *[planned_work.make_stops()] * PLANNED_LANES,
+                departures.make_ends_of_upstreams(),
+                [faults.StoreFault(self._record, self._links, self._serves)],
+            ]
         lanes = [planned_work.make_actions()] * PLANNED_LANES
         if self._plan.work is not Work.PLANNED:
             lanes.append(departures.make_actions())
@@ -206,11 +222,7 @@
             lanes.append(
                 faults.make_actions(self._record, self._links, self._serves)
             )
-        await asyncio.gather(*map(self._work_in_series, lanes))
-        stopped.set()
-        await asyncio.gather(*senders)
-        for watcher in watchers:
-            watcher.cancel()
+        return lanes
 
     def _make_client(self, domain: clients.Domain) -> clients.Client:
         loads = self._plan.site.loads
