--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -46,6 +46,7 @@
 from cyclamendale.proxy import run_server
 from cyclamendale.proxy import server
 from cyclamendale.quotas import bounds as quota_bounds
+from cyclamendale.store import load_limit
 from cyclamendale.store import watched_rows
 
 
@@ -310,7 +311,7 @@
         self._shutdown.begin(self._settings.bounds.grace_s)
         self.log.belief("stop", in_work=run(self._count_pending_requests))
         run(self._reporter.send_now)
-        run(self._server.begin_close, self._shutdown.exit_by_s)
+        run(self._server.begin_close)
         # Requests that can't be counted get all the time there is.
         yield self._shutdown.wait_while_serving(
             lambda: run(self._count_pending_requests, otherwise=1)
@@ -327,6 +328,7 @@
                 self._configuration_sync.stop,
                 self._discovery.stop,
                 self._gate.stop,
+                self._run_server.stop,
                 self._dispatcher.stop,
                 self._server.stop,
                 self._links.stop,
@@ -338,6 +340,10 @@
         closed = defer.gatherResults(filter(None, closing), consumeErrors=True)
         closed.addErrback(lambda failure: self.log.defect("stop", failure))
         yield self._shutdown.wait_while_closing(lambda: not closed.called)
+        # The reactor accepts what waits in one iteration and reads it in the
+        # next, also if the process stood still until it had to end.
+        for _ in range(2):
+            yield load_limit.sleep(self._clock, 0.0)
         run(self._server.end_close)
         yield self._shutdown.wait_while_closing(lambda: self._server.in_flight)
 
