Never wait for a reader of standard error

If standard error is a full pipe that nobody reads, a start with unusable settings was held without end, and so was a node that serves, by any failure that Twisted's reactor catches.

Cause: a line for unusable settings was written by a blocking call, and Twisted writes tracebacks to standard error until a program begins its log.

What Python itself writes to standard error is dropped where that does not take it at once.

Why it works: a descriptor that poll calls writable takes PIPE_BUF bytes without a wait.

--- a/src/cyclamendale/platform/daemon.py
+++ b/src/cyclamendale/platform/daemon.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-import contextlib
 import gc
 import os
 import signal
+import sys
 from typing import Any
 
 from expression import Result
 
 from cyclamendale import clocks
 from cyclamendale import lean_reactor
+from cyclamendale.fleet import failure_log
 from cyclamendale.fleet import formats
 from cyclamendale.fleet import journal
 from cyclamendale.fleet import listen_addresses
@@ -23,7 +24,6 @@
 from cyclamendale.platform import store
 
 EXIT_NO_SETTINGS = 2
-STANDARD_ERROR = 2
 
 GC_THRESHOLD_YOUNG = 50_000
 """Net allocations that trigger a collection of the youngest generation.
@@ -67,6 +67,7 @@
     def __init__(self, reactor: Any) -> None:
         self._reactor = reactor
         self._clock = clocks.SystemClock(reactor)
+        self._failures = failure_log.install(self._make_journal(""))
         self._node: nodes.Node | None = None
         self._is_stopping = False
         self._contents: _Contents | None = None
@@ -83,7 +84,7 @@
             and contents.error.problem is settings.Problem.NO_PATH
         ):
             # The one fault that can't pass while the process lives.
-            _write_error(str(contents.error))
+            sys.stderr.write(f"{contents.error}\n")
             return EXIT_NO_SETTINGS
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._handle_stop_signal)
@@ -150,7 +151,7 @@
             path = os.environ[settings.PATH_VARIABLE]
             error_text = str(loaded.error)
             if self._tell("", "settings-unusable", path=path, error=error_text):
-                _write_error(f"{path}: {error_text}")
+                sys.stderr.write(f"{path}: {error_text}\n")
             return
         host = loaded.ok.host
         obstacle = listen_addresses.find_obstacle(loaded.ok)
@@ -168,7 +169,7 @@
                 store.make_rows(
                     self._reactor, self._clock, loaded.ok.store_address
                 ),
-                journal.make_journal(self._clock, host),
+                self._make_journal(host),
             )
             node.start()
         except Exception as failure:
@@ -178,6 +179,7 @@
             self._tell(host, "start-failed", error=text)
             return
         self._node = node
+        self._failures.log = node.log
         gc.collect()
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD_YOUNG)
@@ -196,15 +198,12 @@
         self._told = (event, fields)
         self._told_s = now_s
         waited_s = round(now_s - self._first_look_s, 1)
-        log = journal.make_journal(self._clock, host)
+        log = self._make_journal(host)
         log.belief(event, **fields, waited_s=waited_s)
         return True
 
-
-def _write_error(text: str) -> None:
-    """Writes a line to standard error, if that takes it at once."""
-    with contextlib.suppress(OSError):
-        os.write(STANDARD_ERROR, f"{text}\n".encode())
+    def _make_journal(self, host: str) -> journal.Journal:
+        return journal.make_journal(self._clock, host)
 
 
 def _ignore_signals() -> None:
@@ -219,6 +218,7 @@
 
 def main() -> int:
     """Runs the daemon; returns the exit code."""
+    sys.stderr = failure_log.ErrorStream()
     try:
         return Daemon(lean_reactor.install()).run()
     finally:
--- a/tests/support/daemon_process.py
+++ b/tests/support/daemon_process.py
@@ -51,7 +51,13 @@
     def write_settings(self, **changes):
         self.path.write_text(json.dumps(self.settings | changes))
 
-    def start(self, preamble="", environment=None, root=ROOT):
+    def start(
+        self,
+        preamble="",
+        environment=None,
+        root=ROOT,
+        stderr=subprocess.STDOUT,
+    ):
         """Starts the deploy file's program; `preamble` runs before it."""
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         words = deploy["roles"]["node"]["run"].split(" ")
@@ -68,7 +74,7 @@
         process = subprocess.Popen(
             command,
             stdout=subprocess.PIPE,
-            stderr=subprocess.STDOUT,
+            stderr=stderr,
             env={
                 "CYCLAMENDALE_BOOT": str(self.path),
                 "PYTHONPATH": os.pathsep.join(sys.path),
