Follow a changed address of the store at a reload

After a change of the store's address in the settings a node went on with the old one until its process ended, and learned no configuration if that one was gone.

Cause: the client of the store was made once, and Node.reload kept the settings' address of the start.

Change: the client moves: requests in flight are given up, and a watch with a version of the other store ends as one whose history is gone, so that the table is read anew.

Why it works: every request takes the address at the time it is sent, and no version is used with a store that did not give it.

--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -5,7 +5,6 @@
 import random
 from typing import Any
 
-import msgspec
 from twisted.internet import defer
 
 from cyclamendale import buffer_budget
@@ -307,16 +306,15 @@
     def stop(self) -> Any:
         """Serves while callers move away, then stops; cuts off no request."""
         run = steps.Steps(self.log, "stop").run
+        count = self._count_pending_requests
         self._shutdown.begin(self._settings.bounds.grace_s)
-        self.log.belief("stop", in_work=run(self._count_pending_requests))
+        self.log.belief("stop", in_work=run(count))
         run(self._reporter.send_now)
         run(self._server.begin_close, self._shutdown.exit_by_s)
         # Requests that can't be counted get all the time there is.
-        yield self._shutdown.wait_while_serving(
-            lambda: run(self._count_pending_requests, otherwise=1)
-        )
+        yield self._shutdown.wait_while_serving(lambda: run(count, otherwise=1))
         self._shutdown.end()
-        self.log.belief("stopped", in_work=run(self._count_pending_requests))
+        self.log.belief("stopped", in_work=run(count))
         self._reactor.callLater(0, self._server.accept_waiting, self._port)
         closing = run(self._listeners.close, otherwise=[])
         closing += map(
@@ -357,13 +355,9 @@
             "reload",
             service=settings.service,
             upstream=settings.upstream_address,
+            store=settings.store_address,
         )
-        self._settings = msgspec.structs.replace(
-            self._settings,
-            service=settings.service,
-            upstream_address=settings.upstream_address,
-            bounds=settings.bounds,
-        )
+        self._settings = self._settings.reloaded(settings)
 
     # Callbacks between the parts.
 
--- a/src/cyclamendale/fleet/settings.py
+++ b/src/cyclamendale/fleet/settings.py
@@ -83,6 +83,16 @@
         """Returns the address at which other nodes reach this one."""
         return ids.PeerAddress(f"{self.ip}:{self.peer_port}")
 
+    def reloaded(self, new: HostSettings) -> HostSettings:
+        """Returns these settings with the values that a reload may change."""
+        return msgspec.structs.replace(
+            self,
+            service=new.service,
+            upstream_address=new.upstream_address,
+            store_address=new.store_address,
+            bounds=new.bounds,
+        )
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Returns host and port of an `ip:port` string.
--- a/src/cyclamendale/platform/daemon.py
+++ b/src/cyclamendale/platform/daemon.py
@@ -69,6 +69,7 @@
         self._clock = clocks.SystemClock(reactor)
         self._failures = failure_log.install(self._make_journal(""))
         self._node: nodes.Node | None = None
+        self._rows: store.PlatformRows | None = None
         self._is_stopping = False
         self._contents: _Contents | None = None
         self._timer: clocks.DelayedCall | None = None
@@ -142,6 +143,8 @@
         loaded = contents.bind(settings.decode)
         if loaded.is_ok():
             node.reload(loaded.ok)
+            if self._rows is not None:
+                self._rows.move(loaded.ok.store_address)
         else:
             node.log.belief("reload-failed", error=str(loaded.error))
 
@@ -162,13 +165,14 @@
             )
             return
         try:
+            rows = store.make_rows(
+                self._reactor, self._clock, loaded.ok.store_address
+            )
             node = nodes.make_node(
                 self._reactor,
                 loaded.ok,
                 FORMATS,
-                store.make_rows(
-                    self._reactor, self._clock, loaded.ok.store_address
-                ),
+                rows,
                 self._make_journal(host),
             )
             node.start()
@@ -178,7 +182,7 @@
             text = f"{type(failure).__name__}: {failure}"
             self._tell(host, "start-failed", error=text)
             return
-        self._node = node
+        self._node, self._rows = node, rows
         self._failures.log = node.log
         gc.collect()
         gc.freeze()
--- a/src/cyclamendale/platform/store.py
+++ b/src/cyclamendale/platform/store.py
@@ -61,9 +61,21 @@
             CONNECT_TIMEOUT_S,
             MAX_CONNECTIONS,
         )
+        self._address = address
+        self._addresses_read: dict[str, str] = {}
+
+    def move(self, address: str) -> None:
+        """Uses the store at another address from now on.
+
+        Versions are those of one store, so that tables are read anew.
+        """
+        if address != self._address:
+            self._address = address
+            self._sender.move(f"http://{address}")
 
     async def read(self, table: str) -> watched_rows.RowsResult:
         """See base class."""
+        self._addresses_read[table] = self._address
         rows: list[watched_rows.TableRow] = []
         first_key = ""
         while True:
@@ -86,6 +98,10 @@
         self, table: str, after_version: int, wait_s: float
     ) -> watched_rows.RowsResult:
         """See base class."""
+        if self._addresses_read.get(table, self._address) != self._address:
+            return _make_error(
+                watched_rows.RowsErrorKind.HISTORY_GONE, "another store"
+            )
         query = {
             "table": table,
             "after": after_version,
--- a/src/cyclamendale/store/http_attempt.py
+++ b/src/cyclamendale/store/http_attempt.py
@@ -111,6 +111,7 @@
         max_connections: int,
     ) -> None:
         self._clock = clock
+        self._pending: set[defer.Deferred[Any]] = set()
         self._base_url = base_url.rstrip("/")
         self._timeout_s = timeout_s
         self._pool = client.HTTPConnectionPool(reactor, persistent=True)
@@ -150,6 +151,7 @@
             pending.cancel()
 
         timer = self._clock.call_later(self._timeout_s + wait_s, time_out)
+        self._pending.add(pending)
         try:
             return Ok(await pending)
         except (
@@ -169,9 +171,17 @@
         ):
             return Error(AttemptFailure.LOST)
         finally:
+            self._pending.discard(pending)
             if timer.active():
                 timer.cancel()
 
+    def move(self, base_url: str) -> None:
+        """Sends all further requests elsewhere and gives up those in flight."""
+        self._base_url = base_url.rstrip("/")
+        self._pool.closeCachedConnections()
+        for pending in tuple(self._pending):
+            pending.cancel()
+
     async def _send_request(
         self, method: str, path: str, body: bytes | None
     ) -> HttpResponse:
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -106,6 +106,18 @@
         self.wait_event(process, "reload")
         self.stop(process)
 
+    def test_a_changed_address_of_the_store_is_used(self):
+        # It was ignored until the process ended.
+        process = self.start()
+        self.wait_event(process, "start")
+        ip = self.settings["ip"]
+        other = socket.create_server((ip, 9020))
+        self.addCleanup(other.close)
+        other.settimeout(daemon_process.WAIT_S)
+        self.write_settings(platform={"address": f"{ip}:9020"})
+        other.accept()[0].close()
+        self.stop(process)
+
 
 class OverlappingProcessesTest(daemon_process.DaemonCase):
     def test_a_process_started_while_another_drains_takes_its_place(self):
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -52,6 +52,53 @@
         return defer.Deferred.fromCoroutine(coroutine)
 
 
+class MovedStoreTest(StoreCase):
+    """A changed address of the store was ignored."""
+
+    def setUp(self):
+        super().setUp()
+        self.other = platform_store.PlatformStore()
+        port = reactor.listenTCP(
+            0, platform_store.make_site(self.other), interface=LOOPBACK
+        )
+        self.addCleanup(port.stopListening)
+        self.other_address = f"{LOOPBACK}:{port.getHost().port}"
+        for number in range(3):
+            self.store.write("t", "k", b"%d" % number)
+        self.other.write("t", "k", b"other")
+
+    @defer.inlineCallbacks
+    def test_a_read_goes_to_the_other_store(self):
+        yield self.call(self.rows.read("t"))
+        self.rows.move(self.other_address)
+        found = yield self.call(self.rows.read("t"))
+        self.assertEqual(
+            (1, b"other"), (found.ok.version, found.ok.rows[0].value)
+        )
+
+    @defer.inlineCallbacks
+    def test_a_request_in_flight_ends(self):
+        self.store.fault = FAULT.SILENT
+        watched = self.call(self.rows.watch("t", 3, 15.0))
+        yield task.deferLater(reactor, 0.05)
+        self.assertFalse(watched.called)
+        self.rows.move(self.other_address)
+        result = yield watched
+        self.assertEqual(KINDS.OUTCOME_UNKNOWN, result.error.kind)
+
+    @defer.inlineCallbacks
+    def test_versions_of_the_first_store_are_void(self):
+        # Changes of a store with a shorter history would be missed.
+        first = yield self.call(self.rows.read("t"))
+        self.rows.move(self.other_address)
+        result = yield self.call(self.rows.watch("t", first.ok.version, 0.5))
+        self.assertEqual(KINDS.HISTORY_GONE, result.error.kind)
+        found = yield self.call(self.rows.read("t"))
+        self.other.write("t", "k", b"new")
+        result = yield self.call(self.rows.watch("t", found.ok.version, 0.5))
+        self.assertEqual(2, result.ok.version)
+
+
 class RowsTest(StoreCase):
     @defer.inlineCallbacks
     def test_a_written_row_is_read(self):
