Wait for earlier responses before a refused caller is cut off

Callers saw: a reset in the middle of a response.

Cause: a connection with a refused request was aborted a second after the refusal, also while earlier responses were unsent or unread. The class: an end of sending taken for the end of the delivery.

Change: the abort waits until nothing is in flight, which counts what the caller has yet to read; the idle time-out bounds it.

Why it works: it is the condition by which a stopping node decides that callers have read their responses.

Four of the six tests failed before; the two of callers that never read are guards.

--- a/src/cyclamendale/proxy/caller_connection.py
+++ b/src/cyclamendale/proxy/caller_connection.py
@@ -79,11 +79,11 @@
         elapsed_s = now_s - self._last_activity_s
         limit_s = limits.idle_timeout_s
         if self._is_draining:
-            if not self._is_idle():
-                return
-            if self._is_refused and elapsed_s > LINGER_S:
+            is_over = self._is_idle() and elapsed_s > limit_s
+            # Earlier responses may still be read.
+            if self._is_refused and (is_over or not self.in_flight):
                 self.transport.abortConnection()
-            elif elapsed_s > limit_s:
+            elif is_over:
                 self.transport.loseConnection()
         elif self._in_head or self._in_body:
             if self._in_head:
--- a/tests/test_proxy_server_close.py
+++ b/tests/test_proxy_server_close.py
@@ -211,3 +211,39 @@
         self.handler.exchanges[0].respond(200, b"", b"x")
         self.assertIn(b"Connection: close\r\n", self.output())
         self.assertTrue(self.transport.half_closed)
+
+
+class RefusalTest(test_proxy_server.ServerCase):
+    """A request refused behind unread responses cut them after a second."""
+
+    scenarios = [
+        ("malformed", {"data": b"\0\r\n\r\n"}),
+        ("too large", {"data": b"POST / HTTP/1.1\r\nHost: one\r\n"
+            b"Content-Length: 60\r\n\r\n" + b"x" * 60}),
+    ]  # fmt: skip
+
+    def refuse_behind(self, size_bytes):
+        self.receive(test_proxy_server.GET)
+        self.handler.exchanges[0].respond(200, b"", b"x" * size_bytes)
+        self.receive(self.data)
+        self.assertIn(b"Connection: close\r\n", self.output())
+
+    def test_responses_before_a_refused_request_are_read_to_the_end(self):
+        read_s = 3.0
+        self.refuse_behind(int(read_s * caller_connection.MIN_READ_BYTES_PER_S))
+        self.reactor.pump([0.25] * int(read_s / 0.25))
+        self.assertFalse(self.transport.disconnecting)
+        self.reactor.pump([0.25] * 6)
+        self.assertTrue(self.transport.disconnecting)
+
+    def test_responses_that_are_read_more_slowly_are_not_cut(self):
+        self.refuse_behind(1)
+        self.transport._tempDataLen, self.transport.dataBuffer = 0, b"x"
+        self.reactor.pump([0.25] * 8)
+        self.assertFalse(self.transport.disconnecting)
+
+    def test_a_caller_that_never_reads_its_refusal_is_closed(self):
+        self.refuse_behind(1)
+        self.transport._tempDataLen, self.transport.dataBuffer = 0, b"x"
+        self.reactor.pump([0.25] * 64)
+        self.assertTrue(self.transport.disconnecting)
