Count idle time from when a response should be read

Callers saw: a kept connection that ended without an answer to the next request, though it had been idle for half the time-out only.

Cause: idle time began when a response was written into the server's buffer; a caller that reads a large one slowly counts from its last byte.

Change: a connection with unsent data isn't idle, and idle time begins at the time until which a stopping node would wait for the caller.

Why it works: the time is never earlier than the caller's own for readers of 250 kB/s or more.

Both tests failed before.

--- a/src/cyclamendale/proxy/caller_connection.py
+++ b/src/cyclamendale/proxy/caller_connection.py
@@ -76,10 +76,10 @@
     def check_timeouts(self, now_s: float) -> None:
         """Closes a connection that is idle or slow for too long."""
         limits = self._server.handler.limits()
-        elapsed_s = now_s - self._last_activity_s
+        idle_s = now_s - max(self._last_activity_s, self.read_by_s)
         limit_s = limits.idle_timeout_s
         if self._is_draining:
-            is_over = self._is_idle() and elapsed_s > limit_s
+            is_over = self._is_idle() and idle_s > limit_s
             # Earlier responses may still be read.
             if self._is_refused and (is_over or not self.in_flight):
                 self.transport.abortConnection()
@@ -88,9 +88,9 @@
         elif self._in_head or self._in_body:
             if self._in_head:
                 limit_s = limits.head_timeout_s
-            if elapsed_s > limit_s:
+            if now_s - self._last_activity_s > limit_s:
                 self._refuse(408)
-        elif self._is_idle() and elapsed_s > limit_s:
+        elif not self.in_flight and idle_s > limit_s:
             self.transport.loseConnection()
 
     def end_close(self) -> None:
--- a/tests/test_proxy_server_close.py
+++ b/tests/test_proxy_server_close.py
@@ -247,3 +247,28 @@
         self.transport._tempDataLen, self.transport.dataBuffer = 0, b"x"
         self.reactor.pump([0.25] * 64)
         self.assertTrue(self.transport.disconnecting)
+
+
+class IdleTest(test_proxy_server.ServerCase):
+    """A caller counts from its last byte, the server did from its own."""
+
+    def test_a_connection_is_not_idle_while_its_response_is_read(self):
+        read_s = 3.0
+        self.receive(test_proxy_server.GET)
+        size_bytes = int(read_s * caller_connection.MIN_READ_BYTES_PER_S)
+        self.handler.exchanges[0].respond(200, b"", b"x" * size_bytes)
+        limit_s = test_proxy_server.LIMITS.idle_timeout_s
+        self.reactor.pump([0.25] * int((read_s + limit_s) / 0.25))
+        self.assertFalse(self.transport.disconnecting)
+        self.reactor.pump([0.25] * 2)
+        self.assertTrue(self.transport.disconnecting)
+
+    def test_a_connection_with_unsent_data_is_not_idle(self):
+        self.receive(test_proxy_server.GET)
+        self.handler.exchanges[0].respond(200, b"", b"x")
+        self.transport._tempDataLen, self.transport.dataBuffer = 0, b"x"
+        self.reactor.pump([0.25] * 80)
+        self.assertFalse(self.transport.disconnecting)
+        self.transport.dataBuffer = b""
+        self.reactor.pump([0.25] * 2)
+        self.assertTrue(self.transport.disconnecting)
