A refusal leaves its caller time to read the responses before it

A slow caller lost an answer of 1.5 or 2.0 MB in the middle, by a reset, and the one behind it, 1.9 and 2.4 s after SIGTERM, while the process went on for 3.8 and 3.3 s more.

Cause: a refused caller is read on for a second, then its connection is aborted, whatever it has yet to read.

Change: the abort waits as a stop does, until all is sent and for a second after the caller is taken to have read it (250 kB/s). After the idle time-out the connection is closed like others.

Why it works: nothing of the responses is left at the abort, unless the caller reads slower than that.

Tests: two new ones in test_proxy_server_close.py failed before.

--- a/src/cyclamendale/proxy/caller_connection.py
+++ b/src/cyclamendale/proxy/caller_connection.py
@@ -80,7 +80,7 @@
         if self._is_draining:
             if not self._is_idle():
                 return
-            if self._is_refused and elapsed_s > LINGER_S:
+            if self._is_refused and not self._may_be_unread():
                 self.transport.abortConnection()
             elif elapsed_s > limit_s:
                 self.transport.loseConnection()
@@ -98,9 +98,7 @@
             return
         if self._in_head or self._in_body:
             self._refuse(503)
-        elif self.unsent_bytes or (
-            self._server.clock.now_s() <= self.read_by_s + LINGER_S
-        ):
+        elif self._may_be_unread():
             self._close()
         else:
             self.transport.loseConnection()
@@ -116,11 +114,17 @@
         while after they were sent on a connection that closes.
         """
         is_unread = self.unsent_bytes or (
-            self._is_draining
-            and self._server.clock.now_s() <= self.read_by_s + LINGER_S
+            self._is_draining and self._may_be_unread()
         )
         return len(self._exchanges) + bool(is_unread)
 
+    def _may_be_unread(self) -> bool:
+        """Returns whether the caller may still read what it was sent."""
+        linger_by_s = self.read_by_s + LINGER_S
+        return bool(self.unsent_bytes) or (
+            self._server.clock.now_s() <= linger_by_s
+        )
+
     @property
     def unsent_bytes(self) -> int:
         """Returns the size of the responses that are not sent yet."""
--- a/tests/test_proxy_server_close.py
+++ b/tests/test_proxy_server_close.py
@@ -144,6 +144,32 @@
         self.assertEqual(1, len(self.handler.exchanges))
         self.assertEqual(b"HTTP/1.1 100 Continue\r\n\r\n", transport.value())
 
+    def test_a_refusal_leaves_time_to_read_the_responses_before_it(self):
+        # The connection was aborted a second later, and they were lost.
+        self.receive(test_proxy_server.GET)
+        read_s = 3.0
+        size_bytes = int(read_s * caller_connection.MIN_READ_BYTES_PER_S)
+        self.handler.exchanges[0].respond(200, b"", b"x" * size_bytes)
+        self.receive(b"malformed\r\n\r\n")
+        self.assertIn(b"HTTP/1.1 400 ", self.output())
+        self.reactor.pump([0.25] * 15)
+        self.assertFalse(self.transport.disconnecting)
+        self.reactor.pump([0.25] * 3)
+        self.assertTrue(self.transport.disconnecting)
+
+    def test_a_refusal_behind_an_unsent_response_aborts_nothing(self):
+        # The connection was aborted a second later, and they were lost.
+        self.receive(test_proxy_server.GET)
+        self.handler.exchanges[0].respond(200, b"", b"large")
+        self.transport._tempDataLen, self.transport.dataBuffer = 0, b"large"
+        self.factory.begin_close()
+        self.receive(test_proxy_server.GET)
+        self.reactor.pump([0.25] * 12)
+        self.assertFalse(self.transport.disconnecting)
+        self.transport.dataBuffer = b""
+        self.reactor.pump([0.25] * 2)
+        self.assertTrue(self.transport.disconnecting)
+
     def assert_ends_with_a_refusal(self, behind):
         self.assertEqual(behind, self.output().count(b"HTTP/1.1 200 "))
         self.assertEqual(1, self.output().count(b"HTTP/1.1 503 "))
