--- a/src/cyclamendale/proxy/caller_connection.py
+++ b/src/cyclamendale/proxy/caller_connection.py
@@ -97,10 +97,9 @@
         """Closes the connection, or refuses a request that is incomplete."""
         if self._is_draining or self._exchanges:
             return
-        is_recent = self._server.clock.now_s() <= self.read_by_s + LINGER_S
         if self._in_head or self._in_body:
             self._refuse(503)
-        elif self.unsent_bytes or is_recent:
+        elif self._may_be_unread():
             self._close()
         else:
             _immediate_close.close_now(self.transport)
@@ -116,11 +115,17 @@
         while after they were sent on a connection that closes.
         """
         is_unread = self.unsent_bytes or (
-            self._is_draining
-            and self._server.clock.now_s() <= self.read_by_s + LINGER_S
+            self._is_draining and self._may_be_unread()
         )
         return len(self._exchanges) + bool(is_unread)
 
+    def _may_be_unread(self) -> bool:
+        """Returns whether the caller may still read what it was sent."""
+        linger_by_s = self.read_by_s + LINGER_S
+        return bool(self.unsent_bytes) or (
+            self._server.clock.now_s() <= linger_by_s
+        )
+
     @property
     def unsent_bytes(self) -> int:
         """Returns the size of the responses that are not sent yet."""
