--- a/soak/checks.py
+++ b/soak/checks.py
@@ -19,7 +19,12 @@
 MAX_SENT_AFTER_STOP_S = 3.0
 CUT_AFTER_GRACE_S = 1.0
 LOSS_SLACK_S = float(standins.BOUNDS["loss_slack_s"])
-APPLY_S = float(standins.BOUNDS["config_apply_s"])
+
+GONE_SLACK_S = 0.5
+"""Time after the end of a client's connection by which runs for it end."""
+
+HELD_SLACK_S = 0.5
+"""Time after the time-out of a route by which an answer is due (RULES.md)."""
 
 TIME_MARGIN_S = 0.1
 PROMISES = (408, 421, 429, 503)
@@ -32,7 +37,9 @@
     OWN_END = "FAULT"
     EARLY_HANGUP = "FAULT, SIGHUP before any handler"
     OVERRUN = "FAULT, outlived the grace period"
+    MEMORY = "FAULT, over its memory"
     NOT_READY = "RECOVER, not ready in time"
+    NOT_SERVING = "RECOVER, not serving in time"
     LOST = "LOST"
     UNREAD = "LOST, closed late without an answer"
     BROKEN_OFF = "LOST, broken off"
@@ -42,6 +49,8 @@
     UNASKED = "UNASKED"
     ROUTE = "ROUTE"
     CONFIG = "CONFIG"
+    GONE = "GONE"
+    HELD = "CONFIG, held past its time-out"
     OLD_VERSION = "CONFIG, older version"
     REGRESSED = "CONFIG, regressed"
     DRAIN = "DRAIN"
@@ -60,10 +69,12 @@
         path: Its path.
         body: Its body.
         started_s: Time of its first byte.
+        answered_s: When the head of its answer had come, if it has.
+        gave_up_s: When its client closed the connection, if it did so first.
         process: The process that took it, if only one could.
         is_behind: Whether it was sent behind another one on its connection.
         is_whole: Whether it was sent to its end.
-        has_key: Whether it carries the key of a tenant.
+        key: Key of a tenant that it carries, if any.
         caller: Service of the host that it was sent to.
         is_changed: Whether the body of the answer isn't the upstream's.
         read_bytes: Length of the body that was read.
@@ -76,10 +87,12 @@
     path: str
     body: bytes = b""
     started_s: float = 0.0
+    answered_s: float | None = None
+    gave_up_s: float | None = None
     process: int | None = None
     is_behind: bool = False
     is_whole: bool = True
-    has_key: bool = True
+    key: str = standins.KEY
     caller: str = ""
     is_changed: bool = False
     read_bytes: int = 0
@@ -169,10 +182,14 @@
         yield loss
     if any(_is_late_at_target(request, run, past) for run in runs):
         yield Finding.DRAIN
+    if any(_is_run_for_nobody(request, run, past) for run in runs):
+        yield Finding.GONE
+    if _is_held(request, past):
+        yield Finding.HELD
 
 
 def _is_unasked(request: Request, run: targets.Run) -> bool:
-    tenant = standins.TENANT if request.has_key else ""
+    tenant = standins.TENANT if request.key else ""
     return (
         run.body != request.body
         or run.head.start.split(" ")[:2] != [request.method, request.path]
@@ -210,6 +227,8 @@
     )
     if request.is_done() or answer.is_complete and not is_own:
         return None
+    if request.gave_up_s is not None:
+        return None
     if find_excuse(request, runs, past):
         return None
     if not answer.is_complete:
@@ -219,16 +238,12 @@
         took_s = answer.ended_s - answer.sent_s
         took_s -= past.late_between_s(answer.sent_s, answer.ended_s)
         is_late = took_s > LOSS_SLACK_S + TIME_MARGIN_S
-        if (
-            request.is_whole
-            and not request.is_behind
-            and is_late
-            and _is_planned(request, past)
-        ):
+        if request.is_whole and not request.is_behind and is_late:
             return Finding.UNREAD
         return None
     is_at_work = any(
-        run.ended_s is None or run.ended_s > answer.ended_s for run in runs
+        run.is_dropped or run.ended_s is None or run.ended_s > answer.ended_s
+        for run in runs
     )
     is_stopped = any(
         0.0 <= answer.ended_s - stop_s <= GRACE_S + CUT_AFTER_GRACE_S
@@ -239,28 +254,10 @@
     return None
 
 
-def _is_planned(request: Request, past: history.History) -> bool:
-    """Returns whether a request ended around planned work on its host."""
-    answer = request.answer
-    return any(
-        0.0 <= answer.ended_s - stop_s <= GRACE_S + CUT_AFTER_GRACE_S
-        for stop_s in past.stops_s[request.host]
-    ) or any(
-        answer.sent_s - APPLY_S <= hangup_s <= answer.ended_s
-        for hangup_s in past.hangups_s[request.host]
-    )
-
-
 def find_excuse(
     request: Request, runs: list[targets.Run], past: history.History
 ) -> str:
-    """Returns what excuses that a request wasn't answered; empty if nothing.
-
-    Args:
-        request: A request.
-        runs: Its runs.
-        past: What was done to the fleet.
-    """
+    """Returns what excuses that a request wasn't answered; empty if nothing."""
     answer = request.answer
     if answer.ended_s - request.started_s > request.timeout_s - TIME_MARGIN_S:
         return "time-out"
@@ -284,6 +281,41 @@
     return "grace-period" if is_late_in_grace else ""
 
 
+def _is_run_for_nobody(
+    request: Request, run: targets.Run, past: history.History
+) -> bool:
+    """Returns whether a run began, or went on, long after its client left."""
+    if request.gave_up_s is None:
+        return False
+    until_s = request.gave_up_s + GONE_SLACK_S + TIME_MARGIN_S
+    ended_s = run.ended_s or float("inf")
+    return (
+        (run.arrived_s > until_s or request.is_idempotent and ended_s > until_s)
+        and not run.is_broken_off
+        and all(
+            past.is_in_touch(host, at_s)
+            for host in (request.host, run.host)
+            for at_s in (request.started_s, run.arrived_s, until_s)
+        )
+    )
+
+
+def _is_held(request: Request, past: history.History) -> bool:
+    """Returns whether a request had no answer soon after its time-out."""
+    # A request that is still being sent isn't kept waiting.
+    due_s = request.answer.sent_s + request.timeout_s + HELD_SLACK_S
+    answered_s = request.answered_s or request.answer.ended_s
+    return (
+        answered_s
+        > due_s + TIME_MARGIN_S + past.late_between_s(due_s, answered_s)
+        and request.is_whole
+        and not request.is_behind
+        and past.is_in_touch(request.host, request.started_s)
+        and past.is_in_touch(request.host, due_s)
+        and not past.is_impaired(request.host, request.started_s, due_s)
+    )
+
+
 def _is_late_at_target(
     request: Request, run: targets.Run, past: history.History
 ) -> bool:
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -30,6 +30,8 @@
 UPLOAD_BYTES = (2_000, 60_000)
 UPLOAD_S = (0.1, 3.0)
 PROBE_INTERVAL_S = (0.05, 0.4)
+GIVE_UP_SHARE = 0.02
+GIVE_UP_S = (0.0, 0.6)
 
 
 class Domain:
@@ -77,7 +79,7 @@
         self._rng = rng
         self._connect = connect
         self._domain = domain
-        self._kinds = [kind for kind in kinds if kind.has_key]
+        self._kinds = [kind for kind in kinds if kind.key]
         self._habit = habit
         self._interval_s = interval_s
         self._reads_slowly = rng.random() < 0.15
@@ -142,6 +144,10 @@
             self._send(connection) for _ in range(self._depth)
         )
         count = self._depth
+        if self._rng.random() < GIVE_UP_SHARE:
+            await asyncio.sleep(self._rng.uniform(*GIVE_UP_S))
+            connection.close()
+            return count, False
         while waiting:
             request = waiting.popleft()
             speed = SLOW_BYTES_PER_S if self._reads_slowly else 0.0
@@ -172,11 +178,10 @@
     rng: random.Random,
     connect: Callable[[processes.Host], connections.Connection],
     hosts: list[processes.Host],
-    choose_route: Callable[[], str],
+    choose_kind: Callable[[], connections.Kind],
     stopped: asyncio.Event,
 ) -> None:
-    """Asks hosts for routes that come and go until told to stop."""
+    """Asks for routes, with keys, that come and go until told to stop."""
     while not stopped.is_set():
         await asyncio.sleep(rng.uniform(*PROBE_INTERVAL_S))
-        kind = connections.Kind(choose_route(), "", is_idempotent=True)
-        await connections.exchange(connect(rng.choice(hosts)), kind)
+        await connections.exchange(connect(rng.choice(hosts)), choose_kind())
--- a/soak/configuration.py
+++ b/soak/configuration.py
@@ -11,6 +11,9 @@
 from soak import sites
 
 FIRST_VERSION = 1
+NEVER = "never"
+"""Name of a route, and a key, that no configuration has."""
+
 EXTRA_ROUTES = 6
 """Most routes besides those that all versions have."""
 
@@ -27,6 +30,8 @@
         history: Takes the versions.
         extras: Service of each route that may go, by its name.
         gone: Names of routes that went.
+        keys: Keys that may go.
+        gone_keys: Keys that went.
     """
 
     def __init__(
@@ -39,13 +44,15 @@
         self.history = past
         self.extras: dict[str, str] = {}
         self.gone: list[str] = []
+        self.keys: list[str] = []
+        self.gone_keys: list[str] = []
         self._hosts = hosts
         self._services = list(site.services)
         self._kinds = kinds
         self._version = FIRST_VERSION
 
-    def document(self) -> bytes:
-        """Returns the newest configuration, and notes it as published."""
+    def publish(self) -> None:
+        """Publishes the newest configuration."""
         routes = [
             standins.make_route(
                 kind.name,
@@ -54,7 +61,7 @@
                 "idempotent" if kind.is_idempotent else "non_idempotent",
                 connections.ROUTE_TIMEOUT_S,
             )
-            | {"auth_exempt": not kind.has_key}
+            | {"auth_exempt": not kind.key}
             for kind in self._kinds
         ]
         routes += [
@@ -67,18 +74,37 @@
             )
             for name, service in self.extras.items()
         ]
+        keys = [standins.KEY, *self.keys]
         self.history.versions.append(
             history.Version(
                 self._version,
                 self._hosts.record.now_s(),
                 {route["prefix"]: route["service"] for route in routes},
+                frozenset(keys),
             )
         )
-        return standins.make_manifest(self._version, self._services, routes)
+        self._hosts.store.put(
+            "op",
+            "config",
+            standins.make_manifest(self._version, self._services, routes, keys),
+        )
+
+    def choose_kind(self, rng: random.Random) -> connections.Kind:
+        """Returns requests for a route or with a key that comes and goes."""
+        name = rng.choice([*self.extras, *self.gone[-3:], NEVER])
+        if rng.random() < 0.5:
+            return connections.Kind(name, "", True)
+        key = rng.choice([*self.keys, *self.gone_keys[-3:], NEVER])
+        names = [k.name for k in self._kinds if k.key and k.is_idempotent]
+        return connections.Kind(rng.choice(names), "", True, key)
 
     def change(self, rng: random.Random) -> None:
-        """Adds, moves or removes a route."""
+        """Adds, moves or removes a route; at times a key too."""
         self._version += rng.randint(1, 3)
+        if rng.random() < 0.3:
+            self.keys.append(f"key-{self._version}")
+        elif self.keys and rng.random() < 0.3:
+            self.gone_keys.append(self.keys.pop(0))
         names = list(self.extras)
         choice = rng.random()
         if not names or choice < 0.5 and len(names) < EXTRA_ROUTES:
@@ -91,7 +117,10 @@
             name = rng.choice(names)
             del self.extras[name]
             self.gone.append(name)
-        self._hosts.store.put("op", "config", self.document())
+        self.publish()
         self._hosts.record.line(
-            "published", version=self._version, extras=self.extras
+            "published",
+            version=self._version,
+            extras=self.extras,
+            keys=self.keys,
         )
--- a/soak/connections.py
+++ b/soak/connections.py
@@ -26,13 +26,13 @@
         name: Name of the route.
         service: Service that runs them.
         is_idempotent: Whether they may run more than once.
-        has_key: Whether they carry the key of a tenant.
+        key: Key of a tenant that they carry, if any.
     """
 
     name: str
     service: str
     is_idempotent: bool
-    has_key: bool = True
+    key: str = standins.KEY
 
 
 def make_kinds(site: sites.Site) -> list[Kind]:
@@ -43,7 +43,7 @@
         for kind in (
             Kind(f"{service}-read", service, True),
             Kind(f"{service}-write", service, False),
-            Kind(f"{service}-call", service, True, has_key=False),
+            Kind(f"{service}-call", service, True, key=""),
         )
     ]
 
@@ -60,7 +60,7 @@
         self._record = record
         self._requests = requests
         self._host = host
-        self._unanswered = 0
+        self._waiting: list[checks.Request] = []
         self._process: int | None = None
         self._reader: asyncio.StreamReader
         self._writer: asyncio.StreamWriter
@@ -90,7 +90,12 @@
         return True
 
     def close(self) -> None:
-        """Closes the connection."""
+        """Closes the connection; gives up on requests that still wait."""
+        for request in self._waiting:
+            if not request.answer.ended_s:
+                request.gave_up_s = request.answer.ended_s = (
+                    self._record.now_s()
+                )
         self._writer.close()
 
     def send(
@@ -151,7 +156,7 @@
         except (OSError, TimeoutError) as error:
             answer.detail = f"no answer: {type(error).__name__}"
         answer.ended_s = self._record.now_s()
-        self._unanswered -= 1
+        self._waiting.remove(request)
         return (
             answer.is_complete
             and answer.head is not None
@@ -166,6 +171,7 @@
         if answer.head is None:
             answer.detail = "connection ended before an answer"
             return
+        request.answered_s = self._record.now_s()
         answer.status = int(answer.head.start.split(" ")[1])
         answer.expected_bytes = int(answer.head.get("content-length", "0"))
         expected = targets.make_body(request.path)
@@ -201,11 +207,11 @@
             body,
             started_s=answer.sent_s,
             process=self._process,
-            is_behind=self._unanswered > 0,
-            has_key=kind.has_key,
+            is_behind=bool(self._waiting),
+            key=kind.key,
             caller=self._host.service,
         )
-        self._unanswered += 1
+        self._waiting.append(request)
         self._requests.append(request)
         return request
 
@@ -222,8 +228,8 @@
             f"X-Cyclamendale-Attempt-Id: {request.answer.attempt_id}",
             f"X-Cyclamendale-Deadline-Ms: {deadline_ms}",
         ]
-        if kind.has_key:
-            lines.append(f"X-Cyclamendale-Credential: {standins.KEY}")
+        if kind.key:
+            lines.append(f"X-Cyclamendale-Credential: {kind.key}")
         if is_chunked:
             lines.append("Transfer-Encoding: chunked")
         elif request.body:
--- a/soak/ends.py
+++ b/soak/ends.py
@@ -39,12 +39,7 @@
 def find_own_end(
     end: End, past: history.History
 ) -> tuple[checks.Finding, str] | None:
-    """Returns what is wrong with the end of a process, if anything.
-
-    Args:
-        end: The end.
-        past: What was done to the fleet.
-    """
+    """Returns what is wrong with the end of a process, if anything."""
     text = f"ended with {end.code} at {end.ended_s:.3f}"
     numbers = {each.number for each in end.sent}
     if end.code == -signal.SIGHUP and signal.SIGHUP in numbers:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,12 +4,11 @@
 
 import abc
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 import contextlib
 import random
 
 from review import standins
-from soak import checks
 from soak import links as links_module
 from soak import planned_work
 from soak import processes
@@ -29,9 +28,6 @@
 
 PROBE_INTERVAL_S = 0.25
 
-Serves = Callable[[processes.Host], Awaitable[bool]]
-"""Sends a request to a host; returns whether it was served."""
-
 LINK_MODES: dict[str, Callable[[random.Random], proxy.Mode]] = {
     "silent": lambda _: proxy.SILENT,
     "silent-to-server": lambda _: proxy.SILENT_TO_SERVER,
@@ -64,9 +60,8 @@
         self,
         record: standins.Record,
         links: links_module.Links,
-        serves: Serves,
+        serves: supervision.Serves,
     ) -> None:
-        """Creates the action; the arguments are those of `make_actions`."""
         self._record = record
         self._links = links
         self._serves = serves
@@ -93,31 +88,17 @@
         A host that something else is done to meanwhile is not judged.
         """
         process = host.current
-        healed_s = fleet.now_s()
-        state = "not ready"
-        while fleet.now_s() - healed_s < supervision.RECOVERY_S:
-            if await host.is_ready():
-                state = "not serving"
-                if await self._serves(host):
-                    took_s = round(fleet.now_s() - healed_s, 3)
-                    self._record.line("back", host=host.number, took_s=took_s)
-                    return
-            if (
-                host not in fleet.nodes
-                or host.current is not process
-                or fleet.history.is_impaired(
+
+        def is_judged(healed_s: float) -> bool:
+            return (
+                host in fleet.nodes
+                and host.current is process
+                and not fleet.history.is_impaired(
                     host.number, healed_s, fleet.now_s()
                 )
-            ):
-                return
-            await asyncio.sleep(PROBE_INTERVAL_S)
-        text = (
-            f"host {host.number} pid {process.pid} {state}"
-            f" {supervision.RECOVERY_S} s after {name} was over at"
-            f" {healed_s:.3f}; {process.last_log_line()}"
-        )
-        self._record.line("fault-finding", text=text)
-        fleet.findings.append((checks.Finding.NOT_READY, text))
+            )
+
+        await fleet.check_serves(host, self._serves, f"after {name}", is_judged)
 
 
 class StoreAction(Fault):
@@ -176,13 +157,14 @@
 
 
 class RestartDomainWithoutStore(StoreAction):
-    """Restarts a failure domain while the store is away for all hosts."""
+    """Restarts a failure domain while the store is away for it or for all."""
 
     async def _play(self, rng: random.Random, fleet: Fleet) -> None:
         domain = _choose_domain(rng, fleet)
         hosts = [host for host in domain if host in fleet.nodes]
         is_killed = rng.random() < 0.5
-        async with self._fault(rng, fleet, rng.choice(ABSENCES), fleet.hosts):
+        hit = rng.choice((fleet.hosts, domain))
+        async with self._fault(rng, fleet, rng.choice(ABSENCES), hit):
             await asyncio.sleep(rng.uniform(*WORK_AFTER_S))
             restarts = asyncio.gather(
                 *(_restart(fleet, host, is_killed) for host in hosts)
@@ -294,15 +276,11 @@
 
 
 def make_actions(
-    record: standins.Record, links: links_module.Links, serves: Serves
+    record: standins.Record,
+    links: links_module.Links,
+    serves: supervision.Serves,
 ) -> list[planned_work.Action]:
-    """Returns the kinds of faults, the more frequent ones repeatedly.
-
-    Args:
-        record: Record of the soak.
-        links: Links that are impaired.
-        serves: Sends a request to a host; returns whether it was served.
-    """
+    """Returns the kinds of faults, the more frequent ones repeatedly."""
     kinds = (
         StoreFault,
         StoreFault,
--- a/soak/history.py
+++ b/soak/history.py
@@ -38,11 +38,13 @@
         number: Its version.
         published_s: When it was published.
         services: Service of each route, by prefix.
+        keys: Keys of tenants.
     """
 
     number: int
     published_s: float
     services: dict[str, str]
+    keys: frozenset[str]
 
 
 @dataclasses.dataclass(frozen=True)
--- a/soak/links.py
+++ b/soak/links.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
 import urllib.parse
 
 from review import standins
@@ -88,8 +87,5 @@
 
     def close(self) -> None:
         """Closes all links."""
-        for link in self._all():
+        for link in (*self.to_store.values(), *self.to_upstream.values()):
             link.close()
-
-    def _all(self) -> Iterable[proxy.Proxy]:
-        return (*self.to_store.values(), *self.to_upstream.values())
--- a/soak/planned_work.py
+++ b/soak/planned_work.py
@@ -19,23 +19,15 @@
         """Does it; returns once it is over."""
 
 
-class RestartOne(Action):
-    """Restarts one process, at times while the old one drains."""
+class RestartSome(Action):
+    """Restarts processes in turn, at times while the old one drains."""
 
     async def run(self, rng: random.Random, fleet: Fleet) -> None:
         """See base class."""
-        if fleet.nodes:
-            await fleet.restart(rng.choice(fleet.nodes), rng.random() < 0.3)
-
-
-class RestartInTurn(Action):
-    """Restarts some processes one after the other."""
-
-    async def run(self, rng: random.Random, fleet: Fleet) -> None:
-        """See base class."""
-        for host in rng.sample(fleet.nodes, min(4, len(fleet.nodes))):
+        count = min(rng.choice((1, 1, 4)), len(fleet.nodes))
+        for host in rng.sample(fleet.nodes, count):
             if host in fleet.nodes:
-                await fleet.restart(host, False)
+                await fleet.restart(host, rng.random() < 0.3)
                 await asyncio.sleep(rng.uniform(0.0, 0.5))
 
 
@@ -127,9 +119,9 @@
 def make_actions() -> list[Action]:
     """Returns the kinds of planned work, the more frequent ones repeatedly."""
     return [
-        RestartOne(),
-        RestartOne(),
-        RestartInTurn(),
+        RestartSome(),
+        RestartSome(),
+        RestartSome(),
         RestartFailureDomain(),
         StopTwice(),
         HangUpSome(),
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -42,7 +42,6 @@
         ended_s: When it ended, if it has.
         ended: Set at its end.
         was_ready_s: When it was first seen ready, if it was.
-        settled: Set once it was ready, has ended or is told to stop.
     """
 
     def __init__(
@@ -58,7 +57,6 @@
         self.ended_s: float | None = None
         self.ended = asyncio.Event()
         self.was_ready_s: float | None = None
-        self.settled = asyncio.Event()
         self._record = record
         self._popen = popen
         self._log_path = log_path
@@ -102,8 +100,6 @@
             handled=is_handled,
         )
         self._popen.send_signal(number)
-        if number == signal.SIGTERM:
-            self.settled.set()
 
     def note_end(self) -> None:
         """Notes the end of the process."""
@@ -122,13 +118,16 @@
             last_log=json.dumps(self.last_log_line()),
         )
         self.ended.set()
-        self.settled.set()
 
     def last_log_line(self) -> str:
         """Returns the last line of the log, cut to some length."""
         lines = self._log_path.read_text(errors="replace").splitlines()
         return lines[-1][:200] if lines else ""
 
+    def peak_memory_mb(self) -> float:
+        """Returns the largest resident memory so far; 0 once it ended."""
+        return int(self._read_status("VmHWM").split()[0]) / 1024
+
     def kill(self) -> None:
         """Ends the process after the soak."""
         if self.is_running:
@@ -138,15 +137,22 @@
             os.close(self._handle)
 
     def _handles(self, number: signal.Signals) -> bool:
+        return any(
+            int(self._read_status(name), 16) & 1 << (number - 1)
+            for name in ("SigIgn", "SigCgt")
+        )
+
+    def _read_status(self, name: str) -> str:
+        """Returns an entry of the status of the process; 0 without it."""
         try:
             status = pathlib.Path(f"/proc/{self.pid}/status").read_text()
         except OSError:
-            return False
-        return any(
-            int(line.split()[1], 16) & 1 << (number - 1)
-            for line in status.splitlines()
-            if line.startswith(("SigIgn:", "SigCgt:"))
-        )
+            return "0"
+        for line in status.splitlines():
+            key, _, value = line.partition(":")
+            if key == name:
+                return value.strip()
+        return "0"
 
 
 class Host(standins.Node):
@@ -157,6 +163,7 @@
         store_address: Address of the store in its settings.
         upstream_address: Where its upstream listens; the process calls `app`.
         upstream_link: The link from `app` to its upstream, if it has one.
+        is_away: Whether it is taken away; its process isn't started again.
     """
 
     def __init__(
@@ -168,6 +175,7 @@
         self.store_address = f"127.0.{fleet.subnet}.1:{fleet.ports['store']}"
         self.upstream_address = self.app
         self.upstream_link: proxy.Proxy | None = None
+        self.is_away = False
         self._hosts = fleet
         self._starts = 0
         self._torn = asyncio.Lock()
@@ -177,11 +185,6 @@
         """Returns the process that was started last."""
         return self.processes[-1]
 
-    @property
-    def is_running(self) -> bool:
-        """Returns whether a process runs."""
-        return any(process.is_running for process in self.processes[-2:])
-
     @property
     def _settings_path(self) -> pathlib.Path:
         return self._hosts.folder / f"node-{self.number}.json"
@@ -226,12 +229,23 @@
                 file.write(text[half:])
             self._hosts.record.line("settings-whole", host=self.number)
 
+    async def become_another(self, service: str, moves: bool) -> None:
+        """Takes the place of a host, with a service and perhaps elsewhere."""
+        async with self._torn:
+            self.service = service
+            if not moves:
+                return
+            self.ip = self._hosts.next_ip()
+            for name in ("outbound", "ready", "control", "app"):
+                setattr(self, name, f"{self.ip}:{self._hosts.ports[name]}")
+            self.upstream_address = self.app
+
     def _settings_text(self) -> str:
         settings = self._settings()
         settings["zone"] = self.domain
         settings["node_name"] = f"sidecar-{self.domain}-{self.number}"
         settings["first_start"] = not self._starts
-        settings["change"] = self._hosts.next_change()
+        settings["change"] = self._hosts.record.now_s()
         settings["platform"]["address"] = self.store_address
         return json.dumps(settings)
 
@@ -247,17 +261,16 @@
             for number, (domain, service) in enumerate(site.hosts)
         ]
         self.nodes = list(self.hosts)
-        self._changes = 0
+        self._moves = 0
 
-    async def start_store(self, manifest: bytes) -> None:
-        """Starts the store with a first configuration."""
+    async def start_store(self) -> None:
+        """Starts the store."""
         await self.store.start(f"127.0.{self.subnet}.1", self.ports["store"])
-        self.store.put("op", "config", manifest)
 
-    def next_change(self) -> int:
-        """Returns a number that makes settings differ."""
-        self._changes += 1
-        return self._changes
+    def next_ip(self) -> str:
+        """Returns an address that no host has had."""
+        self._moves += 1
+        return f"127.1.{self.subnet}.{self._moves}"
 
     def close(self) -> None:
         """Ends all processes and removes the folder."""
--- a/soak/runner.py
+++ b/soak/runner.py
@@ -6,6 +6,7 @@
 import collections
 import dataclasses
 import enum
+import functools
 import os
 import pathlib
 import random
@@ -31,12 +32,21 @@
 from soak import version_checks
 
 SETTLE_S = 4.0
+LAST_ANSWERS_S = standins.GRACE_S + 2.0
+"""Time after which clients that still wait or read give up."""
+
 LAST_RUNS_S = 1.0
 """Time in which a request that was refused could still reach an upstream."""
 
 WORK_S = (0.02, 0.4)
 LONG_WORK_S = 2.5
+FAULTY_SHARE = 0.1
+"""Share of upstreams with wrong answers."""
+
 PAUSE_S = 2.0
+FIRST_VERSION_S = (0.1, 3.0)
+"""Time from the first starts to a first configuration that comes late."""
+
 PLANNED_LANES = 2
 """Planned actions that may overlap."""
 
@@ -135,6 +145,7 @@
             self._make_call,
             WORK_S,
             LONG_WORK_S,
+            0.0 if plan.work is Work.PLANNED else FAULTY_SHARE,
         )
         self._fleet = supervision.Fleet(
             record,
@@ -146,7 +157,7 @@
 
     async def play(self) -> tuple[Result, dict[str, int]]:
         """Starts everything, does the work and checks."""
-        await self._hosts.start_store(self._configuration.document())
+        await self._hosts.start_store()
         if self._links is not None:
             await self._links.listen()
         watchers = [
@@ -159,7 +170,7 @@
             )
         ]
         try:
-            await self._fleet.start()
+            await asyncio.gather(self._fleet.start(), self._publish_first())
             await self._targets.start()
             await asyncio.sleep(SETTLE_S)
             await self._work()
@@ -173,6 +184,12 @@
             if self._links is not None:
                 self._links.close()
 
+    async def _publish_first(self) -> None:
+        """Publishes the first configuration, at times after the starts."""
+        rng = self._make_rng()
+        await asyncio.sleep(rng.choice((0.0, rng.uniform(*FIRST_VERSION_S))))
+        self._configuration.publish()
+
     async def _work(self) -> None:
         """Lets clients send while the fleet is worked on."""
         stopped = asyncio.Event()
@@ -194,7 +211,7 @@
                     rng,
                     self._connect,
                     self._hosts.hosts,
-                    lambda: self._choose_route(rng),
+                    lambda: self._configuration.choose_kind(rng),
                     stopped,
                 )
             )
@@ -207,10 +224,28 @@
                 faults.make_actions(self._record, self._links, self._serves)
             )
         await asyncio.gather(*map(self._work_in_series, lanes))
+        await self._check_end()
         stopped.set()
-        await asyncio.gather(*senders)
-        for watcher in watchers:
-            watcher.cancel()
+        await asyncio.wait(senders, timeout=LAST_ANSWERS_S)
+        for task in (*senders, *watchers):
+            task.cancel()
+        results = await asyncio.gather(*senders, return_exceptions=True)
+        for error in results:
+            if isinstance(error, Exception):
+                raise error
+
+    async def _check_end(self) -> None:
+        """Checks that all hosts serve all kinds once all work is over."""
+        await asyncio.gather(
+            *(
+                self._fleet.check_serves(
+                    host, functools.partial(self._serves, kind=kind), kind.name
+                )
+                for host in self._hosts.hosts
+                for kind in self._kinds
+                if kind.is_idempotent
+            )
+        )
 
     def _make_client(self, domain: clients.Domain) -> clients.Client:
         loads = self._plan.site.loads
@@ -227,12 +262,12 @@
     def _connect(self, host: processes.Host) -> connections.Connection:
         return connections.Connection(self._record, self._requests, host)
 
-    async def _serves(self, host: processes.Host) -> bool:
-        return await connections.exchange(self._connect(host), self._kinds[0])
-
-    def _choose_route(self, rng: random.Random) -> str:
-        names = [*self._configuration.extras, *self._configuration.gone[-3:]]
-        return rng.choice([*names, "never"])
+    async def _serves(
+        self, host: processes.Host, kind: connections.Kind | None = None
+    ) -> bool:
+        return await connections.exchange(
+            self._connect(host), kind or self._kinds[0]
+        )
 
     def _make_call(self, host: int, service: str) -> targets.Call | None:
         load = next(
@@ -240,7 +275,7 @@
         )
         if not load.calls:
             return None
-        kind = connections.Kind(f"{load.calls}-call", load.calls, True, False)
+        kind = connections.Kind(f"{load.calls}-call", load.calls, True, "")
         rng = self._make_rng()
 
         async def call() -> bool:
@@ -310,5 +345,6 @@
             "impairments": len(past.impairments),
             "upstreams": len(self._targets.all),
             "versions": len(past.versions),
+            "store_refusals": self._hosts.store.refused,
             **dict(sorted(statuses.items())),
         }
--- a/soak/supervision.py
+++ b/soak/supervision.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine, Iterable, Iterator
+from collections.abc import Awaitable, Callable, Coroutine, Iterable, Iterator
 import contextlib
 import random
 import signal
@@ -23,10 +23,16 @@
 LEFT_AFTER_S = 4.0
 """Time after SIGTERM at which a host mustn't count as ready (RULES.md)."""
 
+MEMORY_MB = 300
+MEMORY_INTERVAL_S = 0.25
+SERVES_INTERVAL_S = 0.25
 TIMER_SLACK_S = 0.2
 HANGUP_GAP_S = (0.002, 0.02)
 HANGUP_AGES_S = (0.0, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 0.8)
 
+Serves = Callable[[processes.Host], Awaitable[bool]]
+"""Sends a request to a host; returns whether it was served."""
+
 
 class Fleet:
     """The hosts of a fleet, supervised as the platform does.
@@ -72,10 +78,6 @@
             and host.current.was_ready_s is not None
         ]
 
-    def all_nodes(self) -> list[processes.Host]:
-        """Returns all hosts, also those that are being restarted."""
-        return self.hosts
-
     def now_s(self) -> float:
         """Returns the time since the start of the soak."""
         return self._record.now_s()
@@ -101,6 +103,21 @@
             until_s=round(until_s, 3),
         )
 
+    def note(
+        self,
+        finding: checks.Finding,
+        process: processes.Process,
+        from_s: float,
+        text: str,
+    ) -> None:
+        """Notes a broken promise of a process, and what led to it."""
+        host = process.host.number
+        text = f"host {host} pid {process.pid} {text}"
+        text += self.history.describe_waits([host], from_s, self.now_s())
+        text += f"; last log line: {process.last_log_line()}"
+        self._record.line("process-finding", rule=finding.value, text=text)
+        self.findings.append((finding, text))
+
     @contextlib.contextmanager
     def claimed(self, host: processes.Host) -> Iterator[None]:
         """Keeps other actions from working on a host."""
@@ -130,6 +147,7 @@
         self.history.starts_s[host.number].append(process.started_s)
         self._spawn(self._supervise(process))
         self._spawn(self._watch_start(process))
+        self._spawn(self._watch_memory(process))
         if is_hung_up:
             self._spawn(self._hang_up_start(process))
         return process
@@ -192,6 +210,35 @@
                 return
             await asyncio.sleep(0.05)
 
+    async def check_serves(
+        self,
+        host: processes.Host,
+        serves: Serves,
+        text: str,
+        is_judged: Callable[[float], bool] = lambda _: True,
+    ) -> None:
+        """Checks that a host is ready and serves in time (RULES.md, RECOVER).
+
+        Args:
+            host: The host.
+            serves: Sends a request to the host; returns whether it was served.
+            text: What the host should have served, for the finding.
+            is_judged: Whether the host still counts; gets the start.
+        """
+        from_s = self.now_s()
+        while not (await host.is_ready() and await serves(host)):
+            if not is_judged(from_s):
+                return
+            if self.now_s() - from_s > RECOVERY_S:
+                text = f"isn't ready or doesn't serve {text}"
+                self.note(
+                    checks.Finding.NOT_SERVING, host.current, from_s, text
+                )
+                return
+            await asyncio.sleep(SERVES_INTERVAL_S)
+        took_s = round(self.now_s() - from_s, 3)
+        self._record.line("serves", host=host.number, took_s=took_s)
+
     async def close(self) -> None:
         """Ends the supervision."""
         for task in tuple(self._tasks):
@@ -203,21 +250,6 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _note(
-        self,
-        finding: checks.Finding,
-        process: processes.Process,
-        from_s: float,
-        text: str,
-    ) -> None:
-        """Notes a broken promise of a process, and what led to it."""
-        host = process.host.number
-        text = f"host {host} pid {process.pid} {text}"
-        text += self.history.describe_waits([host], from_s, self.now_s())
-        text += f"; last log line: {process.last_log_line()}"
-        self._record.line("process-finding", rule=finding.value, text=text)
-        self.findings.append((finding, text))
-
     async def _supervise(self, process: processes.Process) -> None:
         """Judges the end of a process and starts the next one."""
         await process.ended.wait()
@@ -236,8 +268,8 @@
         found = ends.find_own_end(end, self.history)
         if found is not None:
             finding, text = found
-            self._note(finding, process, process.ended_s - 1.0, text)
-        if host.current is not process:
+            self.note(finding, process, process.ended_s - 1.0, text)
+        if host.current is not process or host.is_away:
             return
         await asyncio.sleep(self._rng.uniform(*RESTART_DELAY_S))
         if killed_s is not None:
@@ -255,7 +287,6 @@
                 return
             if await host.is_ready():
                 process.was_ready_s = self.now_s()
-                process.settled.set()
                 self._record.line(
                     "ready",
                     host=host.number,
@@ -267,7 +298,7 @@
                 if not self.history.is_impaired(
                     host.number, from_s, self.now_s()
                 ):
-                    self._note(
+                    self.note(
                         checks.Finding.NOT_READY,
                         process,
                         from_s,
@@ -277,6 +308,16 @@
                 return
             await asyncio.sleep(0.1)
 
+    async def _watch_memory(self, process: processes.Process) -> None:
+        """Notes a process whose memory is over its limit."""
+        while process.is_running:
+            used_mb = process.peak_memory_mb()
+            if used_mb > MEMORY_MB:
+                text = f"used {used_mb:.0f} MB of {MEMORY_MB} MB"
+                self.note(checks.Finding.MEMORY, process, self.now_s(), text)
+                return
+            await asyncio.sleep(MEMORY_INTERVAL_S)
+
     async def _enforce_grace(self, process: processes.Process) -> None:
         """Kills a process that outlives the grace period."""
         stopped_s = self.now_s()
@@ -287,7 +328,7 @@
             if not self.history.is_impaired(
                 process.host.number, stopped_s, self.now_s()
             ):
-                self._note(
+                self.note(
                     checks.Finding.OVERRUN,
                     process,
                     stopped_s,
@@ -302,7 +343,7 @@
         if process.is_running and host.current is process:
             is_ready = await host.is_ready()
             if is_ready and process.is_running and host.current is process:
-                self._note(
+                self.note(
                     checks.Finding.DRAIN,
                     process,
                     self.now_s() - LEFT_AFTER_S,
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+import contextlib
 import json
 import random
 import urllib.parse
@@ -16,6 +17,12 @@
 """Share of answers with `Connection: close` of an upstream that stays."""
 
 CONFIRM_TIMEOUT_S = 3.0
+DROP_INTERVAL_S = 0.05
+FAULTS = ("rejects", "is silent", "cuts", "garbles", "repeats")
+"""What an upstream does to a request, or to its answer, if it is faulty."""
+
+FAULT_SHARE = 0.1
+SILENT_S = 20.0
 CHUNK_END = b"\r\n"
 
 Call = Callable[[], Awaitable[bool]]
@@ -38,6 +45,7 @@
         arrived_s: When its head had arrived.
         status: Status that it was answered with, once it was.
         is_broken_off: Whether the upstream ended before its answer.
+        is_dropped: Whether it was dropped as its caller had left.
     """
 
     def __init__(
@@ -56,6 +64,7 @@
         self.arrived_s = arrived_s
         self.status = 0
         self.is_broken_off = False
+        self.is_dropped = False
 
 
 class Target(standins.Target):
@@ -63,6 +72,7 @@
 
     Attributes:
         left_s: When it was first confirmed that it leaves, if it was.
+        is_faulty: Whether some of its answers are wrong.
     """
 
     def __init__(
@@ -80,11 +90,13 @@
         self.service = service
         self.work_s = work_s
         self.left_s: float | None = None
+        self.is_faulty = False
         self.own_runs: list[Run] = []
         self._rng = rng
         self._call = call
         self._state = "ready"
         self._is_leaving = False
+        self._last_answer = b""
         self._zone = ""
         self._app = ""
         self._link: proxy.Proxy | None = None
@@ -106,12 +118,6 @@
             beat | {"zone": self._zone, "address": self._app}
         ).encode()
 
-    def send_heartbeat(self, state: str = "") -> asyncio.Task:
-        """See base class."""
-        return asyncio.create_task(
-            self.post_heartbeat(self.next_heartbeat(state))
-        )
-
     async def leave(self, says_draining: bool, lingers_s: float = 0.0) -> None:
         """Leaves as planned and exits (PROTOCOL.md, Service discovery).
 
@@ -166,7 +172,8 @@
                     return
                 arrived_s = self._record.now_s()
                 body = await read_body(head, reader)
-                if not await self._respond(head, body, arrived_s, writer):
+                run = Run(self, head, body, arrived_s, self._record.now_s())
+                if not await self._respond(run, reader, writer):
                     return
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
@@ -176,15 +183,14 @@
 
     async def _respond(
         self,
-        head: standins.Head,
-        body: bytes,
-        arrived_s: float,
+        run: Run,
+        reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Answers a request; returns whether the connection stays."""
-        path = head.start.split(" ")[1]
-        attempt_id = head.get("x-cyclamendale-attempt-id")
-        expected = head.get("x-cyclamendale-expected-instance")
+        path = run.head.start.split(" ")[1]
+        attempt_id = run.attempt_id
+        expected = run.head.get("x-cyclamendale-expected-instance")
         if path == "/health":
             status = "503 Leaving" if self._is_leaving else "200 OK"
             writer.write(self._make_head(status, b"", attempt_id))
@@ -192,13 +198,24 @@
         if expected and expected != self.id:
             writer.write(self._make_head("421 Misdirected", b"", attempt_id))
             return True
-        run = Run(self, head, body, arrived_s, self._record.now_s())
+        fault = ""
+        if self.is_faulty and self._rng.random() < FAULT_SHARE:
+            fault = self._rng.choice(FAULTS)
+            self._record.line("target-fault", name=fault, id=attempt_id)
+        if fault == "rejects":
+            line = "X-Cyclamendale-Not-Executed: 1\r\n"
+            writer.write(self._make_head("503 Full", b"", attempt_id, line))
+            return True
+        if fault == "is silent":
+            await asyncio.sleep(SILENT_S)
+            return False
         self.own_runs.append(run)
         self._record.line(
             "run", target=self.id, host=self.host, id=attempt_id, path=path
         )
-        await asyncio.sleep(self.work_s)
-        is_served = self._call is None or await self._call()
+        is_served = await self._work(run, reader, writer)
+        if is_served is None:
+            return False
         if self.has_exited:
             run.is_broken_off = True
             return False
@@ -213,11 +230,41 @@
             f"X-Cyclamendale-Server-Stamp: {self.id}.{attempt_id}\r\n"
             + "Connection: close\r\n" * closes,
         )
-        writer.write(data + answer)
+        data += answer
+        self._last_answer, earlier = data, self._last_answer
+        if fault == "repeats":
+            data += earlier
+        if fault in ("cuts", "garbles"):
+            closes = run.is_broken_off = True
+            data = data[: self._rng.randrange(len(data))]
+            if fault == "garbles":
+                data = self._rng.randbytes(len(data))
+        writer.write(data)
         await writer.drain()
         run.is_done = not self.has_exited
         return not closes
 
+    async def _run(self) -> bool:
+        await asyncio.sleep(self.work_s)
+        return self._call is None or await self._call()
+
+    async def _work(
+        self,
+        run: Run,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool | None:
+        """Returns whether a request was served; None if its caller left."""
+        work = asyncio.create_task(self._run())
+        while not (await asyncio.wait({work}, timeout=DROP_INTERVAL_S))[0]:
+            if reader.at_eof() or writer.is_closing():
+                work.cancel()
+                run.is_dropped = not self.has_exited
+                run.is_broken_off = self.has_exited
+                run.ended_s = self._record.now_s()
+                return None
+        return work.result()
+
     def _make_head(
         self, status: str, body: bytes, attempt_id: str, lines: str = ""
     ) -> bytes:
@@ -256,6 +303,7 @@
         make_call: Callable[[int, str], Call | None],
         work_s: tuple[float, float],
         long_work_s: float,
+        faulty_share: float,
     ) -> None:
         self.all: list[Target] = []
         self._record = record
@@ -264,6 +312,7 @@
         self._make_call = make_call
         self._work_s = work_s
         self._long_work_s = long_work_s
+        self._faulty_share = faulty_share
         self._current: dict[int, Target] = {}
         self._busy: set[int] = set()
 
@@ -285,20 +334,37 @@
         self, host: int, says_draining: bool, lingers_s: float = 0.0
     ) -> None:
         """Lets an upstream leave, as `Target.leave`; another one follows."""
-        self._busy.add(host)
-        try:
-            await self._current[host].leave(says_draining, lingers_s)
+        with self._claimed(host) as target:
+            await target.leave(says_draining, lingers_s)
             await self._follow(host, self._make_id())
-        finally:
-            self._busy.discard(host)
 
     async def crash(self, host: int, keeps_id: bool) -> None:
         """Ends an upstream at once; it comes back, at times under its id."""
-        self._busy.add(host)
-        try:
-            target = self._current[host]
+        with self._claimed(host) as target:
             await target.exit()
             await self._follow(host, target.id if keeps_id else self._make_id())
+
+    async def replace(
+        self, host: int, leaves: bool, replace_host: Awaitable[None]
+    ) -> None:
+        """Takes an upstream away and starts one on the host that follows.
+
+        Args:
+            host: Number of the host.
+            leaves: Whether the upstream leaves as planned.
+            replace_host: Replaces the host, once the upstream has ended.
+        """
+        with self._claimed(host) as target:
+            await (target.leave(True) if leaves else target.exit())
+            await replace_host
+            await self._start_on(host, self._make_id())
+
+    @contextlib.contextmanager
+    def _claimed(self, host: int) -> Iterator[Target]:
+        """Keeps other actions from working on the upstream of a host."""
+        self._busy.add(host)
+        try:
+            yield self._current[host]
         finally:
             self._busy.discard(host)
 
@@ -326,6 +392,7 @@
             work_s,
             self._make_call(number, host.service),
         )
+        target.is_faulty = self._rng.random() < self._faulty_share
         await target.start_on(host)
         self._current[number] = target
         self.all.append(target)
--- a/soak/version_checks.py
+++ b/soak/version_checks.py
@@ -10,7 +10,7 @@
 from soak import history
 from soak import targets
 
-APPLY_S = checks.APPLY_S
+APPLY_S = float(standins.BOUNDS["config_apply_s"])
 ROLLBACK_SLACK_S = float(standins.BOUNDS["rollback_slack_s"])
 SLOWED_FACTOR = 8
 """Factor of the rollback slack of a host that is slowed (RULES.md)."""
@@ -23,13 +23,7 @@
     runs: Iterable[targets.Run],
     past: history.History,
 ) -> Iterator[tuple[checks.Finding, str]]:
-    """Yields requests that weren't handled as a version in force allows.
-
-    Args:
-        requests: All requests of clients and of upstreams.
-        runs: All runs of upstreams.
-        past: What was done to the fleet.
-    """
+    """Yields requests that weren't handled as a version in force allows."""
     runs_by_id = checks.group(runs)
     by_process = collections.defaultdict(list)
     for request in requests:
@@ -49,7 +43,7 @@
     if runs and not _allowing(request, runs, past):
         yield checks.Finding.ROUTE
     if answer.status in NOT_ALLOWED and all(
-        request.prefix in version.services
+        _allows(version, request)
         for version in past.versions_until(answer.ended_s)
     ):
         yield checks.Finding.CONFIG
@@ -68,16 +62,22 @@
             version
             for version in versions
             if version.services.get(request.prefix) in services
+            and _allows(version, request)
         ]
     if request.answer.status in NOT_ALLOWED:
-        return [
-            version
-            for version in versions
-            if request.prefix not in version.services
-        ]
+        return [each for each in versions if not _allows(each, request)]
     return versions
 
 
+def _allows(version: history.Version, request: checks.Request) -> bool:
+    """Returns whether a version has the route and the key of a request."""
+    has_key = not request.key or request.key in version.keys
+    has_route = request.prefix in version.services
+    return {401: has_key, 404: has_route}.get(
+        request.answer.status, has_key and has_route
+    )
+
+
 def _is_handled_as_older(
     request: checks.Request, runs: list[targets.Run], past: history.History
 ) -> bool:
@@ -97,12 +97,7 @@
     handled: list[tuple[checks.Request, list[targets.Run]]],
     past: history.History,
 ) -> Iterator[tuple[checks.Finding, str]]:
-    """Yields requests that one process handled as an older version allows.
-
-    Args:
-        handled: Requests of the process and their runs.
-        past: What was done to the fleet.
-    """
+    """Yields requests that one process handled as an older version allows."""
     newest_seen = 0
     seen: list[tuple[float, int]] = []
     for request, runs in sorted(handled, key=lambda each: each[0].started_s):
--- a/tests/support/soak_results.py
+++ b/tests/support/soak_results.py
@@ -44,6 +44,7 @@
         "caller": "pickup",
         "status": 200,
         "is_broken_off": False,
+        "is_dropped": False,
     } | fields
     target = targets.Target(
         None, "i-1", RUN_HOST, values["service"], None, 0.1, None
@@ -61,6 +62,7 @@
     made.ended_s = ended_s
     made.status = 0 if ended_s is None else values["status"]
     made.is_broken_off = values["is_broken_off"]
+    made.is_dropped = values["is_dropped"]
     return made
 
 
@@ -80,10 +82,21 @@
     for hosts, from_s, until_s in impairments:
         hosts = None if hosts is None else frozenset(hosts)
         made.impairments.append(history.Impairment(hosts, from_s, until_s))
-    for number, published_s, services in versions:
-        made.versions.append(history.Version(number, published_s, services))
+    for number, published_s, services, *keys in versions:
+        made.versions.append(
+            history.Version(
+                number,
+                published_s,
+                services,
+                frozenset([standins.KEY, *keys]),
+            )
+        )
     return made
 
 
 def unanswered(sent_s=1.0, ended_s=1.5, **fields):
     return request(0, False, sent_s, ended_s, **fields)
+
+
+def given_up(at_s, is_idempotent=True):
+    return unanswered(ended_s=at_s, gave_up_s=at_s, is_idempotent=is_idempotent)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from review import standins
 from soak import checks
 from soak import ends
 from soak import processes
@@ -72,7 +73,7 @@
             "runs": [make.run(path="/wash-write/r1/3")],
             "found": [checks.Finding.UNASKED]}),
         ("other tenant", {
-            "request": make.request(has_key=False), "runs": [make.run()],
+            "request": make.request(key=""), "runs": [make.run()],
             "found": [checks.Finding.UNASKED]}),
         ("other caller", {
             "request": make.request(), "runs": [make.run(caller="wash")],
@@ -101,8 +102,12 @@
             "request": make.unanswered(5.0, 5.5), "runs": [make.run(5.1, 5.4)],
             "past": make.past(impairments=[([0], 1.0, 1.9)]),
             "found": [checks.Finding.LOST]}),
-        ("no answer and not run", {
-            "request": make.unanswered(), "runs": [], "found": []}),
+        ("closed late, in calm", {
+            "request": make.unanswered(), "runs": [],
+            "found": [checks.Finding.UNREAD]}),
+        ("closed late beside an impairment", {
+            "request": make.unanswered(), "runs": [],
+            "past": make.past(impairments=[([0], 0.5, 0.6)]), "found": []}),
         ("closed late after a stop", {
             "request": make.unanswered(), "runs": [], "past": make.past([0.9]),
             "found": [checks.Finding.UNREAD]}),
@@ -116,14 +121,15 @@
         ("closed late after the grace period", {
             "request": make.unanswered(8.0, 8.5), "runs": [],
             "past": make.past([0.9]),
-            "found": []}),
+            "found": [checks.Finding.UNREAD]}),
         ("closed late after a reload", {
             "request": make.unanswered(2.8, 3.5), "runs": [],
             "past": make.past(hangups_s=[0.9]),
             "found": [checks.Finding.UNREAD]}),
         ("closed late long after a reload", {
             "request": make.unanswered(3.0, 3.5), "runs": [],
-            "past": make.past(hangups_s=[0.9]), "found": []}),
+            "past": make.past(hangups_s=[0.9]),
+            "found": [checks.Finding.UNREAD]}),
         ("crossed the close", {
             "request": make.unanswered(1.0, 1.15), "runs": [],
             "past": make.past([0.9]), "found": []}),
@@ -152,6 +158,61 @@
             "request": make.request(504, ended_s=6.0),
             "runs": [make.run(1.1, 7.0)],
             "found": []}),
+        ("dropped by its upstream after a stop", {
+            "request": make.request(500, ended_s=3.0, is_idempotent=True),
+            "runs": [make.run(1.1, 2.95, method="GET", is_dropped=True)],
+            "past": make.past([0.9]),
+            "found": [checks.Finding.BROKEN_OFF]}),
+        ("given up", {
+            "request": make.given_up(1.5),
+            "runs": [make.run(method="GET")], "found": []}),
+        ("given up, run on", {
+            "request": make.given_up(1.5),
+            "runs": [make.run(1.1, 2.2, method="GET")],
+            "found": [checks.Finding.GONE]}),
+        ("given up, dropped", {
+            "request": make.given_up(1.5),
+            "runs": [make.run(1.1, 2.0, method="GET", is_dropped=True)],
+            "found": []}),
+        ("given up, run later", {
+            "request": make.given_up(1.5, is_idempotent=False),
+            "runs": [make.run(2.2, 2.4)], "found": [checks.Finding.GONE]}),
+        ("given up, not to be repeated, run on", {
+            "request": make.given_up(1.5, is_idempotent=False),
+            "runs": [make.run(1.1, 2.4)], "found": []}),
+        ("given up, run on at a host that stops", {
+            "request": make.given_up(1.5),
+            "runs": [make.run(1.1, 2.2, method="GET")],
+            "past": make.past([1.4]), "found": []}),
+        ("held past its time-out", {
+            "request": make.request(504, ended_s=6.7, is_idempotent=True),
+            "runs": [], "found": [checks.Finding.HELD]}),
+        ("never answered", {
+            "request": make.unanswered(1.0, 12.0, is_idempotent=True),
+            "runs": [], "found": [checks.Finding.HELD]}),
+        ("answered in time, read slowly", {
+            "request": make.request(
+                ended_s=6.7, is_idempotent=True, answered_s=6.5),
+            "runs": [make.run(method="GET")], "found": []}),
+        ("held past its time-out while the soak hung", {
+            "request": make.request(504, ended_s=6.7, is_idempotent=True),
+            "runs": [], "past": make.past(late_s=[(6.5, 6.7)]), "found": []}),
+        ("held past its time-out by a host that was frozen", {
+            "request": make.request(504, ended_s=6.7, is_idempotent=True),
+            "runs": [], "past": make.past(impairments=[([0], 1.2, 1.5)]),
+            "found": []}),
+        ("held past its time-out beside an impaired store", {
+            "request": make.request(504, ended_s=6.7, is_idempotent=True),
+            "runs": [], "past": make.past(impairments=[(None, 1.2, 1.5)]),
+            "found": [checks.Finding.HELD]}),
+        ("answered in time after it was sent slowly", {
+            "request": make.request(
+                504, sent_s=2.5, ended_s=7.6, started_s=1.0),
+            "runs": [], "found": []}),
+        ("held behind another", {
+            "request": make.request(
+                504, ended_s=6.7, is_idempotent=True, is_behind=True),
+            "runs": [], "found": []}),
         ("in work at the end of the grace period", {
             "request": make.unanswered(1.5, 6.2), "runs": [make.run(1.6, 6.5)],
             "past": make.past([1.0]), "found": []}),
@@ -189,7 +250,7 @@
 
 
 FIRST = (1, 0.0, {"/wash-write/": "wash"})
-ADDED = (3, 10.0, {"/wash-write/": "wash", "/x/": "wash"})
+ADDED = (3, 10.0, {"/wash-write/": "wash", "/x/": "wash"}, "key")
 MOVED = (4, 20.0, {"/wash-write/": "wash", "/x/": "track"})
 REMOVED = (9, 30.0, {"/wash-write/": "wash"})
 VERSIONS = (FIRST, ADDED, MOVED, REMOVED)
@@ -211,6 +272,12 @@
     )
 
 
+def probe_key(sent_s, status, key="key"):
+    """Returns a request with a key that comes and goes, and its runs."""
+    made = make.request(status, sent_s=sent_s, ended_s=sent_s + 0.1, key=key)
+    return made, [make.run(sent_s, sent_s + 0.1)] * (status == 200)
+
+
 class VersionChecksTest(testtools.TestCase):
     scenarios = [
         ("not there yet", {"probe": probe(5.0), "found": []}),
@@ -240,6 +307,28 @@
             "probe": probe(32.1, "track"),
             "found": [checks.Finding.OLD_VERSION]}),
         ("removed", {"probe": probe(32.1), "found": []}),
+        ("run with a key that no version had", {
+            "probe": probe_key(15.0, 200, "never"),
+            "found": [checks.Finding.ROUTE]}),
+        ("key refused that no version had", {
+            "probe": probe_key(15.0, 401, "never"), "found": []}),
+        ("route refused for a key that no version had", {
+            "probe": probe_key(15.0, 404, "never"),
+            "found": [checks.Finding.CONFIG]}),
+        ("key not applied yet", {
+            "probe": probe_key(11.9, 401), "found": []}),
+        ("key not applied in time", {
+            "probe": probe_key(12.1, 401),
+            "found": [checks.Finding.OLD_VERSION]}),
+        ("run with a key", {"probe": probe_key(12.1, 200), "found": []}),
+        ("run with a key that is gone", {
+            "probe": probe_key(22.1, 200),
+            "found": [checks.Finding.OLD_VERSION]}),
+        ("key refused that is gone", {
+            "probe": probe_key(20.1, 401), "found": []}),
+        ("key of all versions refused", {
+            "probe": probe_key(20.1, 401, standins.KEY),
+            "found": [checks.Finding.CONFIG]}),
         *(
             (f"{status} for a route of all versions", {
                 "probe": (make.request(status), []),
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -264,3 +264,19 @@
                 return time.monotonic() - started_s
 
         self.assertGreaterEqual(run(play()), 0.5)
+
+
+class StoreRateTest(testtools.TestCase):
+    def test_calls_beyond_the_rate_are_refused(self):
+        statuses = asyncio.run(self._call(standins.STORE_WRITES_PER_S + 1))
+        self.assertEqual({200}, set(statuses[:-1]))
+        self.assertEqual(429, statuses[-1])
+
+    async def _call(self, count: int) -> list[int]:
+        store = standins.Store()
+        self.patch(standins.time, "monotonic", lambda: 1.0)
+        answers = [
+            await store._answer("POST", "/-/rows-tx", b"{}")
+            for _ in range(count)
+        ]
+        return [status for status, _ in answers]
--- a/tests/test_soak_supervision.py
+++ b/tests/test_soak_supervision.py
@@ -79,6 +79,9 @@
         ("is never ready", {
             "program": SERVES + WAITS, "recovery_s": 0.5,
             "found": {checks.Finding.NOT_READY}}),
+        ("uses more memory than it may", {
+            "program": SERVES + "held = b'x' * 310_000_000\n" + LISTENS,
+            "found": {checks.Finding.MEMORY}}),
         ("ends with an exit code at SIGTERM", {
             "program": SERVES.replace("exit(0)", "exit(3)") + LISTENS,
             "found": {checks.Finding.OWN_END}}),
@@ -112,6 +115,27 @@
             return fleet
 
 
+class ServesTest(testtools.TestCase):
+    scenarios = [
+        ("serves later", {"results": [False, True], "found": []}),
+        ("never serves", {
+            "results": [], "found": [checks.Finding.NOT_SERVING]}),
+    ]  # fmt: skip
+
+    def test_a_host_that_does_not_serve_is_found(self):
+        self.patch(supervision, "RECOVERY_S", 0.5)
+        fleet = asyncio.run(self._check(iter(self.results)))
+        self.assertEqual(self.found, [each for each, _ in fleet.findings])
+
+    async def _check(self, results) -> supervision.Fleet:
+        async def serves(_) -> bool:
+            return next(results, False)
+
+        async with running(SERVES + LISTENS) as fleet:
+            await fleet.check_serves(fleet.hosts[0], serves, "wash-read")
+            return fleet
+
+
 class RestartTest(testtools.TestCase):
     def test_a_killed_process_is_started_again(self):
         fleet = asyncio.run(self._kill_one())
