A stopping node waits for a peer that stands still

Cause: a link whose peer is silent for 0.9 s gives up its idempotent requests before it is known whether they can be repeated; those without retry budget are answered 502.

Change: a stopping node gives up no request on a silent connection. It waits as it does for requests that may not be repeated, up to their deadline or the end of its grace period. In calm nothing changes.

Why it works: the pong or the answer of the peer comes once it runs again, and the link takes late ones; nothing else ended these requests. The test failed before.

--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -205,10 +205,10 @@
             self._budget,
         )
         self._links = links.Links(
-            self._peers, self._clock, self._update_load, self.log
+            self._peers, self._clock, self._set_load, self._shutdown, self.log
         )
         self._local_runner = local_runner.LocalRunner(
-            own_address, self._gate, self._gate.load, self._update_load
+            own_address, self._gate, self._gate.load, self._set_load
         )
         self._dispatcher = dispatcher.Dispatcher(
             dispatch_state.DispatcherDependencies(
@@ -366,7 +366,7 @@
     def _caller_service(self) -> ids.ServiceName:
         return self._settings.service
 
-    def _update_load(self, host: ids.PeerAddress, at_gate: int) -> None:
+    def _set_load(self, host: ids.PeerAddress, at_gate: int) -> None:
         known = self._view.find(host)
         if known is not None:
             known.candidate.record_report(at_gate)
--- a/src/cyclamendale/proxy/links.py
+++ b/src/cyclamendale/proxy/links.py
@@ -4,7 +4,7 @@
 so links ping peers that have requests in flight. A connection whose ping is not
 answered soon is used for no further request; once it counts as silent, its
 idempotent requests may run elsewhere. The others wait on it, since the peer may
-be running them.
+be running them, and so do all requests of a node that stops.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 from cyclamendale import clocks
 from cyclamendale import ids
 from cyclamendale import refusals
+from cyclamendale.fleet import shutdown as shutdowns
 from cyclamendale.peer import codec
 from cyclamendale.peer import connection as connections
 from cyclamendale.peer import kinds
@@ -180,6 +181,7 @@
         clock: clocks.Clock,
         on_load: LoadListener,
         on_active: Callable[[_Link], None],
+        shutdown: shutdowns.Shutdown,
         log: Any,
     ) -> None:
         self.clock = clock
@@ -187,6 +189,7 @@
         self._peers = peers
         self._on_load = on_load
         self._on_active = on_active
+        self._shutdown = shutdown
         self._log = log
         self._in_flight: set[_RemoteRun] = set()
         self._detached: dict[connections.PeerConnection, _Detached] = {}
@@ -312,10 +315,16 @@
             self._give_up(detached)
 
     def _give_up(self, detached: _Detached) -> None:
-        """Gives up the requests that may run elsewhere."""
+        """Gives up the requests that may run elsewhere.
+
+        A stopping node gives up none: the peer may be running them, and what
+        can't be repeated would get an answer of the node in place of its own.
+        """
         detached.pinged_s = None
         runs = tuple(detached.runs)
         self._log.belief("link-silent", peer=self._peer, in_work=len(runs))
+        if self._shutdown.has_begun:
+            return
         for run in runs:
             if run.may_run_elsewhere:
                 run.give_up()
@@ -332,11 +341,13 @@
         peers: thrift_network.ThriftPeerNetwork,
         clock: clocks.Clock,
         on_load: LoadListener,
+        shutdown: shutdowns.Shutdown,
         log: Any,
     ) -> None:
         self._peers = peers
         self._clock = clock
         self._on_load = on_load
+        self._shutdown = shutdown
         self._log = log
         self._links: dict[ids.PeerAddress, _Link] = {}
         self._active: set[_Link] = set()
@@ -362,6 +373,7 @@
                 self._clock,
                 self._on_load,
                 self._active.add,
+                self._shutdown,
                 self._log,
             )
         return link
--- a/tests/test_proxy_links.py
+++ b/tests/test_proxy_links.py
@@ -7,6 +7,7 @@
 
 from cyclamendale import clocks
 from cyclamendale import refusals
+from cyclamendale.fleet import shutdown
 from cyclamendale.overload import gate_queue
 from cyclamendale.peer import codec
 from cyclamendale.peer import kinds
@@ -77,10 +78,12 @@
         self.peers = FakePeers()
         self.loads = []
         self.log = fake_log.FakeLog()
+        self.shutdown = shutdown.Shutdown(clocks.ReactorClock(self.reactor))
         self.links = links.Links(
             self.peers,
             clocks.ReactorClock(self.reactor),
             lambda host, at_gate: self.loads.append((host, at_gate)),
+            self.shutdown,
             self.log,
         )
         self.links.start()
@@ -237,6 +240,19 @@
         self.assertTrue(connection.aborted)
         self.assertFalse(self.peers.connection.aborted)
 
+    def test_a_stopping_node_breaks_off_no_request_of_a_silent_peer(self):
+        # Callers of a stopping node got 502 while an upstream was at work.
+        connection = self.peers.connection
+        self.run_request()
+        *_, on_reply = connection.requests[0]
+        self.advance(0.5)
+        self.shutdown.begin(6.0)
+        self.advance(2.0)
+        self.assertEqual([], self.outcomes)
+        response = messages.Response(200, b"", b"late")
+        on_reply(run_codec.encode_outcome(response, LOAD))
+        self.assertEqual([200], [outcome.status for outcome in self.outcomes])
+
     def test_an_unsafe_request_that_is_given_up_frees_the_connection(self):
         connection = self.peers.connection
         handle = self.run_request(idempotent=False)
