--- a/tests/test_proxy_links_close.py
+++ b/tests/test_proxy_links_close.py
@@ -60,7 +60,11 @@
         )
         self.address = f"{IP}:{self.stopping.listen(IP, 0)}"
         self.links = links.Links(
-            self.caller, clock, lambda host, at_gate: None, fake_log.FakeLog()
+            self.caller,
+            clock,
+            lambda host, at_gate: None,
+            shutdown.Shutdown(clock),
+            fake_log.FakeLog(),
         )
         self.now_s = clock.now_s
         self.outcomes = []
