Keep the numbers of closed standard streams from sockets

A process that is started with standard output or errors closed gave their numbers to the reactor's descriptors, and wrote its log and tracebacks to these.

Cause: the lowest free number goes to the next descriptor that is opened.

Change: closed standard streams are opened on /dev/null before the reactor is made; if that fails, the process goes on as before.

Result: ClosedStreamsTest with standard output, errors or all three closed; all three cases failed before (eventpoll in the place of the stream). Why it works: the numbers are taken for the life of the process.

--- a/src/cyclamendale/platform/daemon.py
+++ b/src/cyclamendale/platform/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import gc
 import os
 import signal
@@ -220,8 +221,22 @@
         signal.signal(number, signal.SIG_IGN)
 
 
+def _fill_standard_streams() -> None:
+    """Opens standard streams that are closed, as their numbers are written to.
+
+    A socket of the node would take the lowest free number.
+    """
+    for number in range(3):
+        try:
+            os.fstat(number)
+        except OSError:
+            with contextlib.suppress(OSError):
+                os.open(os.devnull, os.O_RDWR)
+
+
 def main() -> int:
     """Runs the daemon; returns the exit code."""
+    _fill_standard_streams()
     sys.stderr = failure_log.ErrorStream()
     try:
         return Daemon(lean_reactor.install()).run()
--- a/tests/support/daemon_process.py
+++ b/tests/support/daemon_process.py
@@ -8,6 +8,7 @@
 import pathlib
 import select
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -100,6 +101,17 @@
             data += part
         return data.decode()
 
+    def wait_listening(self):
+        """Waits until callers can connect."""
+        ip, _, port = self.settings["listen"]["outbound"].rpartition(":")
+        ends_s = time.monotonic() + WAIT_S
+        while time.monotonic() < ends_s:
+            with socket.socket() as probe:
+                if probe.connect_ex((ip, int(port))) == 0:
+                    return
+            time.sleep(0.05)
+        self.fail("the node does not listen")
+
     def stop(self, process):
         process.send_signal(signal.SIGTERM)
         self.assertEqual(0, process.wait(WAIT_S))
--- a/tests/test_platform_daemon_output.py
+++ b/tests/test_platform_daemon_output.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import os
 import signal
-import socket
 import time
 
 from cyclamendale.fleet import shutdown
@@ -29,16 +29,6 @@
         process.stdout.close()
         self.check_stop(process)
 
-    def wait_listening(self):
-        ip, _, port = self.settings["listen"]["outbound"].rpartition(":")
-        ends_s = time.monotonic() + daemon_process.WAIT_S
-        while time.monotonic() < ends_s:
-            with socket.socket() as probe:
-                if probe.connect_ex((ip, int(port))) == 0:
-                    return
-            time.sleep(0.05)
-        self.fail("the node does not listen")
-
     def check_stop(self, process):
         began_s = time.monotonic()
         process.send_signal(signal.SIGTERM)
@@ -46,3 +36,23 @@
         self.assertGreaterEqual(
             time.monotonic() - began_s, shutdown.MIN_SERVING_S
         )
+
+
+class ClosedStreamsTest(daemon_process.DaemonCase):
+    """The log was written to whatever had taken its descriptor's number."""
+
+    scenarios = [
+        ("output", {"closed": (1,)}),
+        ("errors", {"closed": (2,)}),
+        ("all", {"closed": (0, 1, 2)}),
+    ]
+
+    def test_descriptors_of_closed_streams_are_not_used_for_others(self):
+        process = self.start(
+            f"import os; [os.close(number) for number in {self.closed}]"
+        )
+        self.wait_listening()
+        for number in self.closed:
+            path = f"/proc/{process.pid}/fd/{number}"
+            self.assertEqual("/dev/null", os.readlink(path))
+        self.stop(process)
