Log the process of each line, and the address that others know a node by

What callers saw: nothing. What an operator lacked: lines of other nodes name a host by its address (`gave-up host=10.3.0.22:7000`), and no line said which node has it; where a host's processes overlap, or follow each other in one file, no line said which process wrote it.

Change: each line has `pid`; `start` has `address`.

Result: the tests added here failed before (no such fields) and pass.

--- a/src/cyclamendale/fleet/journal.py
+++ b/src/cyclamendale/fleet/journal.py
@@ -59,6 +59,7 @@
     def __init__(self, node: str) -> None:
         super().__init__()
         self._node = node
+        self._pid = os.getpid()
 
     def format(self, record: logging.LogRecord) -> str:
         """See base class."""
@@ -66,6 +67,7 @@
             "time": round(record.created, 3),
             "level": record.levelname,
             "node": self._node,
+            "pid": self._pid,
             "event": record.getMessage(),
             **getattr(record, "fields", {}),
         }
--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -265,6 +265,7 @@
         settings = self._settings
         self.log.belief(
             "start",
+            address=settings.peer_address,
             failure_domain=settings.failure_domain,
             service=settings.service,
             upstream=settings.upstream_address,
--- a/tests/test_fleet_journal.py
+++ b/tests/test_fleet_journal.py
@@ -54,6 +54,21 @@
         self.assertAlmostEqual(self.rate_per_s, len(handler.lines), delta=1)
 
 
+class ProcessTest(testtools.TestCase):
+    """Lines of two processes of one host could not be told apart."""
+
+    def test_each_line_says_which_process_wrote_it(self):
+        handler = RecordingHandler()
+        logger = logging.Logger("test", logging.INFO)
+        logger.addHandler(handler)
+        log = journal.Journal(clocks.ReactorClock(task.Clock()), logger)
+        log.belief("start")
+        log.decision("refused", "r1", reason="shed")
+        self.assertEqual(
+            [os.getpid()] * 2, [line["pid"] for line in handler.lines]
+        )
+
+
 class LostLineTest(testtools.TestCase):
     def test_a_full_disk_costs_the_line_only(self):
         descriptor = os.open("/dev/full", os.O_WRONLY)
--- a/tests/test_fleet_node.py
+++ b/tests/test_fleet_node.py
@@ -184,6 +184,16 @@
     def get_readiness(self, index):
         return self.send(index, 9002, "GET", "/-/readiness")
 
+    def test_a_start_says_at_which_address_others_name_the_node(self):
+        # Lines of other nodes name hosts by address; no line told whose it is.
+        starts = [
+            fields for event, fields in self.log.lines if event == "start"
+        ]
+        self.assertEqual(
+            [f"{self.block}.1:9004", f"{self.block}.2:9004"],
+            [fields["address"] for fields in starts],
+        )
+
     @defer.inlineCallbacks
     def test_a_request_is_served_by_the_upstream_of_another_host(self):
         status, _ = yield self.get_readiness(1)
