Trace a request over the logs of all nodes, and show the lives of processes

What callers saw: nothing changes for them.

Change: `cyclamendale trace ID LOG...` selects the lines about a request and those about processes, doors and links, puts them in causal order, and names the cause in one sentence. `cyclamendale processes LOG...` shows each process: waits, start, readiness, stop, end, and ends without a line `stopped`. Both name the logs that they can't read. Decisions (`diagnosis`) take decoded lines only; `log_files` reads, by blocks of which most lines are found by their bytes and never decoded. Blocks of the request's period are read a second time for lines that matter close to their time only.

--- a/src/cyclamendale/cli/application.py
+++ b/src/cyclamendale/cli/application.py
@@ -16,6 +16,7 @@
 from cyclamendale.cli import change_commands
 from cyclamendale.cli import exit_codes
 from cyclamendale.cli import local_commands
+from cyclamendale.cli import log_commands
 from cyclamendale.cli import node_commands
 from cyclamendale.cli import reactor_services
 
@@ -31,6 +32,8 @@
     node_commands.ExplainCommand,
     node_commands.StatusCommand,
     node_commands.TimelineCommand,
+    log_commands.TraceCommand,
+    log_commands.ProcessesCommand,
 )
 
 
--- a/src/cyclamendale/cli/reports.py
+++ b/src/cyclamendale/cli/reports.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import abc
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 import datetime
+from typing import Any
 
 import msgspec
 
@@ -123,7 +124,7 @@
         """See base class."""
         for entry in self.versions:
             yield (
-                f"version {entry.version} {_format_time(entry.written_ms)} "
+                f"version {entry.version} {format_time(entry.written_ms)} "
                 f"by {entry.writer}, change {entry.change_id}"
             )
             yield from (f"  put {file}" for file in entry.puts)
@@ -162,7 +163,7 @@
     def lines(self) -> Iterator[str]:
         """See base class."""
         for outcome in self.explanation.outcomes:
-            head = f"{_format_time(outcome.stamp.wall_ms)} {outcome.node}"
+            head = f"{format_time(outcome.stamp.wall_ms)} {outcome.node}"
             route = f" on route {outcome.route}" if outcome.route else ""
             if outcome.reason is None:
                 yield f"{head} served{route}, status {outcome.status}"
@@ -224,20 +225,24 @@
 
 
 def _format_event(event: events.RecordedEvent) -> str:
-    fields = " ".join(
-        f"{name}={value}"
-        for name, value in event.fields.items()
-        if value is not None
-    )
-    time = f"{_format_time(event.stamp.wall_ms)}+{event.stamp.counter}"
+    time = f"{format_time(event.stamp.wall_ms)}+{event.stamp.counter}"
+    fields = format_fields(event.fields)
     return f"{time} {event.node} {event.kind} {fields}".rstrip()
 
 
+def format_fields(fields: Mapping[str, Any]) -> str:
+    """Returns the fields that have a value as text."""
+    return " ".join(
+        f"{name}={value}" for name, value in fields.items() if value is not None
+    )
+
+
 def _unreachable_lines(nodes: list[ids.NodeId]) -> Iterator[str]:
     return (f"not reached: {node}" for node in nodes)
 
 
-def _format_time(wall_ms: int) -> str:
+def format_time(wall_ms: int) -> str:
+    """Returns a time in milliseconds since the epoch as ISO 8601 text."""
     try:
         moment = datetime.datetime.fromtimestamp(wall_ms / 1000, datetime.UTC)
     except (OverflowError, ValueError, OSError):
