Write a page with plots of refusals, versions and hosts from logs

What callers saw: nothing changes for them. Operators had counts at `/metrics` of single nodes, and nothing to look at after an incident.

Text from logs is escaped.

--- a/measure/trace_logs.py
+++ b/measure/trace_logs.py
@@ -1,7 +1,7 @@
 """Time to find the cause of a failed request among the logs of 30 nodes.
 
-Each node logs an hour at the most lines that its limit lets through. The time
-is that of the whole command, with the start of its process.
+Each node logs an hour at the most lines that its limit lets through. Times are
+those of whole commands, with the start of their processes.
 """
 
 from __future__ import annotations
@@ -82,45 +82,53 @@
         write(end_s + 0.5, "start", address="10.0.0.2:7000")
 
 
+def time_command(*words: str) -> tuple[list[float], str]:
+    """Runs a command several times; returns its times and last output."""
+    times_s = []
+    for _ in range(ROUNDS):
+        begin_s = time.monotonic()
+        completed = subprocess.run(
+            [sys.executable, "-m", "cyclamendale.cli.application", *words],
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        times_s.append(time.monotonic() - begin_s)
+    return times_s, completed.stdout
+
+
 def main() -> None:
-    """Writes the logs, and times the command."""
+    """Writes the logs, and times the commands that read them."""
     with tempfile.TemporaryDirectory() as name:
-        folder = pathlib.Path(name)
+        folder = pathlib.Path(name, "logs")
+        folder.mkdir()
         seed = random.Random(1)
         sizes = [
             write_log(folder / f"node-{number}.log", number, seed)
             for number in range(NODES)
         ]
-        times_s = []
-        for _ in range(ROUNDS):
-            begin_s = time.monotonic()
-            completed = subprocess.run(
-                [
-                    sys.executable,
-                    "-m",
-                    "cyclamendale.cli.application",
-                    "trace",
-                    SOUGHT,
-                    name,
-                ],
-                capture_output=True,
-                text=True,
-                check=True,
-            )
-            times_s.append(time.monotonic() - begin_s)
+        page = f"--output={pathlib.Path(name, 'report.html')}"
+        commands = {
+            "trace": ("trace", SOUGHT, str(folder)),
+            "processes": ("processes", str(folder)),
+            "report": ("report", str(folder), page),
+        }
+        found = {name: time_command(*words) for name, words in commands.items()}
     _report.print_report(
         "trace_logs",
         [
             {
+                "command": command,
                 "nodes": NODES,
                 "lines": NODES * HOUR_S * int(journal.DECISIONS_PER_S),
                 "size_mb": sum(sizes) / 1e6,
                 "median_s": statistics.median(times_s),
                 "worst_s": max(times_s),
-                "target_s": TARGET_S,
+                "target_s": TARGET_S if command == "trace" else "",
             }
+            for command, (times_s, _) in found.items()
         ],
-        completed.stdout.splitlines()[-1],
+        found["trace"][1].splitlines()[-1],
     )
 
 
--- a/src/cyclamendale/cli/application.py
+++ b/src/cyclamendale/cli/application.py
@@ -34,6 +34,7 @@
     node_commands.TimelineCommand,
     log_commands.TraceCommand,
     log_commands.ProcessesCommand,
+    log_commands.ReportCommand,
 )
 
 
--- a/src/cyclamendale/cli/base.py
+++ b/src/cyclamendale/cli/base.py
@@ -89,10 +89,12 @@
         for line in result.lines():
             if is_fault:
                 self._io.write_error_line(
-                    _escape_unprintable(line), Verbosity.QUIET, Type.RAW
+                    reports.escape_unprintable(line), Verbosity.QUIET, Type.RAW
                 )
             else:
-                self._io.write_line(_escape_unprintable(line), type=Type.RAW)
+                self._io.write_line(
+                    reports.escape_unprintable(line), type=Type.RAW
+                )
 
     def convert_option(
         self,
@@ -135,12 +137,6 @@
         return url
 
 
-def _escape_unprintable(line: str) -> str:
-    # Events and files may contain control sequences that would act on the
-    # operator's terminal.
-    return "".join(c if c.isprintable() else repr(c)[1:-1] for c in line)
-
-
 def query_node(
     operator_command: OperatorCommand,
     query: Callable[[services.NodeClient], defer.Deferred[Any]],
--- a/src/cyclamendale/cli/log_commands.py
+++ b/src/cyclamendale/cli/log_commands.py
@@ -7,7 +7,9 @@
 from typing import Any, ClassVar
 
 from cleo.helpers import argument
+from cleo.helpers import option
 from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
 from expression import effect
 from expression import Error
 from expression import Ok
@@ -18,12 +20,16 @@
 from cyclamendale.cli import faults
 from cyclamendale.cli import log_faults
 from cyclamendale.cli import log_reports
+from cyclamendale.cli import report_page
 from cyclamendale.cli import reports
 from cyclamendale.diagnosis import log_blocks
 from cyclamendale.diagnosis import log_files
 from cyclamendale.diagnosis import log_lines
 from cyclamendale.diagnosis import process_lives
 from cyclamendale.diagnosis import request_trace
+from cyclamendale.diagnosis import series
+
+DEFAULT_PAGE = "report.html"
 
 _LOGS_ARGUMENT = argument(
     "logs", "Logs of all nodes: files or folders of JSON lines.", multiple=True
@@ -96,6 +102,57 @@
         )
 
 
+class ReportCommand(base.OperatorCommand):
+    """`report`: writes a page with plots of what happened."""
+
+    name = "report"
+    description = "Writes a page with plots of refusals, versions and hosts."
+    help = (
+        _LOGS_HELP + "Exit codes: 0 done, 2 no log can be read, or the page "
+        "can't be written."
+    )
+    arguments: ClassVar[list[Argument]] = [_LOGS_ARGUMENT]
+    own_options: ClassVar[list[Option]] = [
+        option(
+            "output",
+            description="The page; one that exists is replaced (default "
+            f"{DEFAULT_PAGE}).",
+            flag=False,
+            default=DEFAULT_PAGE,
+        )
+    ]
+
+    @effect.result[reports.Report, faults.Fault]()
+    def perform(self) -> Generator[Any, Any, reports.Report]:
+        """See base class."""
+        files = log_files.LogFiles(map(pathlib.Path, self.argument("logs")))
+        collector = series.SeriesCollector()
+        collector.add_lines(files.lines(log_blocks.Selection(series.EVENTS)))
+        yield from _check_read(files)
+        fleet = collector.series()
+        path = self.option("output")
+        page = report_page.render_page(fleet, files.unread)
+        yield from _write_page(pathlib.Path(path), page)
+        columns = fleet.columns
+        return log_reports.FleetReport(
+            path,
+            log_reports.format_time(columns.begin_s),
+            columns.step_s,
+            {name: sum(counts) for name, counts in fleet.failures.items()},
+            len(fleet.lives),
+            tuple(files.unread),
+        )
+
+
+def _write_page(path: pathlib.Path, page: str) -> Result[None, faults.Fault]:
+    try:
+        path.write_text(page, encoding="utf-8")
+    except OSError as error:
+        text = error.strerror or str(error)
+        return Error(log_faults.UnwritablePath(str(path), text))
+    return Ok(None)
+
+
 def _check_read(files: log_files.LogFiles) -> Result[None, faults.Fault]:
     if files.read_count:
         return Ok(None)
--- a/src/cyclamendale/cli/log_faults.py
+++ b/src/cyclamendale/cli/log_faults.py
@@ -58,3 +58,19 @@
         for process in self.ended:
             yield f"{process.describe()}, perhaps with this request"
         yield from log_reports.unread_lines(self.unread)
+
+
+class UnwritablePath(faults.Fault, frozen=True, tag="unwritable-path"):
+    """The output can't be written."""
+
+    path: str
+    error: str
+
+    @property
+    def exit_code(self) -> exit_codes.ExitCode:
+        """See base class."""
+        return exit_codes.ExitCode.USAGE
+
+    def lines(self) -> Iterator[str]:
+        """See base class."""
+        yield f"{self.path}: {self.error}"
--- a/src/cyclamendale/cli/log_reports.py
+++ b/src/cyclamendale/cli/log_reports.py
@@ -23,7 +23,7 @@
     def describe(self) -> str:
         """Returns its end in a few words."""
         life = self.life
-        when = _format_time(life.last_s)
+        when = format_time(life.last_s)
         name = life.node or life.log
         return f"process {life.pid} of {name} {self.end.value} after {when}"
 
@@ -60,12 +60,39 @@
 
     def lines(self) -> Iterator[str]:
         """See base class."""
-        rows = [_HEADINGS, *map(_process_cells, self.processes)]
+        rows = [HEADINGS, *map(process_cells, self.processes)]
         yield from _align(rows)
         yield from unread_lines(self.unread)
 
 
-_HEADINGS = (
+class FleetReport(reports.Report, frozen=True):
+    """A page about the fleet was written.
+
+    Attributes:
+        path: The page.
+        begin: Time of its first column.
+        step_s: Length of a column.
+        failures: Requests refused or failed, by reason.
+        processes: Number of processes.
+        unread: Logs that could not be read.
+    """
+
+    path: str
+    begin: str
+    step_s: float
+    failures: dict[str, int]
+    processes: int
+    unread: tuple[log_files.UnreadLog, ...]
+
+    def lines(self) -> Iterator[str]:
+        """See base class."""
+        yield f"{self.path}: from {self.begin}, {self.processes} processes"
+        for reason, count in self.failures.items():
+            yield f"{reason}: {count}"
+        yield from unread_lines(self.unread)
+
+
+HEADINGS = (
     "node",
     "pid",
     "first line",
@@ -81,22 +108,23 @@
 )
 
 
-def _process_cells(process: Process) -> tuple[str, ...]:
+def process_cells(process: Process) -> tuple[str, ...]:
+    """Returns the cells of a process below the headings."""
     life = process.life
     started_s = life.start_s
     waits = ",".join(dict.fromkeys(wait.event for wait in life.waits))
     return (
         life.node or f"({life.log})",
         str(life.pid or "-"),
-        _format_time(life.first_s),
+        format_time(life.first_s),
         f"{life.waited_s:.1f} s {waits}" if waits else "-",
         _format_duration(started_s, life.ready_s),
         _format_duration(started_s, life.store_s),
         str(life.reload_count),
-        "-" if life.stop_s is None else _format_time(life.stop_s),
+        "-" if life.stop_s is None else format_time(life.stop_s),
         _format_count(life.in_work),
         _format_count(life.left_in_work),
-        _format_time(life.last_s),
+        format_time(life.last_s),
         _format_end(process),
     )
 
@@ -131,11 +159,12 @@
 
 def _format_line(line: log_lines.LogLine) -> str:
     fields = reports.format_fields(line.fields)
-    time = _format_time(line.time_s)
+    time = format_time(line.time_s)
     return f"{time} {line.node} {line.event} {fields}".rstrip()
 
 
-def _format_time(time_s: float) -> str:
+def format_time(time_s: float) -> str:
+    """Returns a time in seconds since the epoch as ISO 8601 text."""
     return reports.format_time(int(round(time_s * 1000)))
 
 
--- a/src/cyclamendale/cli/reports.py
+++ b/src/cyclamendale/cli/reports.py
@@ -237,6 +237,15 @@
     )
 
 
+def escape_unprintable(text: str) -> str:
+    """Returns text without control characters.
+
+    Events and files may contain sequences that would act on the operator's
+    terminal.
+    """
+    return "".join(c if c.isprintable() else repr(c)[1:-1] for c in text)
+
+
 def _unreachable_lines(nodes: list[ids.NodeId]) -> Iterator[str]:
     return (f"not reached: {node}" for node in nodes)
 
--- a/src/cyclamendale/diagnosis/fleet_view.py
+++ b/src/cyclamendale/diagnosis/fleet_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Iterable, Iterator
 import itertools
 
@@ -62,6 +63,11 @@
         """
         self._lines = sorted(lines, key=lambda line: line.time_s)
         self.lives = process_lives.collect_lives(self._lines)
+        self._lives_by_process: dict[
+            tuple[ids.NodeId, int], list[process_lives.Life]
+        ] = collections.defaultdict(list)
+        for life in self.lives:
+            self._lives_by_process[life.node, life.pid].append(life)
         self._nodes = {
             life.address: life.node for life in self.lives if life.address
         }
@@ -74,9 +80,8 @@
         """Returns the process that wrote a line."""
         lives = [
             life
-            for life in self.lives
-            if (life.node, life.pid) == (line.node, line.pid)
-            and life.first_s <= line.time_s
+            for life in self._lives_by_process[line.node, line.pid]
+            if life.first_s <= line.time_s
             and (line.pid or life.log == line.log)
         ]
         return lives[-1] if lives else None
--- a/src/cyclamendale/diagnosis/log_lines.py
+++ b/src/cyclamendale/diagnosis/log_lines.py
@@ -114,3 +114,11 @@
         request=ids.RequestId(request) if isinstance(request, str) else None,
         fields=fields,
     )
+
+
+def count_left_out(line: LogLine) -> int:
+    """Returns how many lines a line says that its node left out."""
+    by_event = line.fields.get("counts")
+    if not isinstance(by_event, dict):
+        return 0
+    return sum(count for count in by_event.values() if isinstance(count, int))
--- a/src/cyclamendale/diagnosis/request_trace.py
+++ b/src/cyclamendale/diagnosis/request_trace.py
@@ -131,9 +131,5 @@
 ) -> dict[ids.NodeId, int]:
     counts: collections.Counter[ids.NodeId] = collections.Counter()
     for line in view.between(log_lines.Event.LINES_LEFT_OUT, begin_s, end_s):
-        by_event = line.fields.get("counts")
-        if isinstance(by_event, dict):
-            counts[line.node] += sum(
-                count for count in by_event.values() if isinstance(count, int)
-            )
-    return dict(counts)
+        counts[line.node] += log_lines.count_left_out(line)
+    return dict(+counts)
--- a/tests/test_cli_logs.py
+++ b/tests/test_cli_logs.py
@@ -4,6 +4,7 @@
 
 import pathlib
 import tempfile
+from xml.etree import ElementTree
 
 import testtools
 
@@ -139,3 +140,74 @@
     def test_no_readable_log_is_a_usage_error(self):
         path = str(self.folder / "absent")
         self.assertEqual(2, self.operator.run("processes", path))
+
+
+class ReportTest(LogCommandCase):
+    def setUp(self):
+        super().setUp()
+        self.page = self.folder.parent / f"{self.folder.name}.html"
+        self.addCleanup(self.page.unlink, missing_ok=True)
+
+    def run_report(self, *words):
+        return self.operator.run(
+            "report", str(self.folder), f"--output={self.page}", *words
+        )
+
+    def test_the_page_has_plots_processes_and_unread_logs(self):
+        self.assertEqual(0, self.run_report())
+        page = self.page.read_text()
+        self.assertEqual(3, page.count("<svg"))
+        for text in (
+            "23:33:29 lost: 1<",
+            "by-itself, next after 3.0 s",
+            "notes.txt",
+        ):
+            self.assertIn(text, page)
+        for line in ("from 2026-12-06T23:33:20.000Z, 3 processes", "lost: 1"):
+            self.assertIn(line, self.operator.output)
+
+    def test_the_page_needs_no_other_file(self):
+        self.run_report()
+        page = self.page.read_text()
+        for text in ("http:", "https:", "<script", "<link", "src=", "url("):
+            self.assertNotIn(text, page)
+
+    def test_text_from_logs_is_no_markup(self):
+        self.write(
+            "b-3.log",
+            _raw(0, "<b>b-3</b>", "start"),
+            _raw(1, "b-3", "refused", reason="<script>alert(1)</script>\x1b"),
+        )
+        self.run_report()
+        page = self.page.read_text()
+        self.assertNotIn("<script", page)
+        self.assertNotIn("<b>", page)
+        self.assertNotIn("\x1b", page)
+        self.assertIn("&lt;script&gt;", page)
+
+    def test_a_page_is_whole_markup(self):
+        self.run_report()
+        page = self.page.read_text().removeprefix("<!DOCTYPE html>")
+        page = page.replace('<meta charset="utf-8">', "")
+        self.assertEqual("html", ElementTree.fromstring(page).tag)
+
+    def test_json_names_page_and_counts(self):
+        code, report = self.operator.json(
+            "report", str(self.folder), f"--output={self.page}"
+        )
+        self.assertEqual((0, str(self.page)), (code, report["path"]))
+        self.assertEqual(1, report["failures"]["lost"])
+
+    def test_a_page_that_cannot_be_written_is_a_usage_error(self):
+        code = self.operator.run(
+            "report", str(self.folder), f"--output={self.folder}"
+        )
+        self.assertEqual(2, code)
+        self.assertIn(str(self.folder), self.operator.errors)
+
+    def test_no_readable_log_leaves_no_page(self):
+        code = self.operator.run(
+            "report", str(self.folder / "absent"), f"--output={self.page}"
+        )
+        self.assertEqual(2, code)
+        self.assertFalse(self.page.exists())
