Wait at a stop only for the steps that take time

The merge of the steps of a stop with the cancelling of forwarded requests made a step that returns something else than a Deferred break the stop (test_what_came_while_a_process_stood_still_at_its_end_is_refused failed).

--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -336,7 +336,10 @@
                 self._peers.close,
             ),
         )
-        closed = defer.gatherResults(filter(None, closing), consumeErrors=True)
+        closed = defer.gatherResults(
+            [each for each in closing if isinstance(each, defer.Deferred)],
+            consumeErrors=True,
+        )
         closed.addErrback(lambda failure: self.log.defect("stop", failure))
         yield self._shutdown.wait_while_closing(lambda: not closed.called)
         # The reactor accepts what waits in one iteration and reads it in the
