--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -45,7 +45,6 @@
 from cyclamendale.proxy import run_server
 from cyclamendale.proxy import server
 from cyclamendale.quotas import bounds as quota_bounds
-from cyclamendale.store import load_limit
 from cyclamendale.store import watched_rows
 
 
@@ -307,7 +306,8 @@
     @defer.inlineCallbacks
     def stop(self) -> Any:
         """Serves while callers move away, then stops; cuts off no request."""
-        run = steps.Steps(self.log, "stop").run
+        stopping = steps.Steps(self.log, "stop")
+        run = stopping.run
         count = self._count_pending_requests
         self._shutdown.begin(self._settings.bounds.grace_s)
         self.log.belief("stop", in_work=run(count))
@@ -318,34 +318,23 @@
         self._shutdown.end()
         self.log.belief("stopped", in_work=run(count))
         self._reactor.callLater(0, self._server.accept_waiting, self._port)
-        closing = run(self._listeners.close, otherwise=[])
-        closing += map(
-            run,
-            (
-                self._call_learner.stop,
-                self._own_upstream.stop,
-                self._configuration_sync.stop,
-                self._discovery.stop,
-                self._gate.stop,
-                self._run_server.stop,
-                self._dispatcher.stop,
-                self._server.stop,
-                self._links.stop,
-                self._permits.stop,
-                self._reporter.stop,
-                self._peers.close,
-            ),
-        )
-        closed = defer.gatherResults(
-            [each for each in closing if isinstance(each, defer.Deferred)],
-            consumeErrors=True,
+        closed = stopping.run_all(
+            lambda: defer.gatherResults(self._listeners.close()),
+            self._call_learner.stop,
+            self._own_upstream.stop,
+            self._configuration_sync.stop,
+            self._discovery.stop,
+            self._gate.stop,
+            self._run_server.stop,
+            self._dispatcher.stop,
+            self._server.stop,
+            self._links.stop,
+            self._permits.stop,
+            self._reporter.stop,
+            self._peers.close,
         )
-        closed.addErrback(lambda failure: self.log.defect("stop", failure))
         yield self._shutdown.wait_while_closing(lambda: not closed.called)
-        # The reactor accepts what waits in one iteration and reads it in the
-        # next, also if the process stood still until it had to end.
-        for _ in range(2):
-            yield load_limit.sleep(self._clock, 0.0)
+        yield self._shutdown.wait_for_reads()
         run(self._server.end_close)
         yield self._shutdown.wait_while_closing(lambda: self._server.in_flight)
 
--- a/src/cyclamendale/fleet/shutdown.py
+++ b/src/cyclamendale/fleet/shutdown.py
@@ -87,6 +87,16 @@
         while is_closing() and self._clock.now_s() < self._closed_by_s:
             yield load_limit.sleep(self._clock, POLL_INTERVAL_S)
 
+    @defer.inlineCallbacks
+    def wait_for_reads(self) -> Any:
+        """Waits until the reactor has read what has arrived.
+
+        It accepts connections in one iteration and reads them in the next, also
+        if the process stood still until it had to end.
+        """
+        for _ in range(2):
+            yield load_limit.sleep(self._clock, 0.0)
+
     def accepts(self, deadline_s: float, read_from_s: float = 0.0) -> bool:
         """Returns whether to serve a request that arrives now.
 
--- a/src/cyclamendale/fleet/steps.py
+++ b/src/cyclamendale/fleet/steps.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from twisted.internet import defer
 from twisted.python import failure
 
 from cyclamendale.fleet import journal
@@ -41,3 +42,17 @@
                 self._failed.add(step)
                 self._log.defect(self._name, failure.Failure())
             return otherwise
+
+    def run_all(self, *steps: Callable[[], Any]) -> defer.Deferred[Any]:
+        """Runs steps in order.
+
+        Returns:
+            A Deferred that fires once those that take time have ended.
+        """
+        results = [self.run(step) for step in steps]
+        ended = defer.gatherResults(
+            [each for each in results if isinstance(each, defer.Deferred)],
+            consumeErrors=True,
+        )
+        ended.addErrback(lambda reason: self._log.defect(self._name, reason))
+        return ended
