Processes of hosts without a name do not follow each other

What callers saw: nothing. `cyclamendale processes` called a process ended by itself when its settings could never be used and those of another host could not either.

Cause: lives are joined by the name of their node, which is empty until the settings can be used. Change: only named hosts have a next process. The test failed before.

Also: the view of a fleet finds a node's lines by an index, in place of a pass over all lines for each host and column.

--- a/src/cyclamendale/diagnosis/fleet_view.py
+++ b/src/cyclamendale/diagnosis/fleet_view.py
@@ -62,6 +62,11 @@
             lines: Lines of the events above, in any order.
         """
         self._lines = sorted(lines, key=lambda line: line.time_s)
+        self._lines_by_node: dict[ids.NodeId, list[log_lines.LogLine]] = (
+            collections.defaultdict(list)
+        )
+        for line in self._lines:
+            self._lines_by_node[line.node].append(line)
         self.lives = process_lives.collect_lives(self._lines)
         self._lives_by_process: dict[
             tuple[ids.NodeId, int], list[process_lives.Life]
@@ -102,9 +107,7 @@
         self, life: process_lives.Life
     ) -> Iterator[log_lines.LogLine]:
         """Yields the lines that tell of the end of a process."""
-        for line in self._lines:
-            if line.node != life.node:
-                continue
+        for line in self._lines_by_node[life.node]:
             if line.event in _ENDS and line.time_s in (
                 life.stop_s,
                 life.stopped_s,
@@ -142,8 +145,10 @@
         ):
             states = {life.state_at(at_s): life for life in lives}
             state = max(states, key=_TAKES.index)
+            if state not in _CLOSED:
+                continue
             end_line = next(self.end_lines(states[state]), None)
-            if state in _CLOSED and end_line is not None:
+            if end_line is not None:
                 closed[node] = ClosedHost(state.value, end_line)
         return closed
 
--- a/src/cyclamendale/diagnosis/process_lives.py
+++ b/src/cyclamendale/diagnosis/process_lives.py
@@ -219,7 +219,7 @@
             self._lives, key=lambda life: (life.node, life.first_s)
         )
         for earlier, later in zip(ordered, ordered[1:], strict=False):
-            if earlier.node == later.node:
+            if earlier.node and earlier.node == later.node:
                 earlier.next_s = later.first_s
         return ordered
 
--- a/tests/test_diagnosis_causes.py
+++ b/tests/test_diagnosis_causes.py
@@ -188,6 +188,15 @@
         ],
         "lost-at-host", "the host or the way to it was silent",
     ),
+    "silent ways of others, and to others": (
+        [
+            _line(-0.1, "b-3", "link-silent", peer=_HOST["host"], in_work=2),
+            _line(-0.1, "a-1", "link-silent", peer="10.9.9.9:1", in_work=2),
+            _about(0, "a-1", "gave-up", **_LOST),
+            _refused(0, "a-1", "lost", "unknown", age_ms=900.0),
+        ],
+        "lost-at-host", "(a-2): the connection to it ended, and no log",
+    ),
     "a host whose log was not given": (
         [
             _about(0, "a-1", "gave-up", reason="lost", execution="unknown",
--- a/tests/test_diagnosis_files.py
+++ b/tests/test_diagnosis_files.py
@@ -6,6 +6,7 @@
 import logging
 import os
 import pathlib
+import re
 import tempfile
 
 import testscenarios
@@ -131,6 +132,12 @@
     "JSON over several lines": (b'{\n "time": 1\n}\n', "no-lines"),
     "wrong types": (b'{"time":"x","event":"stop"}\n', "no-lines"),
     "deep": (b"[" * 100_000 + b"\n", "no-lines"),
+    "lines of another program": (
+        _raw(0, "a-1", "start").encode()
+        + b"Traceback:\n"
+        + _raw(1, "a-1", "host-met").encode() * 2,
+        "damaged",
+    ),
     "half a line": (
         _raw(0, "a-1", "start").encode() + b'{"time":1,"event":"stop",',
         "damaged",
@@ -220,10 +227,13 @@
             *(_raw(second, "a-1", "stop", n=second) for second in range(100)),
         )
         self.read()
-        # Blocks outside of the period would now be found damaged.
+        # Lines outside would now be of the period, if they were read.
         data = path.read_bytes()
-        begin = data.index(b'"n":20}')
-        path.write_bytes(b"#" * begin + data[begin:])
+        begin = data.index(b'{"time"', data.index(b'"n":20}'))
+        earlier = re.sub(
+            rb'"time":[0-9.]+', b'"time":1796600051.0', data[:begin]
+        )
+        path.write_bytes(earlier + data[begin:])
         begin_s = log_samples.BEGIN_S + 50.5
         found = self.files.lines_between(_SELECTION, begin_s, begin_s + 3)
         self.assertEqual([51, 52, 53], [line.fields["n"] for line in found])
--- a/tests/test_diagnosis_lives.py
+++ b/tests/test_diagnosis_lives.py
@@ -60,6 +60,14 @@
         ],
         ["stopped", "open"],
     ),
+    "its log was rotated": (
+        [
+            _started("a-1", 0, log="a.log.1"),
+            _line(5, "a-1", "stop", log="a.log"),
+            _line(7, "a-1", "stopped", log="a.log"),
+        ],
+        ["stopped"],
+    ),
     "logs without numbers of processes": (
         [
             _started("a-1", 0, pid=0, log="a.1"),
@@ -80,6 +88,13 @@
         [_line(0, "", "settings-unusable", pid=11), _started("b-3", 3)],
         ["open", "open"],
     ),
+    "two hosts whose settings could never be used": (
+        [
+            _line(0, "", "settings-unusable", pid=11, log="a.log"),
+            _line(1, "", "settings-unusable", pid=12, log="b.log"),
+        ],
+        ["open", "open"],
+    ),
     "two hosts with the same number": (
         [_started("a-1", 0, pid=1), _started("a-2", 1, pid=1)],
         ["open", "open"],
