Trace: search for the end of the event's key

What operators saw: `trace` on the logs of 30 nodes took 1.90 s, worst 2.16 s, on beside other work (load 16); the target is 2 s.

Cause: the pattern began with a quote, which each line has some forty of, and was tried at each. Change: it begins with a rarer letter of the key.

--- a/src/cyclamendale/diagnosis/log_blocks.py
+++ b/src/cyclamendale/diagnosis/log_blocks.py
@@ -12,7 +12,10 @@
 from cyclamendale.diagnosis import log_lines
 
 _EVENT_KEY = b'"event":"'
-_START = f'"event":"{log_lines.Event.START}"'.encode()
+_SOUGHT_KEY = b'vent":"'
+"""End of the key: a search is slower if it begins with a frequent letter."""
+
+_START = _SOUGHT_KEY + log_lines.Event.START.encode() + b'"'
 _ODD_LINE = re.compile(rb"\n[^{]")
 _TIME = re.compile(rb'\{"time":([0-9.]{1,32}),')
 
@@ -29,7 +32,7 @@
             events: Names of the events that are chosen.
             request: Request whose lines are chosen too, if any.
         """
-        self._events = re.compile(_EVENT_KEY + _any_of(events) + b'"')
+        self._events = re.compile(_SOUGHT_KEY + _any_of(events) + b'"')
         self._request = msgspec.json.encode(request) if request else None
 
     def positions(self, block: bytes) -> Iterator[int]:
