Close the ports of a node of which a part did not start

If a part of a node raises at a start after the ports are open, the process waits for its own ports without end (addresses-in-use).

Cause: only a listen that failed closed the ports of a node.

Change: a start that fails anywhere closes all ports and stops all parts. The port of datagrams is closed also if the last report can't be built.

Result: FailedPartTest lets the gate, the first report and the call learner raise once: the next try starts. Why it works: no descriptor and no timer of the failed node is left.

--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import random
 from typing import Any
 
@@ -255,12 +256,16 @@
         Raises:
             OSError, CannotListenError: No address is open then.
         """
+        stops: tuple[Callable[[], Any], ...] = ()
         try:
             self._open_ports()
+            stops = self._part_stops()
+            self._start_parts()
         except BaseException:
-            self._listeners.close()
-            self._peers.close()
+            self._close(steps.Steps(self.log, "start").run, stops)
             raise
+
+    def _start_parts(self) -> None:
         settings = self._settings
         self.log.belief(
             "start",
@@ -318,24 +323,7 @@
         self._shutdown.end()
         self.log.belief("stopped", in_work=run(count))
         self._reactor.callLater(0, self._server.accept_waiting, self._port)
-        closing = run(self._listeners.close, otherwise=[])
-        closing += map(
-            run,
-            (
-                self._call_learner.stop,
-                self._own_upstream.stop,
-                self._configuration_sync.stop,
-                self._discovery.stop,
-                self._gate.stop,
-                self._run_server.stop,
-                self._dispatcher.stop,
-                self._server.stop,
-                self._links.stop,
-                self._permits.stop,
-                self._reporter.stop,
-                self._peers.close,
-            ),
-        )
+        closing = self._close(run, self._part_stops())
         closed = defer.gatherResults(
             [each for each in closing if isinstance(each, defer.Deferred)],
             consumeErrors=True,
@@ -349,6 +337,29 @@
         run(self._server.end_close)
         yield self._shutdown.wait_while_closing(lambda: self._server.in_flight)
 
+    def _part_stops(self) -> tuple[Callable[[], Any], ...]:
+        """Returns what stops the parts without a port, started or not."""
+        return (
+            self._call_learner.stop,
+            self._own_upstream.stop,
+            self._configuration_sync.stop,
+            self._discovery.stop,
+            self._gate.stop,
+            self._run_server.stop,
+            self._dispatcher.stop,
+            self._server.stop,
+            self._links.stop,
+            self._permits.stop,
+        )
+
+    def _close(
+        self, run: Callable[..., Any], stops: tuple[Callable[[], Any], ...]
+    ) -> list[Any]:
+        """Closes all ports and stops parts; returns what is to wait for."""
+        closing = run(self._listeners.close, otherwise=[])
+        last = (self._reporter.stop, self._peers.close)
+        return [*closing, *map(run, (*stops, *last))]
+
     def _count_pending_requests(self) -> int:
         return (
             self._server.in_flight
--- a/src/cyclamendale/fleet/reporter.py
+++ b/src/cyclamendale/fleet/reporter.py
@@ -87,8 +87,11 @@
     def stop(self) -> Any:
         """Sends a last report to all hosts, then closes the port."""
         clocks.cancel(self._timer)
-        self.send_now()
-        return self._port.close()
+        try:
+            self.send_now()
+        finally:
+            closed = self._port.close()
+        return closed
 
     def send_now(self) -> None:
         """Sends an urgent report, which other domains pass on at once."""
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -181,3 +181,34 @@
         self.assertIn("ValueError: no such thing", log)
         self.wait_event(process, "start")
         self.stop(process)
+
+
+class FailedPartTest(daemon_process.DaemonCase):
+    """A node of which a part did not start kept its own ports in use."""
+
+    scenarios = [
+        ("gate", {"part": "proxy.gate.Gate.start"}),
+        ("first report", {"part": "fleet.reporter.Reporter._tick"}),
+        (
+            "call learner",
+            {"part": "fleet.call_learning.CallGraphLearner.start"},
+        ),
+    ]
+
+    def test_the_next_try_finds_the_ports_free(self):
+        module, name, method = self.part.rsplit(".", 2)
+        code = f"""
+from cyclamendale.{module} import {name} as part
+method, calls = part.{method}, []
+def fail_once(self, *args):
+    calls.append(args)
+    if len(calls) == 1:
+        raise ValueError("no such thing")
+    return method(self, *args)
+part.{method} = fail_once
+"""
+        process = self.start(f"exec({code!r}, {{}})")
+        log = self.wait_event(process, "start-failed")
+        self.assertIn("ValueError: no such thing", log)
+        self.wait_event(process, "start")
+        self.stop(process)
