--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -44,7 +44,6 @@
 from cyclamendale.proxy import messages
 from cyclamendale.proxy import run_server
 from cyclamendale.proxy import server
-from cyclamendale.quotas import bounds as quota_bounds
 from cyclamendale.store import watched_rows
 
 
@@ -137,9 +136,7 @@
             self._random,
             own_address,
             settings.failure_domain,
-            quota_bounds.QuotaBound(
-                bounds.quota_window_s, bounds.quota_overrun, bounds.quota_slack
-            ),
+            bounds.quota,
             port.transmit,
             self.log,
         )
@@ -256,10 +253,12 @@
         """
         try:
             self._open_ports()
+            self._start_parts()
         except BaseException:
-            self._listeners.close()
-            self._peers.close()
+            self._close(steps.Steps(self.log, "start"))
             raise
+
+    def _start_parts(self) -> None:
         settings = self._settings
         self.log.belief(
             "start",
@@ -318,7 +317,15 @@
         self._shutdown.end()
         self.log.belief("stopped", in_work=run(count))
         self._reactor.callLater(0, self._server.accept_waiting, self._port)
-        closed = stopping.run_all(
+        closed = self._close(stopping)
+        yield self._shutdown.wait_while_closing(lambda: not closed.called)
+        yield self._shutdown.wait_for_reads()
+        run(self._server.end_close)
+        yield self._shutdown.wait_while_closing(lambda: self._server.in_flight)
+
+    def _close(self, stopping: steps.Steps) -> defer.Deferred[Any]:
+        """Closes all ports and stops all parts, started or not."""
+        return stopping.run_all(
             lambda: defer.gatherResults(self._listeners.close()),
             self._call_learner.stop,
             self._own_upstream.stop,
@@ -333,10 +340,6 @@
             self._reporter.stop,
             self._peers.close,
         )
-        yield self._shutdown.wait_while_closing(lambda: not closed.called)
-        yield self._shutdown.wait_for_reads()
-        run(self._server.end_close)
-        yield self._shutdown.wait_while_closing(lambda: self._server.in_flight)
 
     def _count_pending_requests(self) -> int:
         return (
@@ -376,10 +379,8 @@
     def _pressure(self, service: ids.ServiceName) -> float:
         return pressure.combine(
             self._view.pressure(service),
-            pressure.from_refusals(
-                self._view.refused_share(service),
-                self._settings.bounds.retry_ratio,
-            ),
+            self._view.refused_share(service),
+            self._settings.bounds.retry_ratio,
         )
 
     def _apply_configuration(self, configuration: model.Configuration) -> None:
--- a/src/cyclamendale/fleet/settings.py
+++ b/src/cyclamendale/fleet/settings.py
@@ -8,6 +8,7 @@
 
 from cyclamendale import buffer_budget
 from cyclamendale import ids
+from cyclamendale.quotas import bounds as quota_bounds
 
 
 class Bounds(msgspec.Struct, frozen=True, kw_only=True):
@@ -36,6 +37,13 @@
     quota_overrun: float = 0.1
     quota_slack: float = 20.0
 
+    @property
+    def quota(self) -> quota_bounds.QuotaBound:
+        """Returns how far admissions may exceed a quota."""
+        return quota_bounds.QuotaBound(
+            self.quota_window_s, self.quota_overrun, self.quota_slack
+        )
+
 
 class HostSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Settings of one node.
--- a/src/cyclamendale/overload/pressure.py
+++ b/src/cyclamendale/overload/pressure.py
@@ -106,6 +106,13 @@
     return MAX_PRESSURE - usable / needed
 
 
-def combine(queueing: float, refusals: float) -> float:
-    """Returns the pressure of two causes, each a share of load to shed."""
+def combine(queueing: float, refused_share: float, retry_ratio: float) -> float:
+    """Returns the pressure of a service, as a share of load to shed.
+
+    Args:
+        queueing: Pressure of its queues.
+        refused_share: Share of the requests that its upstreams refuse.
+        retry_ratio: Retries per request that the fleet may spend.
+    """
+    refusals = from_refusals(refused_share, retry_ratio)
     return 1.0 - (1.0 - queueing) * (1.0 - refusals)
