Find the node that the store serves in time in large domains

What callers could see: a node refuses a request as an older version says, more than config_apply_s + max_stretch_s (2 + 5 s) after the newer one was confirmed (CONFIG), while the store turns away all but a few nodes of a failure domain that is cut off.

Cause: four stand-ins at a time took turns of 2 s, so that a node had its turn every (N - 2) / 4 turns, and a node that was served gave its turn up like the others.

Change: a turn lasts 0.6 s, one request that is refused; all have had theirs after seven turns at most, more than four at a time beyond 30 nodes; a node that is served goes on watching while no watcher has contact. Nodes check their role each 0.25 s, twice a turn.

Why it works: the wait of any node is bounded by seven turns whatever the size, so that it does not matter which one is served. In calm nothing asks more: the first condition, 1.2 s without contact, is the same.

Cost: no search for one of N nodes within T takes fewer than N / T requests, so the load of a search grows with domains of more than 30 nodes.

--- a/src/cyclamendale/fleet/configuration.py
+++ b/src/cyclamendale/fleet/configuration.py
@@ -36,8 +36,12 @@
 """The same while the store does not answer. A request that is sent before the
 store is back may stay unanswered, so the next one must follow soon."""
 
-ROLE_CHECK_INTERVAL_S = 0.5
-"""Interval at which a node that does not watch checks whether it should."""
+ROLE_CHECK_INTERVAL_S = 0.25
+"""Interval at which a node that does not watch checks whether it should. Two
+fit into a turn of stand-ins, so that a late one costs none."""
+
+FIRST_CHECK_WAIT_S = 0.5
+"""Time after a first start until the first of these checks."""
 
 FIRST_START_WAIT_S = 6.0
 """Time after a first start in which a node that does not watch leaves the
@@ -189,7 +193,7 @@
         if is_first_start:
             # Until hosts have met, each one believes that it should watch.
             self._patient_until_s = self._clock.now_s() + FIRST_START_WAIT_S
-            await load_limit.sleep(self._clock, ROLE_CHECK_INTERVAL_S)
+            await load_limit.sleep(self._clock, FIRST_CHECK_WAIT_S)
         while True:
             if self._should_watch():
                 await self._watch_once()
@@ -208,6 +212,7 @@
             self._view.rank_in_domain(),
             1 + len(self._view.live_in_domain()),
             silent_s,
+            self._is_reachable is True,
         )
 
     def store_silent_s(self) -> float:
--- a/src/cyclamendale/fleet/watch_role.py
+++ b/src/cyclamendale/fleet/watch_role.py
@@ -17,25 +17,38 @@
 after it."""
 
 STAND_INS_PER_DOMAIN = 4
-STAND_IN_TURN_S = 2.0
-"""Nodes per failure domain that ask then, and the time after which the next
-ones take turns with them: the load on a store that is away must not grow with
-the fleet."""
+"""Least number of nodes per failure domain that ask then at the same time."""
 
+STAND_IN_TURN_S = 0.6
+"""Time after which the next ones take turns with them. A node whose request is
+refused does not ask again in the same turn."""
 
-def should_watch(rank: int, live_count: int, silent_s: float) -> bool:
+MAX_TURNS = 7
+"""Turns in which all nodes of a domain ask. Any one may be the only one that
+the store serves, so that more nodes ask at the same time in a large domain; a
+version still is in force in time after the last turn."""
+
+
+def should_watch(
+    rank: int, live_count: int, silent_s: float, is_served: bool
+) -> bool:
     """Returns whether a node should watch the store.
 
     Args:
         rank: Number of live nodes of its failure domain with lower addresses.
         live_count: Number of live nodes of the domain, itself included.
         silent_s: Time since a known node was in contact with the store.
+        is_served: Whether the store answered the last request of the node.
     """
     if rank < WATCHERS_PER_DOMAIN:
         return True
     if silent_s < MAX_SILENCE_S:
         return False
+    if is_served:
+        return True
+    # Places on a ring of all stand-ins, in units of 1 / MAX_TURNS of a node.
     others = max(1, live_count - WATCHERS_PER_DOMAIN)
+    at_once = max(STAND_INS_PER_DOMAIN * MAX_TURNS, others)
     turn = int((silent_s - MAX_SILENCE_S) / STAND_IN_TURN_S)
-    first = turn * STAND_INS_PER_DOMAIN % others
-    return (rank - WATCHERS_PER_DOMAIN - first) % others < STAND_INS_PER_DOMAIN
+    place = (rank - WATCHERS_PER_DOMAIN) * MAX_TURNS
+    return (place - turn * at_once) % (others * MAX_TURNS) < at_once
