--- a/soak/targets.py
+++ b/soak/targets.py
@@ -347,13 +347,7 @@
     async def replace(
         self, host: int, leaves: bool, replace_host: Awaitable[None]
     ) -> None:
-        """Takes an upstream away and starts one on the host that follows.
-
-        Args:
-            host: Number of the host.
-            leaves: Whether the upstream leaves as planned.
-            replace_host: Replaces the host, once the upstream has ended.
-        """
+        """Takes an upstream and its host away; others follow."""
         with self._claimed(host) as target:
             await (target.leave(True) if leaves else target.exit())
             await replace_host
