Soak: wait for calls of upstreams before the requests are judged

Since clients that still wait give up, a run that goes on without its client may make a call in the last second. The soak now waits until each request has an end, at most for the calls' deadline and a second more. No check is changed.

--- a/soak/runner.py
+++ b/soak/runner.py
@@ -51,6 +51,7 @@
 """Planned actions that may overlap."""
 
 CALL_DEADLINE_MS = 4_000
+CALL_CHECK_S = 0.05
 CALL_SHARE = 0.15
 """Share of runs of a service that call another one."""
 
@@ -176,6 +177,7 @@
             await asyncio.sleep(SETTLE_S)
             await self._work()
             await asyncio.sleep(LAST_RUNS_S)
+            await self._wait_for_calls()
             return self._judge()
         finally:
             for watcher in watchers:
@@ -185,6 +187,14 @@
             if self._links is not None:
                 self._links.close()
 
+    async def _wait_for_calls(self) -> None:
+        """Waits until calls of upstreams, which go on, have their answers."""
+        ends_s = self._record.now_s() + CALL_DEADLINE_MS / 1000 + LAST_RUNS_S
+        while self._record.now_s() < ends_s and any(
+            not request.answer.ended_s for request in self._requests
+        ):
+            await asyncio.sleep(CALL_CHECK_S)
+
     async def _publish_first(self) -> None:
         """Publishes the first configuration, at times after the starts."""
         rng = self._make_rng()
