--- a/src/cyclamendale/fleet/node.py
+++ b/src/cyclamendale/fleet/node.py
@@ -372,8 +372,7 @@
         return self._settings.service
 
     def _set_load(self, host: ids.PeerAddress, at_gate: int) -> None:
-        known = self._view.find(host)
-        if known is not None:
+        if (known := self._view.find(host)) is not None:
             known.candidate.record_report(at_gate)
 
     def _pressure(self, service: ids.ServiceName) -> float:
