--- a/review/standins.py
+++ b/review/standins.py
@@ -9,8 +9,7 @@
 
 import asyncio
 import base64
-import collections
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 import contextlib
 import hashlib
 import json
@@ -56,8 +55,6 @@
 DRAIN_S = 2.0
 GRACE_S = 6.0
 HEARTBEAT_S = 1.5
-STORE_WRITES_PER_S = 400
-STORE_READS_PER_S = 2000
 
 
 class Record:
@@ -110,17 +107,9 @@
 
 
 class Store:
-    """Rows of the platform's store; it is sound and answers at once.
-
-    Calls beyond the rates of the pages get 429.
-    """
+    """Rows of the platform's store; it is sound and answers at once."""
 
     def __init__(self) -> None:
-        self.refused = 0
-        self._calls_s: dict[str, collections.deque[float]] = {
-            "GET": collections.deque(maxlen=STORE_READS_PER_S),
-            "POST": collections.deque(maxlen=STORE_WRITES_PER_S),
-        }
         self.version = 0
         self.rows: dict[tuple[str, str, str], tuple[str | None, int]] = {}
         self._changed = asyncio.Event()
@@ -174,8 +163,6 @@
             name: values[0]
             for name, values in urllib.parse.parse_qs(url.query).items()
         }
-        if self._is_over_rate(method):
-            return 429, {}
         if method == "POST" and url.path == "/-/rows-tx":
             return self._transact(json.loads(body))
         if url.path == "/-/rows-get":
@@ -184,15 +171,6 @@
             return 200, await self._feed(query)
         return 404, {}
 
-    def _is_over_rate(self, method: str) -> bool:
-        calls_s = self._calls_s[method]
-        now_s = time.monotonic()
-        if len(calls_s) == calls_s.maxlen and now_s - calls_s[0] < 1.0:
-            self.refused += 1
-            return True
-        calls_s.append(now_s)
-        return False
-
     def _stamp(self) -> dict:
         return {"record_version": self.version, "now_s": time.monotonic()}
 
@@ -288,12 +266,9 @@
 
 
 def make_manifest(
-    version: int,
-    services: list[str],
-    routes: list[dict],
-    keys: Sequence[str] = (KEY,),
+    version: int, services: list[str], routes: list[dict]
 ) -> bytes:
-    """Returns a manifest with one tenant and its keys, without a rate limit."""
+    """Returns a manifest with one tenant and one key, without a rate limit."""
     return json.dumps(
         {
             "version": f"{version:08x}",
@@ -313,9 +288,7 @@
                 "header_timeout_s": 3,
                 "idle_timeout_s": 15,
             },
-            "tenants": [
-                {"name": TENANT, "api_keys": list(keys), "priority": 1}
-            ],
+            "tenants": [{"name": TENANT, "api_keys": [KEY], "priority": 1}],
             "virtual_hosts": [{"host": HOST_NAME, "paths": routes}],
         }
     ).encode()
@@ -650,8 +623,8 @@
             "platform": {
                 "address": fleet.store.address,
                 "form": "table",
-                "writes_per_s": STORE_WRITES_PER_S,
-                "reads_per_s": STORE_READS_PER_S,
+                "writes_per_s": 400,
+                "reads_per_s": 2000,
                 "tx_s": 0.008,
                 "partition_writes_s": 150,
                 "row_bytes": 65536,
--- a/soak/configuration.py
+++ b/soak/configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import random
 
 from review import standins
@@ -86,9 +87,16 @@
         self._hosts.store.put(
             "op",
             "config",
-            standins.make_manifest(self._version, self._services, routes, keys),
+            self._make_manifest(routes, keys),
         )
 
+    def _make_manifest(self, routes: list[dict], keys: list[str]) -> bytes:
+        manifest = json.loads(
+            standins.make_manifest(self._version, self._services, routes)
+        )
+        manifest["tenants"][0]["api_keys"] = keys
+        return json.dumps(manifest).encode()
+
     def choose_kind(self, rng: random.Random) -> connections.Kind:
         """Returns requests for a route or with a key that comes and goes."""
         name = rng.choice([*self.extras, *self.gone[-3:], NEVER])
--- a/soak/links.py
+++ b/soak/links.py
@@ -1,11 +1,9 @@
-"""The store of a fleet, and the links to it and to the upstreams."""
+"""The links of a fleet to the store and to the upstreams."""
 
 from __future__ import annotations
 
 import asyncio
-import urllib.parse
 
-from review import standins
 from soak import processes
 from soak import proxy
 
@@ -14,35 +12,6 @@
 """Ports of a host, counted from its first; the lower ones are taken."""
 
 
-class Store(standins.Store):
-    """A store that can be slow and that can forget its history.
-
-    Attributes:
-        transaction_s: Time that each transaction takes.
-    """
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.transaction_s = 0.0
-        self._forgotten_version = -1
-
-    def forget_history(self) -> None:
-        """Forgets all changes up to now; feeds that need them get 410."""
-        self._forgotten_version = self.version
-
-    async def _answer(
-        self, method: str, target: str, body: bytes
-    ) -> tuple[int, dict]:
-        if method == "POST":
-            await asyncio.sleep(self.transaction_s)
-        path, _, query = target.partition("?")
-        if path == "/-/rows-feed":
-            (after,) = urllib.parse.parse_qs(query)["after"]
-            if int(after) < self._forgotten_version:
-                return 410, {}
-        return await super()._answer(method, target, body)
-
-
 class Links:
     """Puts proxies before the store and the upstreams of all hosts.
 
@@ -57,7 +26,7 @@
     def __init__(self, fleet: processes.Hosts) -> None:
         """Changes the addresses of a fleet that has not started yet."""
         first = min(fleet.ports.values())
-        self.store = fleet.store = Store()
+        self.store = fleet.store
         self.store_lock = asyncio.Lock()
         self.to_store: dict[int, proxy.Proxy] = {}
         self.to_upstream: dict[int, proxy.Proxy] = {}
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -14,6 +14,7 @@
 from review import standins
 from soak import proxy
 from soak import sites
+from soak import store
 
 _PYTHON_FOLDER = pathlib.Path(os.path.realpath(sys.executable)).parent
 
@@ -256,6 +257,7 @@
     def __init__(self, record: standins.Record, site: sites.Site) -> None:
         services = [service for _, service in site.hosts]
         super().__init__(record, services, site.failure_domains)
+        self.store = store.Store()
         self.hosts = [
             Host(self, number, domain, service)
             for number, (domain, service) in enumerate(site.hosts)
--- a/tests/test_soak_faults.py
+++ b/tests/test_soak_faults.py
@@ -11,6 +11,7 @@
 
 from review import standins
 from soak import proxy
+from soak import store
 
 LIMIT_S = 10.0
 SILENCE_S = 0.3
@@ -268,15 +269,15 @@
 
 class StoreRateTest(testtools.TestCase):
     def test_calls_beyond_the_rate_are_refused(self):
-        statuses = asyncio.run(self._call(standins.STORE_WRITES_PER_S + 1))
+        statuses = asyncio.run(self._call(store.WRITES_PER_S + 1))
         self.assertEqual({200}, set(statuses[:-1]))
         self.assertEqual(429, statuses[-1])
 
     async def _call(self, count: int) -> list[int]:
-        store = standins.Store()
-        self.patch(standins.time, "monotonic", lambda: 1.0)
+        limited = store.Store()
+        self.patch(store.time, "monotonic", lambda: 1.0)
         answers = [
-            await store._answer("POST", "/-/rows-tx", b"{}")
+            await limited._answer("POST", "/-/rows-tx", b"{}")
             for _ in range(count)
         ]
         return [status for status, _ in answers]
