--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -305,6 +305,7 @@
         ) = None
         self._record = record
         self._busy = 0
+        self._is_known = False
         self._sequence = itertools.count(1)
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.StreamWriter] = set()
@@ -312,9 +313,13 @@
         self._address = ""
         self._control = ""
 
+    def wall_s(self) -> float:
+        """Returns the time of day on the machine of the target."""
+        return time.time()
+
     async def start(self, address: str, control: str) -> None:
         """Starts to listen and to send heartbeats."""
-        self.born_ms = int(time.time() * 1000)
+        self.born_ms = int(self.wall_s() * 1000)
         self._address, self._control = address, control
         ip, _, port = address.rpartition(":")
         self._server = await asyncio.start_server(self._serve, ip, int(port))
@@ -367,8 +372,13 @@
             self._control, f"/-/Instances.{call}/{self.id}", body
         )
         self._record.line("announce", id=self.id, call=call, status=status)
+        self._is_known |= call == "Heartbeat" and 200 <= status < 300
         return status
 
+    async def is_known(self) -> bool:
+        """Returns whether a heartbeat of it was confirmed."""
+        return self._is_known
+
     async def leave(self) -> int:
         """Sends `Deregister` once; returns the status, or 0."""
         body = json.dumps({"born": self.born_ms}).encode()
@@ -379,13 +389,19 @@
             await self.announce("Heartbeat", self.heartbeat())
             await asyncio.sleep(HEARTBEAT_S)
 
+    async def read_request_body(
+        self, reader: asyncio.StreamReader, head: Head
+    ) -> bytes:
+        """Reads the body of a request."""
+        return await read_body(reader, head)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._connections.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
-                body = await read_body(reader, head)
+                body = await self.read_request_body(reader, head)
                 if self.is_silent:
                     await asyncio.sleep(3600)
                 answer = self.on_request or self._answer
@@ -475,6 +491,18 @@
     return head.encode() + b"\r\n" + body
 
 
+def read_memory(pid: int) -> int:
+    """Returns the resident memory of a process; 0 once it has ended."""
+    try:
+        status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return 0
+    for line in status.splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) * 1024
+    return 0
+
+
 async def post(address: str, path: str, body: bytes) -> int:
     """Sends one announcement; returns the status, or 0 after a second."""
     with contextlib.suppress(OSError, TimeoutError, ValueError, IndexError):
@@ -728,7 +756,7 @@
         while not await condition():
             if time.monotonic() > ends_s:
                 raise CannotRunError(f"not in time: {what}")
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(0.02)
 
     async def wait_ready(self) -> None:
         """Waits until all nodes are ready."""
@@ -783,6 +811,7 @@
     routes: list[dict[str, object]],
     services: list[str],
     tenants: list[dict[str, object]] | None = None,
+    max_body_bytes: int = 1024 * 1024,
 ) -> bytes:
     """Returns a manifest with one virtual host."""
     manifest: dict[str, object] = {
@@ -800,7 +829,7 @@
         "virtual_hosts": [{"host": "shop.example", "paths": routes}],
         "limits": {
             "max_header_bytes": 16384,
-            "max_body_bytes": 1048576,
+            "max_body_bytes": max_body_bytes,
             "header_timeout_s": 5.0,
             "idle_timeout_s": 10.0,
         },
