--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -305,7 +305,6 @@
         ) = None
         self._record = record
         self._busy = 0
-        self._is_known = False
         self._sequence = itertools.count(1)
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.StreamWriter] = set()
@@ -313,13 +312,9 @@
         self._address = ""
         self._control = ""
 
-    def wall_s(self) -> float:
-        """Returns the time of day on the machine of the target."""
-        return time.time()
-
     async def start(self, address: str, control: str) -> None:
         """Starts to listen and to send heartbeats."""
-        self.born_ms = int(self.wall_s() * 1000)
+        self.born_ms = int(time.time() * 1000)
         self._address, self._control = address, control
         ip, _, port = address.rpartition(":")
         self._server = await asyncio.start_server(self._serve, ip, int(port))
@@ -372,13 +367,8 @@
             self._control, f"/-/Instances.{call}/{self.id}", body
         )
         self._record.line("announce", id=self.id, call=call, status=status)
-        self._is_known |= call == "Heartbeat" and 200 <= status < 300
         return status
 
-    async def is_known(self) -> bool:
-        """Returns whether a heartbeat of it was confirmed."""
-        return self._is_known
-
     async def leave(self) -> int:
         """Sends `Deregister` once; returns the status, or 0."""
         body = json.dumps({"born": self.born_ms}).encode()
