--- a/review/6/case.py
+++ b/review/6/case.py
@@ -17,6 +17,7 @@
 
 SLOTS = 20
 WORK_S = 0.3
+SUCCESSOR_WORK_S = 0.05
 BUDGET_MS = 3000
 RATE_PER_S = 40.0
 TRAFFIC_S = 12.0
@@ -78,7 +79,9 @@
         targets[0].fall_silent()
         await asyncio.sleep(standins.ADDRESS_REUSE_S + 0.05)
         targets[0].release_address()
-        successor = standins.Target(record, "i-new", "drying", SLOTS, WORK_S)
+        successor = standins.Target(
+            record, "i-new", "drying", SLOTS, SUCCESSOR_WORK_S
+        )
         nodes[0].service = "drying"
         nodes[0].write_settings()
         nodes[0].send_signal(signal.SIGHUP)
