--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -28,6 +28,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
+LONGEST_S = 110.0
+
 EXIT_HELD = 0
 EXIT_BROKEN = 1
 EXIT_NOT_RUN = 2
@@ -862,12 +864,11 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.line("case", trouble=has_trouble)
     try:
-        held = asyncio.run(
-            asyncio.wait_for(_run(case, record, has_trouble), 110)
-        )
-    except (CannotRunError, OSError, TimeoutError) as error:
+        held = asyncio.run(_run(case, record, has_trouble))
+    except (Exception, asyncio.CancelledError) as error:
+        # Says nothing about the rule, whatever it is.
         record.line("could-not-run", error=f"{type(error).__name__}: {error}")
-        sys.stdout.write(f"could not run: {error}\n")
+        sys.stdout.write(f"could not run: {type(error).__name__}: {error}\n")
         return EXIT_NOT_RUN
     finally:
         record.save()
@@ -880,4 +881,11 @@
     record: Record,
     has_trouble: bool,
 ) -> bool:
-    return await case(record, has_trouble)
+    task = asyncio.current_task()
+    assert task is not None
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        # The case ends its processes.
+        loop.add_signal_handler(number, task.cancel)
+    async with asyncio.timeout(LONGEST_S):
+        return await case(record, has_trouble)
