--- a/src/cyclamendale/lean_reactor.py
+++ b/src/cyclamendale/lean_reactor.py
@@ -5,6 +5,10 @@
 context. The reactor still handles failures of a read or write itself.
 
 Twisted's timers follow the time of day, which may step.
+
+Twisted takes a connection that is closed and has no input for one that the peer
+closed cleanly. The kernel reports a reset so for as long as it discards unsent
+data. Only a read tells how the connection ended.
 """
 
 from __future__ import annotations
@@ -42,9 +46,12 @@
                 return
             raise
         selectables = base._selectables
+        closed = base._POLL_DISCONNECTED
         for descriptor, event in events:
             selectable = selectables.get(descriptor)
             if selectable is not None:
+                if event & closed and descriptor in base._reads:
+                    event |= base._POLL_IN
                 base._doReadOrWrite(selectable, descriptor, event)
 
     doIteration = doPoll
--- a/tests/test_lean_reactor.py
+++ b/tests/test_lean_reactor.py
@@ -1,4 +1,4 @@
-"""Tests that an exception in a reader closes only its own connection.
+"""Tests of the reactor: failures of readers, and how connections end.
 
 The reactor calls readers without Twisted's log context and must still
 handle their failures.
@@ -63,17 +63,90 @@
     """
 )
 
+# The kernel may report the end of a connection before the input.
+END_PROGRAM = textwrap.dedent(
+    """
+    import select
+    import socket
+    import struct
+    import sys
+
+    from cyclamendale import lean_reactor
+
+    reactor = lean_reactor.install()
+    from twisted.internet import protocol
+
+    class Poller:
+        def __init__(self, poller):
+            self._poller = poller
+
+        def __getattr__(self, name):
+            return getattr(self._poller, name)
+
+        def poll(self, timeout, max_events):
+            ends = select.EPOLLERR | select.EPOLLHUP
+            return [
+                (descriptor, event & ~select.EPOLLIN if event & ends else event)
+                for descriptor, event in self._poller.poll(timeout, max_events)
+            ]
+
+    class Client(protocol.Protocol):
+        def dataReceived(self, data):
+            if sys.argv[1] == "reset":
+                linger = struct.pack("ii", 1, 0)
+                peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            else:
+                # Both directions have to be closed.
+                self.transport.socket.shutdown(socket.SHUT_WR)
+            peer.close()
+
+        def connectionLost(self, reason):
+            print(reason.type.__name__)
+            reactor.stop()
+
+    class Factory(protocol.ClientFactory):
+        protocol = Client
+
+    def accept():
+        global peer
+        peer = listener.accept()[0]
+        peer.send(b"x")
+
+    reactor._poller = Poller(reactor._poller)
+    listener = socket.create_server(("127.0.0.1", 0))
+    reactor.connectTCP("127.0.0.1", listener.getsockname()[1], Factory())
+    reactor.callInThread(accept)
+    reactor.run()
+    """
+)
+
+
+def run(program, *arguments):
+    return subprocess.run(
+        [sys.executable, "-c", program, *arguments],
+        env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+        capture_output=True,
+        timeout=60,
+        text=True,
+        check=False,
+    )
+
+
+class ConnectionEndTest(testtools.TestCase):
+    scenarios = [
+        ("reset", {"end": "reset", "reason": "ConnectionLost"}),
+        ("closed", {"end": "close", "reason": "ConnectionDone"}),
+    ]
+
+    def test_a_reset_reported_without_input_is_no_clean_end(self):
+        done = run(END_PROGRAM, self.end)
+        self.assertEqual(0, done.returncode, done.stderr)
+        self.assertEqual(self.reason, done.stdout.strip())
+
 
 class LeanReactorTest(testtools.TestCase):
     def test_an_exception_in_a_reader_closes_only_its_connection(self):
-        done = subprocess.run(
-            [sys.executable, "-c", PROGRAM],
-            env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
-            capture_output=True,
-            timeout=60,
-            text=True,
-            check=False,
-        )
+        done = run(PROGRAM)
         self.assertEqual(0, done.returncode, done.stderr)
         self.assertEqual(
             "[b'closed', b'after', b'closed']", done.stdout.strip()
