--- a/src/cyclamendale/proxy/upstream_connection.py
+++ b/src/cyclamendale/proxy/upstream_connection.py
@@ -19,6 +19,7 @@
 
 from cyclamendale import _immediate_write
 from cyclamendale import buffer_budget
+from cyclamendale import response_heads
 from cyclamendale.proxy import header_names
 from cyclamendale.proxy import heads
 from cyclamendale.proxy import messages
@@ -236,6 +237,10 @@
         if self._receiver is None:
             return
         self._status = self._parser.get_status_code()
+        response_heads.check_status_line(
+            b"HTTP/%b %03d"
+            % (self._parser.get_http_version().encode(), self._status)
+        )
         # An interim response that ends with its connection is none.
         self._has_head = self._status >= 200
         if self._is_head_request and self._status >= 200:
