--- a/src/cyclamendale/response_heads.py
+++ b/src/cyclamendale/response_heads.py
@@ -9,7 +9,7 @@
 import re
 
 _STATUS_LINE = re.compile(
-    rb"HTTP/[0-9]\.[0-9] [1-9][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?"
+    rb"HTTP/1\.[01] [1-9][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?"
 )
 
 
@@ -21,7 +21,8 @@
     """Checks a status line, without its CRLF.
 
     Raises:
-        MalformedHeadError: It is no status line, or its status is below 100.
+        MalformedHeadError: It is no status line of HTTP/1.0 or HTTP/1.1, or
+            its status is below 100.
     """
     if _STATUS_LINE.fullmatch(line) is None:
         raise MalformedHeadError(f"malformed status line {line[:80]!r}")
--- a/tests/test_proxy_response_heads.py
+++ b/tests/test_proxy_response_heads.py
@@ -14,8 +14,8 @@
 
 class MalformedHeadTest(test_proxy_upstream.UpstreamConnectionCase):
     scenarios = [
-        ("status " + name, {"data": heads.make_response(line, OWN)})
-        for name, line in heads.BROKEN_STATUSES
+        (name, {"data": heads.make_response(line, OWN)})
+        for name, line in heads.BROKEN_STATUSES + heads.BROKEN_VERSIONS
     ]
 
     def test_in_one_segment_it_fails_at_once(self):
