Tests: malformed header lines on the platform's path

Nothing changes: the HTTP parser refuses all 24 kinds, as the first and as a later line, in one segment and in single bytes (96 tests), and takes five unusual sound lines.

--- a/tests/support/heads.py
+++ b/tests/support/heads.py
@@ -37,6 +37,41 @@
     )
 ]
 
+BROKEN_LINES = [
+    ("empty name", b": b"),
+    ("name behind a blank", b" A: b"),
+    ("name behind a tab", b"\tA: b"),
+    ("blank in a name", b"A B: c"),
+    ("tab in a name", b"A\tB: c"),
+    ("0x00 in a name", b"A\x00B: c"),
+    ("0x01 in a name", b"A\x01B: c"),
+    ("0x7f in a name", b"A\x7fB: c"),
+    ("high byte in a name", b"A\xe4B: c"),
+    ("parentheses in a name", b"A(B): c"),
+    ("CR in a name", b"A\rB: c"),
+    ("blank before a colon", b"A : b"),
+    ("tab before a colon", b"A\t: b"),
+    ("blank behind Content-Length", b"Content-Length : 2"),
+    ("blank behind Transfer-Encoding", b"Transfer-Encoding : chunked"),
+    ("0x00 in a value", b"A: b\x00c"),
+    ("0x01 in a value", b"A: b\x01c"),
+    ("0x7f in a value", b"A: b\x7fc"),
+    ("CR in a value", b"A: b\rc"),
+    ("LF in a value", b"A: b\nC"),
+    ("folded line", b"A: b\r\n c"),
+    ("line without a colon", b"A"),
+    ("chunks beside a length", b"Transfer-Encoding: chunked"),
+    ("another length", b"Content-Length: 3"),
+]
+
+SOUND_LINES = [
+    ("no blank", b"A:b"),
+    ("empty value", b"A:"),
+    ("tab in a value", b"A: b\tc"),
+    ("high byte in a value", b"A: \xe4"),
+    ("all characters of a name", b"!#$%&'*+-.^_`|~9a: b"),
+]
+
 
 def make_response(status_line=STATUS_LINE, lines=b""):
     """Returns a response with a body of two bytes."""
--- a/tests/test_proxy_response_heads.py
+++ b/tests/test_proxy_response_heads.py
@@ -16,7 +16,13 @@
     scenarios = [
         (name, {"data": heads.make_response(line, OWN)})
         for name, line in heads.BROKEN_STATUSES + heads.BROKEN_VERSIONS
-    ]
+    ] + [
+        (f"{name}, {place}", {
+            "data": heads.make_response(lines=before + line + b"\r\n" + after)})
+        for name, line in heads.BROKEN_LINES
+        for place, before, after in (
+            ("first line", b"", OWN), ("later line", OWN, b""))
+    ]  # fmt: skip
 
     def test_in_one_segment_it_fails_at_once(self):
         self.send()
@@ -34,3 +40,14 @@
     def check(self):
         self.assertEqual([connections.Failure.GARBLED], self.results)
         self.assertTrue(self.transport.aborted)
+
+
+class SoundHeadTest(test_proxy_upstream.UpstreamConnectionCase):
+    scenarios = [
+        (name, {"line": line + b"\r\n"}) for name, line in heads.SOUND_LINES
+    ]
+
+    def test_it_is_passed_on(self):
+        self.send()
+        self.connection.dataReceived(heads.make_response(lines=OWN + self.line))
+        self.assertEqual((200, heads.BODY, False), self.outcome())
