Trailers are no lines of the head (MIXED, REFUSED)

What callers saw: the trailers of a body in chunks came as header lines, beside or removing lines of the target's head. One with another request's id held the request until its deadline. One that says "not run" let the gate take a request that had run for one that hadn't.

Cause: the HTTP parser reports trailers and header lines by the same call.

Evidence: TrailerTest failed on the code before in all five cases.

Change: what comes after the head is dropped, as RFC 9110, section 6.5.1, allows. The reader of the product's own path already does so. Malformed trailers still fail, 22 kinds (test added, held before).

Why it works: nothing is read from a response after its head but its body.

--- a/src/cyclamendale/proxy/upstream_connection.py
+++ b/src/cyclamendale/proxy/upstream_connection.py
@@ -212,8 +212,8 @@
         self._reset_response()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores or evaluates a header."""
-        if self._receiver is None:
+        """Stores or evaluates a header; trailers are dropped."""
+        if self._receiver is None or self._has_head:
             return
         lower = name.lower()
         if lower == self._request_id_header:
--- a/tests/support/heads.py
+++ b/tests/support/heads.py
@@ -64,6 +64,9 @@
     ("another length", b"Content-Length: 3"),
 ]
 
+BROKEN_IN_HEADS_ONLY = ("chunks beside a length", "another length")
+"""Broken lines that are sound as trailers."""
+
 SOUND_LINES = [
     ("no blank", b"A:b"),
     ("empty value", b"A:"),
--- a/tests/test_proxy_response_heads.py
+++ b/tests/test_proxy_response_heads.py
@@ -51,3 +51,41 @@
         self.send()
         self.connection.dataReceived(heads.make_response(lines=OWN + self.line))
         self.assertEqual((200, heads.BODY, False), self.outcome())
+
+
+class TrailerTest(test_proxy_upstream.UpstreamConnectionCase):
+    """Trailers were taken for lines of the head."""
+
+    CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n"
+    scenarios = [
+        ("other", {"trailer": b"Set-Cookie: b\r\n"}),
+        ("id of another request", {"trailer": test_proxy_upstream.OTHER}),
+        ("not run", {"trailer": b"X-Cyclamendale-Not-Executed: 1\r\n"}),
+        ("encoding", {"trailer": b"Content-Encoding: gzip\r\n"}),
+        ("connection option", {"trailer": b"Connection: A\r\n"}),
+    ]
+
+    def test_it_does_not_change_the_head(self):
+        self.send()
+        self.connection.dataReceived(
+            test_proxy_upstream.OK + OWN + b"A: b\r\n" + self.CHUNKED
+            + self.trailer + b"\r\n"
+        )  # fmt: skip
+        self.assertEqual((200, b"ab", False), self.outcome())
+        self.assertEqual(OWN + b"A: b\r\n", self.results[0].header_lines)
+
+
+class MalformedTrailerTest(test_proxy_upstream.UpstreamConnectionCase):
+    scenarios = [
+        (name, {"line": line})
+        for name, line in heads.BROKEN_LINES
+        if name not in heads.BROKEN_IN_HEADS_ONLY
+    ]
+
+    def test_the_response_fails(self):
+        self.send()
+        self.connection.dataReceived(
+            test_proxy_upstream.OK + OWN + TrailerTest.CHUNKED
+            + self.line + b"\r\n\r\n"
+        )  # fmt: skip
+        self.assertEqual([connections.Failure.GARBLED], self.results)
