--- a/src/cyclamendale/proxy/upstream_connection.py
+++ b/src/cyclamendale/proxy/upstream_connection.py
@@ -237,8 +237,9 @@
         if self._receiver is None:
             return
         self._status = self._parser.get_status_code()
-        response_heads.check_status_line(
-            b"HTTP/%b %03d"
+        # The parser checks the header lines.
+        response_heads.check(
+            b"HTTP/%b %03d\r\n"
             % (self._parser.get_http_version().encode(), self._status)
         )
         # An interim response that ends with its connection is none.
--- a/src/cyclamendale/response_heads.py
+++ b/src/cyclamendale/response_heads.py
@@ -8,8 +8,9 @@
 
 import re
 
-_STATUS_LINE = re.compile(
-    rb"HTTP/1\.[01] [1-9][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?"
+_HEAD = re.compile(
+    rb"HTTP/1\.[01] [1-9][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?\r\n"
+    rb"(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*\r\n)*"
 )
 
 
@@ -17,12 +18,19 @@
     """The head of a response breaks the rule."""
 
 
-def check_status_line(line: bytes) -> None:
-    """Checks a status line, without its CRLF.
+def check(head: bytes) -> None:
+    """Checks the head of a response.
+
+    Args:
+        head: Status line and header lines, each ended by CRLF, without the
+            empty line.
 
     Raises:
-        MalformedHeadError: It is no status line of HTTP/1.0 or HTTP/1.1, or
-            its status is below 100.
+        MalformedHeadError: The version is neither HTTP/1.0 nor HTTP/1.1, the
+            status is below 100, or a line has a wrong form.
     """
-    if _STATUS_LINE.fullmatch(line) is None:
-        raise MalformedHeadError(f"malformed status line {line[:80]!r}")
+    match = _HEAD.match(head)
+    sound_bytes = match.end() if match is not None else 0
+    if sound_bytes != len(head):
+        line = head[sound_bytes : sound_bytes + 80]
+        raise MalformedHeadError(f"malformed line {line!r} in a response head")
--- a/src/cyclamendale/upstream/http_connection.py
+++ b/src/cyclamendale/upstream/http_connection.py
@@ -19,6 +19,7 @@
 
 from cyclamendale import _http_constants
 from cyclamendale import _immediate_write
+from cyclamendale import response_heads
 from cyclamendale.forwarding import exchange
 
 MAX_HEAD_BYTES = 32 * 1024
@@ -41,7 +42,6 @@
 which is set anew for the forwarded response."""
 
 _OWN_HEADER_PREFIX = b"x-cyclamendale-"
-_VERSIONS = frozenset({b"HTTP/1.0", b"HTTP/1.1"})
 
 
 class ResponseHead:
@@ -111,6 +111,7 @@
         self._status = 0
         self._header_lines: list[bytes] = []
         self._head_bytes = 0
+        self._head: list[bytes] = []
         self._chunked = False
         self._decoder: Any = None
         self._sending_body = False
@@ -152,6 +153,7 @@
         self._header = b""
         self._header_lines = []
         self._head_bytes = 0
+        self._head = []
         self._chunked = False
         self._decoder = None
         _immediate_write.write_now(self.transport, data)
@@ -208,10 +210,15 @@
             self._fail()
             return
         self._head_bytes += len(line)
-        if self._head_bytes > MAX_HEAD_BYTES or b"\n" in line or b"\r" in line:
+        if self._head_bytes > MAX_HEAD_BYTES:
             self._fail()
             return
         try:
+            if line:
+                self._head.append(line + b"\r\n")
+            else:
+                head, self._head = b"".join(self._head), []
+                response_heads.check(head)
             super().lineReceived(line)
         except (ValueError, IndexError):
             self._fail()
@@ -223,9 +230,7 @@
     def handleStatus(
         self, version: bytes, status: bytes, message: bytes
     ) -> None:
-        """Validates and stores the status line."""
-        if version not in _VERSIONS or not _is_status(status):
-            raise ValueError(status)
+        """Stores the status line."""
         self._status = int(status)
         self._persistent = version == b"HTTP/1.1"
 
@@ -356,7 +361,3 @@
         self.abort()
         if handler is not None:
             handler.response_failed()
-
-
-def _is_status(status: bytes) -> bool:
-    return len(status) == 3 and status.isdigit() and status >= b"100"
