--- a/src/cyclamendale/upstream/http_connection.py
+++ b/src/cyclamendale/upstream/http_connection.py
@@ -253,6 +253,8 @@
             self.firstLine = True
             self._header = b""
             self._header_lines = []
+            self.length = None
+            self._chunked = False
             return
         handler = self._handler
         if handler is None:
--- a/tests/test_proxy_upstream.py
+++ b/tests/test_proxy_upstream.py
@@ -92,6 +92,10 @@
         ("after an interim response", {
             "data": b"HTTP/1.1 100 Continue\r\n\r\n" + OK + OWN + BODY,
             "outcome": (200, b"ab", False), "is_reused": True}),
+        ("after an interim response with a length", {
+            "data": b"HTTP/1.1 103 X\r\nContent-Length: 9\r\n\r\n"
+                    + OK + OWN + BODY,
+            "outcome": (200, b"ab", False), "is_reused": True}),
         ("without an id", {"data": OK + BODY, "outcome": GARBLED,
                            "is_reused": False}),
         ("not HTTP", {"data": b"\x00\x01\x02", "outcome": GARBLED,
--- a/tests/test_upstream_contract.py
+++ b/tests/test_upstream_contract.py
@@ -29,6 +29,12 @@
              b"2\r\nhi\r\n0\r\n\r\n", False, answered(b"hi")),
             ("interim-first", None, b"HTTP/1.1 103 Early\r\nLink: a\r\n\r\n"
              + OK + b"Content-Length: 2\r\n\r\nhi", False, answered(b"hi")),
+            # The length of an interim response was that of the final one.
+            ("length-of-an-interim-response", None, b"HTTP/1.1 103 Early\r\n"
+             b"Content-Length: 2\r\n\r\n" + OK + b"\r\nhi", True, UNKNOWN),
+            ("chunks-of-an-interim-response", None, b"HTTP/1.1 103 Early\r\n"
+             b"Transfer-Encoding: chunked\r\n\r\n" + OK
+             + b"Content-Length: 2\r\n\r\nhi", False, answered(b"hi")),
             ("not-modified", None, b"HTTP/1.1 304 No\r\n\r\n", False,
              answered(b"", 304)),
             ("no-content", None, b"HTTP/1.1 204 No\r\n\r\n", False,
