Malformed heads of the store's responses are no responses (CONFIG)

What nodes saw: the client of the store took 28 of 68 malformed heads for a response: statuses such as 000, +200 and 2_0, versions such as HTTP/2.0 and http/1.1, control bytes in values, folded lines, chunks beside a length. A head that it refused while its request was still being written was reported at the time-out only.

Cause: Twisted's parser reads statuses and versions as Python numbers, takes line feeds as line ends and checks names only; on a failure it waits until all is sent.

Change: the connections of the client give their parser no bytes of a head before response_heads has checked it. A malformed head aborts the connection: the operation may have taken effect.

Why it works: the bytes of a head reach the parser only once the rule of all readers holds for them; an abort waits for nothing.

--- a/src/cyclamendale/response_heads.py
+++ b/src/cyclamendale/response_heads.py
@@ -15,6 +15,12 @@
 _FRAMING_LINE = re.compile(
     rb"\n(content-length|transfer-encoding):[\t ]*(.*?)[\t ]*(?=\r)"
 )
+_BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
+_HEAD_END = b"\r\n\r\n"
+_STATUS_CLASS = slice(9, 10)
+
+MAX_HEAD_BYTES = 64 * 1024
+"""Maximum size of a head that is held back until it is complete."""
 
 
 class MalformedHeadError(ValueError):
@@ -53,3 +59,37 @@
         is_sound = len(framing) == 1 and values == {b"chunked"}
     if not is_sound:
         raise MalformedHeadError(f"ambiguous length of a body: {framing!r}")
+
+
+class HeadFilter:
+    """Holds back what a parser of one response reads until it is checked."""
+
+    def __init__(self) -> None:
+        self._held = b""
+        self._has_final_head = False
+
+    def accept(self, data: bytes) -> bytes:
+        """Returns the received bytes that may be parsed.
+
+        Args:
+            data: The next bytes of the connection.
+
+        Raises:
+            MalformedHeadError: A head is malformed or too large.
+        """
+        if self._has_final_head:
+            return data
+        accepted = b""
+        self._held += data
+        while not self._has_final_head and _HEAD_END in self._held:
+            head, _, self._held = self._held.partition(_HEAD_END)
+            check(head + b"\r\n")
+            accepted += head + _HEAD_END
+            self._has_final_head = head[_STATUS_CLASS] != b"1"
+        if self._has_final_head:
+            accepted, self._held = accepted + self._held, b""
+        elif _BARE_LINE_FEED.search(self._held) is not None:
+            raise MalformedHeadError("a line feed without CR in a head")
+        elif len(self._held) > MAX_HEAD_BYTES:
+            raise MalformedHeadError(f"a head of over {MAX_HEAD_BYTES} bytes")
+        return accepted
--- a/src/cyclamendale/store/http_attempt.py
+++ b/src/cyclamendale/store/http_attempt.py
@@ -23,6 +23,7 @@
 from zope.interface import implementer  # type: ignore[import-untyped]
 
 from cyclamendale import clocks
+from cyclamendale import http_pool
 from cyclamendale.store import faults
 
 KEEP_ALIVE_IDLE_S = 1
@@ -114,11 +115,8 @@
         self._pending: set[defer.Deferred[Any]] = set()
         self._base_url = base_url.rstrip("/")
         self._timeout_s = timeout_s
-        self._pool = client.HTTPConnectionPool(reactor, persistent=True)
+        self._pool = http_pool.make_http_pool(reactor, persistent=True)
         self._pool.maxPersistentPerHost = max_connections
-        # The caller decides about retries, since only it knows which
-        # operations are safe to resend.
-        self._pool.retryAutomatically = False
         self._agent = client.Agent.usingEndpointFactory(
             reactor,
             _EndpointFactory(reactor, connect_timeout_s),
