Malformed heads of a node's answers to the command line are no answers

What operators saw: of 44 malformed heads the command line took 12 for answers of a node, such as status +200, version HTTP/2.0 or a control byte in a value; seven other statuses were reported as a status of the node.

Cause: the parser of Twisted's HTTP client, as for the store.

Evidence: 20 new cases of NodeClientTest failed on the code before (one left the reactor unclean). Answers that end early, also without a length or within a chunk, failed as they should; tests added.

Change: the command line uses the checked connections of the store's client.

The truncated answer of an earlier test is now one of three parts that the same stand-in sends.

Why it works: the answer is decoded only behind a head that the rule takes.

--- a/src/cyclamendale/cli/node_client.py
+++ b/src/cyclamendale/cli/node_client.py
@@ -16,6 +16,7 @@
 from twisted.web import http
 from twisted.web import http_headers
 
+from cyclamendale import http_pool
 from cyclamendale import ids
 from cyclamendale import timeline
 from cyclamendale.cli import faults
@@ -35,7 +36,11 @@
         self._reactor = reactor
         self._url = url.rstrip("/")
         self._timeout_s = timeout_s
-        self._agent = client.Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S)
+        self._agent = client.Agent(
+            reactor,
+            connectTimeout=CONNECT_TIMEOUT_S,
+            pool=http_pool.make_http_pool(reactor, persistent=False),
+        )
 
     def status(
         self, version: ids.ConfigVersion | None = None
--- a/tests/test_cli_questions.py
+++ b/tests/test_cli_questions.py
@@ -24,6 +24,7 @@
 from cyclamendale.intents import keys
 from cyclamendale.intents import merge
 from tests.support import fake_operator
+from tests.support import heads
 
 _NODE = "10.0.0.1:81#ab"
 _REFUSED = events.RecordedEvent(
@@ -226,15 +227,39 @@
         self.assertEqual([], self.node.requests)
 
 
-class TruncatingProtocol(protocol.Protocol):
-    """Closes the connection in the middle of a response."""
+class ClosingProtocol(protocol.Protocol):
+    """Closes the connection after a part of a response."""
 
     def dataReceived(self, data):
-        head = b"HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n{"
-        self.transport.write(head)
+        self.transport.write(self.factory.part)
         self.transport.loseConnection()
 
 
+def _closing(part):
+    factory = protocol.Factory.forProtocol(ClosingProtocol)
+    factory.part = part
+    return factory
+
+
+STATUS_BODY = b'{"version":4,"nodes":[],"unreachable":[],"failure_domains":[]}'
+
+
+class MalformedProtocol(protocol.Protocol):
+    """Sends a response with a given status line and header line."""
+
+    def dataReceived(self, data):
+        self.transport.write(
+            b"%s\r\n%s\r\ncontent-length: %d\r\n\r\n%s"
+            % (*self.factory.lines, len(STATUS_BODY), STATUS_BODY)
+        )
+
+
+def _malformed(status_line, line):
+    factory = protocol.Factory.forProtocol(MalformedProtocol)
+    factory.lines = (status_line, line)
+    return factory
+
+
 def _site(body):
     root = resource.Resource()
     if body is not None:
@@ -248,38 +273,83 @@
             timeout=20
         )
     )
-    scenarios = [
-        ("not JSON", {"factory": _site(b"<html>"), "problem": "unreadable"}),
-        ("other JSON", {"factory": _site(b'{"x":1}'), "problem": "unreadable"}),
-        ("empty", {"factory": _site(b""), "problem": "unreadable"}),
-        ("unknown path", {"factory": _site(None), "problem": "rejected"}),
-        (
-            "truncated",
-            {
-                "factory": protocol.Factory.forProtocol(TruncatingProtocol),
-                "problem": "unreadable",
-            },
-        ),
-        (
-            "no answer",
-            {
-                "factory": protocol.Factory.forProtocol(protocol.Protocol),
-                "problem": "timeout",
-                "timeout_s": 0.05,
-            },
-        ),
-        ("not listening", {"factory": None, "problem": "unreachable"}),
-        (
-            "valid",
-            {
-                "factory": _site(
-                    b'{"version":4,"nodes":[],"unreachable":[],'
-                    b'"failure_domains":[]}'
-                ),
-                "problem": None,
-            },
-        ),
-    ]
+    scenarios = (
+        [
+            (
+                "not JSON",
+                {"factory": _site(b"<html>"), "problem": "unreadable"},
+            ),
+            (
+                "other JSON",
+                {"factory": _site(b'{"x":1}'), "problem": "unreadable"},
+            ),
+            ("empty", {"factory": _site(b""), "problem": "unreadable"}),
+            ("unknown path", {"factory": _site(None), "problem": "rejected"}),
+            (
+                "truncated",
+                {
+                    "factory": _closing(
+                        b"HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n{"
+                    ),
+                    "problem": "unreadable",
+                },
+            ),
+        ]
+        + [
+            (
+                f"malformed: {name}",
+                {"factory": _malformed(line, b"a: b"), "problem": "unreadable"},
+            )
+            for name, line in heads.BROKEN_STATUSES + heads.BROKEN_VERSIONS
+        ]
+        + [
+            (
+                f"malformed: {name}",
+                {
+                    "factory": _malformed(heads.STATUS_LINE, line),
+                    "problem": "unreadable",
+                },
+            )
+            for name, line in heads.BROKEN_LINES
+        ]
+        + [
+            (
+                "closed without a length",
+                {
+                    "factory": _closing(
+                        b"HTTP/1.1 200 OK\r\n\r\n" + STATUS_BODY
+                    ),
+                    "problem": "unreadable",
+                },
+            ),
+            (
+                "closed within a chunk",
+                {
+                    "factory": _closing(
+                        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n"
+                        b"\r\n9\r\n{"
+                    ),
+                    "problem": "unreadable",
+                },
+            ),
+            (
+                "no answer",
+                {
+                    "factory": protocol.Factory.forProtocol(protocol.Protocol),
+                    "problem": "timeout",
+                    "timeout_s": 0.05,
+                },
+            ),
+            ("not listening", {"factory": None, "problem": "unreachable"}),
+            (
+                "valid",
+                {
+                    "factory": _site(STATUS_BODY),
+                    "problem": None,
+                },
+            ),
+        ]
+    )
     timeout_s = 10.0
 
     @defer.inlineCallbacks
