--- a/src/cyclamendale/peer/_checks.py
+++ b/src/cyclamendale/peer/_checks.py
@@ -10,6 +10,7 @@
 import math
 import re
 
+from cyclamendale import response_heads
 from cyclamendale.forwarding import exchange
 from cyclamendale.overload import shed_key as shed_keys
 from cyclamendale.peer.generated.call import ttypes
@@ -17,8 +18,6 @@
 MAX_REMAINING_S = 7 * 24 * 3600.0
 """Maximum remaining time until a deadline that is accepted."""
 
-_MIN_STATUS = 200
-_MAX_STATUS = 999
 _REQUEST_LINE_PARTS = 3
 _FORBIDDEN_LINE = re.compile(
     rb"\n(?:\r\n|connection:|content-length|transfer-encoding"
@@ -67,13 +66,14 @@
         and message.body_bytes >= exchange.UNKNOWN_LENGTH
     )
     if message.reason is None:
-        is_valid = (
-            is_valid
-            and _MIN_STATUS <= message.status <= _MAX_STATUS
-            and _is_valid_head(b"\r\n" + message.head)
-        )
+        is_valid = is_valid and _is_valid_head(b"\r\n" + message.head)
     if not is_valid:
         raise InvalidMessageError
+    if message.reason is None:
+        try:
+            response_heads.check_final(message.status, message.head)
+        except response_heads.MalformedHeadError as error:
+            raise InvalidMessageError from error
 
 
 def _is_consistent_length(body_bytes: int, body: bytes, more: bool) -> bool:
--- a/src/cyclamendale/proxy/links.py
+++ b/src/cyclamendale/proxy/links.py
@@ -15,6 +15,7 @@
 from cyclamendale import clocks
 from cyclamendale import ids
 from cyclamendale import refusals
+from cyclamendale import response_heads
 from cyclamendale.fleet import shutdown as shutdowns
 from cyclamendale.peer import codec
 from cyclamendale.peer import connection as connections
@@ -144,11 +145,12 @@
         self._link.record_received(self._connection)
         try:
             response = codec.decode(ttypes.RunAnswer, reply, MAX_FRAME_BYTES)
-        except codec.DecodeError:
+            outcome = run_codec.decode_outcome(response)
+        except (codec.DecodeError, response_heads.MalformedHeadError):
             self._finish(refusals.make_lost_refusal())
             return
         self._link.report_load(response.at_gate)
-        self._finish(run_codec.decode_outcome(response))
+        self._finish(outcome)
 
     def _finish(self, outcome: messages.Outcome) -> None:
         receiver, self._receiver = self._receiver, None
--- a/src/cyclamendale/proxy/run_codec.py
+++ b/src/cyclamendale/proxy/run_codec.py
@@ -6,6 +6,7 @@
 
 from cyclamendale import ids
 from cyclamendale import refusals
+from cyclamendale import response_heads
 from cyclamendale.overload import gate_queue
 from cyclamendale.peer import codec
 from cyclamendale.peer.generated.fleet import ttypes
@@ -76,8 +77,13 @@
 
 
 def decode_outcome(response: Any) -> messages.Outcome:
-    """Returns the outcome in a struct."""
+    """Returns the outcome in a struct.
+
+    Raises:
+        response_heads.MalformedHeadError: The head of a response is malformed.
+    """
     if response.status:
+        response_heads.check_final(response.status, response.head)
         return messages.Response(response.status, response.head, response.body)
     execution = (
         refusals.Execution.UNKNOWN
--- a/src/cyclamendale/response_heads.py
+++ b/src/cyclamendale/response_heads.py
@@ -17,6 +17,7 @@
 )
 _BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
 _HEAD_END = b"\r\n\r\n"
+_MIN_FINAL_STATUS = 200
 _STATUS_CLASS = slice(9, 10)
 
 MAX_HEAD_BYTES = 64 * 1024
@@ -47,6 +48,22 @@
     _check_framing(head)
 
 
+def check_final(status: int, lines: bytes) -> None:
+    """Checks the head of a final response that another node has read.
+
+    Args:
+        status: HTTP status.
+        lines: Header lines, each ended by CRLF.
+
+    Raises:
+        MalformedHeadError: The status is not that of a final response, or
+            the head breaks the rule.
+    """
+    if status < _MIN_FINAL_STATUS:
+        raise MalformedHeadError(f"status {status} of a final response")
+    check(b"HTTP/1.1 %d\r\n%b" % (status, lines))
+
+
 def _check_framing(head: bytes) -> None:
     framing = _FRAMING_LINE.findall(head.lower())
     if not framing:
