--- a/tests/test_proxy_early_response.py
+++ b/tests/test_proxy_early_response.py
@@ -98,7 +98,8 @@
         )
         status_line, _, lines = self._head.partition(b"\r\n")
         head = b"\r\n".join([status_line, own_id, lines])
-        self._read(connection, self._random.randrange(MAX_READ_BYTES))
+        if b"Content-Length: 0" not in data:
+            self._read(connection, self._random.randrange(MAX_READ_BYTES))
         connection.sendall(head + b"\r\n" + self._body)
         # Sleeping takes longer than the pause.
         ends_s = time.perf_counter() + self._random.uniform(0, MAX_PAUSE_S)
@@ -113,6 +114,15 @@
         ("without length, reset", {
             "head": STATUS_1_1, "body": BODY, "end": reset,
             "outcome": BROKEN}),
+        ("without length, reset, nothing to upload", {
+            "head": STATUS_1_1, "body": BODY, "end": reset,
+            "upload_bytes": 0, "outcome": BROKEN}),
+        ("without length, reset, upload sent at once", {
+            "head": STATUS_1_1, "body": BODY, "end": reset,
+            "upload_bytes": 250_000, "outcome": BROKEN}),
+        ("without length, reset with much unread", {
+            "head": STATUS_1_1, "body": BODY * 300, "end": reset,
+            "outcome": BROKEN}),
         ("without length, HTTP/1.0, reset", {
             "head": STATUS_1_0, "body": BODY, "end": reset,
             "outcome": BROKEN}),
@@ -149,12 +159,14 @@
             "outcome": WHOLE}),
     ]  # fmt: skip
 
+    upload_bytes = UPLOAD_BYTES
+
     def test_only_a_whole_body_is_passed_on(self):
         upstream = EarlyUpstream(self.head, self.body, self.end)
         self.addCleanup(upstream.close)
         done = subprocess.run(
             [sys.executable, "-m", "tests.support.upload_client",
-             upstream.address, str(UPLOADS), str(UPLOAD_BYTES)],
+             upstream.address, str(UPLOADS), str(self.upload_bytes)],
             cwd=ROOT,
             capture_output=True,
             timeout=WAIT_S,
