--- a/tests/support/heads.py
+++ b/tests/support/heads.py
@@ -81,3 +81,27 @@
     return b"%s\r\n%sContent-Length: %d\r\n\r\n%s" % (
         status_line, lines, len(BODY), BODY
     )  # fmt: skip
+
+
+def make_malformed_scenarios(sound_line=b"B: c\r\n"):
+    """Returns scenarios whose `data` is a response with a malformed head.
+
+    Args:
+        sound_line: A line that each head has besides the malformed one.
+    """
+    return [
+        (name, {"data": make_response(line, sound_line)})
+        for name, line in BROKEN_STATUSES + BROKEN_VERSIONS
+    ] + [
+        (f"{name}, {place}", {"data": make_response(lines=lines)})
+        for name, line in BROKEN_LINES
+        for place, lines in (
+            ("first line", line + b"\r\n" + sound_line),
+            ("later line", sound_line + line + b"\r\n"),
+        )
+    ]
+
+
+def split(data):
+    """Returns the single bytes of a response."""
+    return [data[index : index + 1] for index in range(len(data))]
--- a/tests/test_proxy_response_heads.py
+++ b/tests/test_proxy_response_heads.py
@@ -13,16 +13,7 @@
 
 
 class MalformedHeadTest(test_proxy_upstream.UpstreamConnectionCase):
-    scenarios = [
-        (name, {"data": heads.make_response(line, OWN)})
-        for name, line in heads.BROKEN_STATUSES + heads.BROKEN_VERSIONS
-    ] + [
-        (f"{name}, {place}", {
-            "data": heads.make_response(lines=before + line + b"\r\n" + after)})
-        for name, line in heads.BROKEN_LINES
-        for place, before, after in (
-            ("first line", b"", OWN), ("later line", OWN, b""))
-    ]  # fmt: skip
+    scenarios = heads.make_malformed_scenarios(OWN)
 
     def test_in_one_segment_it_fails_at_once(self):
         self.send()
@@ -31,10 +22,10 @@
 
     def test_in_single_bytes_it_fails_at_once(self):
         self.send()
-        for index in range(len(self.data)):
+        for byte in heads.split(self.data):
             if self.transport.aborted:
                 break
-            self.connection.dataReceived(self.data[index : index + 1])
+            self.connection.dataReceived(byte)
         self.check()
 
     def check(self):
--- a/tests/test_store_responses.py
+++ b/tests/test_store_responses.py
@@ -80,16 +80,7 @@
 
 
 class MalformedHeadTest(ResponseCase):
-    scenarios = [
-        (name, {"data": heads.make_response(line)})
-        for name, line in heads.BROKEN_STATUSES + heads.BROKEN_VERSIONS
-    ] + [
-        (f"{name}, {place}", {
-            "data": heads.make_response(lines=before + line + b"\r\n" + after)})
-        for name, line in heads.BROKEN_LINES
-        for place, before, after in (
-            ("first line", b"", b"B: c\r\n"), ("later line", b"B: c\r\n", b""))
-    ]  # fmt: skip
+    scenarios = heads.make_malformed_scenarios()
 
     @defer.inlineCallbacks
     def test_it_may_have_taken_effect(self):
@@ -107,9 +98,7 @@
     @defer.inlineCallbacks
     def test_it_is_a_response(self):
         data = heads.make_response(lines=self.line)
-        result = yield self.send(
-            [data[index : index + 1] for index in range(len(data))]
-        )
+        result = yield self.send(heads.split(data))
         self.assertEqual((200, heads.BODY), (result.ok.status, result.ok.body))
 
 
--- a/tests/test_upstream_response_heads.py
+++ b/tests/test_upstream_response_heads.py
@@ -29,25 +29,13 @@
 
 
 class MalformedHeadTest(HeadCase):
-    scenarios = [
-        (name, {"data": heads.make_response(line)})
-        for name, line in heads.BROKEN_STATUSES + heads.BROKEN_VERSIONS
-    ] + [
-        (f"{name}, {place}", {
-            "data": heads.make_response(lines=before + line + b"\r\n" + after)})
-        for name, line in heads.BROKEN_LINES
-        for place, before, after in (
-            ("first line", b"", b"B: c\r\n"), ("later line", b"B: c\r\n", b""))
-    ]  # fmt: skip
+    scenarios = heads.make_malformed_scenarios()
 
     def test_in_one_segment_it_fails_at_once(self):
         self.assertEqual([UNKNOWN], self.outcomes([self.data]))
 
     def test_in_single_bytes_it_fails_at_once(self):
-        segments = [
-            self.data[index : index + 1] for index in range(len(self.data))
-        ]
-        self.assertEqual([UNKNOWN], self.outcomes(segments))
+        self.assertEqual([UNKNOWN], self.outcomes(heads.split(self.data)))
 
 
 class SoundHeadTest(HeadCase):
