--- a/tests/test_proxy_early_response.py
+++ b/tests/test_proxy_early_response.py
@@ -38,6 +38,14 @@
 CHUNK = b"%x\r\n%s\r\n" % (len(BODY), BODY)
 
 
+def receive(connection, max_bytes):
+    """Returns received bytes; fails if the node has closed."""
+    data = connection.recv(max_bytes)
+    if not data:
+        raise ConnectionError("closed by the node")
+    return data
+
+
 def reset(connection):
     """Discards what is unsent and sends a reset."""
     connection.setsockopt(
@@ -81,25 +89,27 @@
         self._listener.close()
 
     def _serve(self):
-        with contextlib.suppress(OSError):
-            while True:
-                self._respond(self._listener.accept()[0])
-
-    def _read(self, connection, left_bytes):
-        while left_bytes > 0:
-            left_bytes -= len(connection.recv(min(left_bytes, 65536)))
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            with contextlib.suppress(OSError):
+                self._respond(connection)
 
     def _respond(self, connection):
         data = b""
         while b"\r\n\r\n" not in data:
-            data += connection.recv(4096)
+            data += receive(connection, 4096)
         own_id = next(
             line for line in data.split(b"\r\n") if b"Attempt-Id" in line
         )
         status_line, _, lines = self._head.partition(b"\r\n")
         head = b"\r\n".join([status_line, own_id, lines])
         if b"Content-Length: 0" not in data:
-            self._read(connection, self._random.randrange(MAX_READ_BYTES))
+            left_bytes = self._random.randrange(MAX_READ_BYTES)
+            while left_bytes > 0:
+                left_bytes -= len(receive(connection, left_bytes))
         connection.sendall(head + b"\r\n" + self._body)
         # Sleeping takes longer than the pause.
         ends_s = time.perf_counter() + self._random.uniform(0, MAX_PAUSE_S)
