--- a/src/cyclamendale/lean_reactor.py
+++ b/src/cyclamendale/lean_reactor.py
@@ -6,9 +6,9 @@
 
 Twisted's timers follow the time of day, which may step.
 
-Twisted takes a connection that is closed and has no input for one that the peer
-closed cleanly. The kernel reports a reset so for as long as it discards unsent
-data. Only a read tells how the connection ended.
+Twisted takes a connection that is reported as closed, without input, for one
+that the peer closed cleanly. After a reset the kernel reports just that until
+it has discarded the unsent data. Only a read tells how the connection ended.
 """
 
 from __future__ import annotations
