A malformed line fails before its head is complete, on the product's own path

Where the head never ended, the request was held until its deadline; on it failed at once (status, version, LF in a line, two lengths).

Cause: the checks of single lines gave way to one check of the whole head.

Change: each line is checked when it comes, with the status line and the lines that state a length.

Why it works: no line waits for the end of the head, and the lengths are compared as they come.

--- a/src/cyclamendale/upstream/http_connection.py
+++ b/src/cyclamendale/upstream/http_connection.py
@@ -41,6 +41,7 @@
 """Headers that are not forwarded: hop-by-hop headers, and Content-Length,
 which is set anew for the forwarded response."""
 
+_FRAMING_LINES = (b"content-length:", b"transfer-encoding:")
 _OWN_HEADER_PREFIX = b"x-cyclamendale-"
 
 
@@ -111,7 +112,7 @@
         self._status = 0
         self._header_lines: list[bytes] = []
         self._head_bytes = 0
-        self._head: list[bytes] = []
+        self._framing_head = b""
         self._chunked = False
         self._decoder: Any = None
         self._sending_body = False
@@ -153,7 +154,7 @@
         self._header = b""
         self._header_lines = []
         self._head_bytes = 0
-        self._head = []
+        self._framing_head = b""
         self._chunked = False
         self._decoder = None
         _immediate_write.write_now(self.transport, data)
@@ -215,14 +216,18 @@
             return
         try:
             if line:
-                self._head.append(line + b"\r\n")
-            else:
-                head, self._head = b"".join(self._head), []
-                response_heads.check(head)
+                self._check_line(line + b"\r\n")
             super().lineReceived(line)
         except (ValueError, IndexError):
             self._fail()
 
+    def _check_line(self, line: bytes) -> None:
+        """Checks a line, and whether it fits the lengths stated so far."""
+        head = self._framing_head + line
+        response_heads.check(head)
+        if not self._framing_head or line.lower().startswith(_FRAMING_LINES):
+            self._framing_head = head
+
     def lineLengthExceeded(self, line: bytes) -> None:
         """Fails a response with an oversized line."""
         self._fail()
@@ -255,6 +260,7 @@
             self._header_lines = []
             self.length = None
             self._chunked = False
+            self._framing_head = b""
             return
         handler = self._handler
         if handler is None:
--- a/tests/test_upstream_response_heads.py
+++ b/tests/test_upstream_response_heads.py
@@ -37,6 +37,11 @@
     def test_in_single_bytes_it_fails_at_once(self):
         self.assertEqual([UNKNOWN], self.outcomes(heads.split(self.data)))
 
+    def test_in_an_unfinished_head_it_fails_at_once(self):
+        # It was held until the deadline, as the head never ended.
+        lines, _, _ = self.data.rpartition(b"\r\n\r\n")
+        self.assertEqual([UNKNOWN], self.outcomes([lines + b"\r\n"]))
+
 
 class SoundHeadTest(HeadCase):
     scenarios = [
