Requests for a lost upstream don't run on its successor (ROUTE)

Cause: the gate compared a request with its upstream on arrival only. Requests in the queue, and those whose connection was being opened, were written to whichever process the gate had later; the bytes were made at that moment and named that process as the expected one. The same id with another service passed too, and an upstream that came back under its id at another port was sent to at the port it had left.

Change: UpstreamSender owns identity and connections of the current process; a run keeps the process it was admitted for; the one function that makes the bytes of a write compares id and service. What is unsent when the gate opens to another process is refused as not run at once. A closed pool writes nothing on connections that open late.

Why it works: no byte reaches a connection without passing that function, whatever a request waited for. An upstream that only restarted under its id stays the owner.

Tests: the fixture of test_proxy_gate puts its pool in through the sender now, and skips the start limit of a new process as before.

--- a/src/cyclamendale/fleet/own_upstream.py
+++ b/src/cyclamendale/fleet/own_upstream.py
@@ -132,6 +132,11 @@
                 current.upstream_id, current.started_at_ms
             )
         if self._announced.accepts_requests:
-            self._gate.open(current.upstream_id, current.address, current.slots)
+            self._gate.open(
+                current.upstream_id,
+                current.service,
+                current.address,
+                current.slots,
+            )
         elif self._announced.has_departed:
             self._gate.close(gates.GateState.LEAVING)
--- a/src/cyclamendale/proxy/gate.py
+++ b/src/cyclamendale/proxy/gate.py
@@ -10,11 +10,11 @@
 
 from collections.abc import Callable
 import enum
-import functools
 from typing import Any
 
 from cyclamendale import buffer_budget
 from cyclamendale import clocks
+from cyclamendale import ids
 from cyclamendale import refusals
 from cyclamendale.overload import gate_queue
 from cyclamendale.overload import pressure
@@ -23,9 +23,8 @@
 from cyclamendale.proxy import header_names
 from cyclamendale.proxy import limit_observer
 from cyclamendale.proxy import messages
-from cyclamendale.proxy import request_encoding
 from cyclamendale.proxy import upstream_connection as connections
-from cyclamendale.proxy import upstream_pool
+from cyclamendale.proxy import upstream_sender
 
 SWEEP_INTERVAL_S = 0.1
 """Interval of the deadline check; it bounds how late a request times out."""
@@ -53,7 +52,6 @@
 
     Attributes:
         state: Whether the gate forwards requests.
-        upstream_id: Id of the upstream process; empty if unknown.
         on_run: Called with each request that is forwarded, if set.
         on_leaving: Called with the id of an upstream process that states in a
             response that it leaves.
@@ -69,7 +67,6 @@
         budget: buffer_budget.BufferBudget | None = None,
     ) -> None:
         self._clock = clock
-        self._header_names = header_names
         self._log = log
         self._on_state_change = on_state_change
         self._queue = gate_queue.make_gate_queue()
@@ -78,21 +75,18 @@
         )
         self._pressure = pressure.PressureControl(clock.now_s())
         self._refused_share = pressure.RefusedShare()
-        self._make_pool = functools.partial(
-            upstream_pool.make_upstream_pool,
+        self._sender = upstream_sender.UpstreamSender(
             reactor,
             clock,
             header_names,
             budget or buffer_budget.BufferBudget(),
         )
-        self._pool: upstream_pool.UpstreamPool | None = None
         self._runs: dict[gate_queue.Ticket, gate_run.GateRun] = {}
         self._consecutive_timeouts = 0
         self._slots = usable_slots.UsableSlots()
         self._timer: clocks.DelayedCall | None = None
         self._start_timer: clocks.DelayedCall | None = None
         self.state = GateState.UNKNOWN
-        self.upstream_id = ""
         self.on_run: Callable[[messages.UpstreamRequest], None] | None = None
         self.on_leaving: Callable[[str], None] = lambda upstream_id: None
 
@@ -107,21 +101,29 @@
         self.close(GateState.LEAVING)
         clocks.cancel(self._timer)
         clocks.cancel(self._start_timer)
-        if self._pool is not None:
-            self._pool.close()
+        self._sender.close()
 
     # Changes that announcements cause.
 
-    def open(self, upstream_id: str, address: str, slots: int) -> None:
+    def open(
+        self,
+        upstream_id: str,
+        service: ids.ServiceName,
+        address: str,
+        slots: int,
+    ) -> None:
         """Opens the gate to a ready upstream; a new one replaces the old.
 
         Args:
             upstream_id: Id of the upstream process.
+            service: Service that it runs.
             address: Address it listens on, `ip:port`.
             slots: Number of requests that it runs concurrently.
         """
-        if upstream_id != self.upstream_id or self._pool is None:
-            self._replace_upstream(upstream_id, address)
+        if self._sender.set_upstream(upstream_id, service, address):
+            self._queue.replace_upstream(self._clock.now_s())
+            self._refused_share = pressure.RefusedShare()
+        self._refuse_unsent_of_others()
         self._slots.announce(slots)
         self._queue.set_slots(slots)
         if self.state is not GateState.OPEN:
@@ -139,6 +141,11 @@
 
     # Queries and requests.
 
+    @property
+    def upstream_id(self) -> str:
+        """Returns the id of the upstream process; empty if unknown."""
+        return self._sender.upstream_id
+
     def load(self) -> gate_queue.GateLoad:
         """Returns the state of the queue."""
         return self._queue.load()
@@ -165,8 +172,10 @@
     ) -> messages.Handle | None:
         """See base class."""
         now_s = self._clock.now_s()
-        if self.state is not GateState.OPEN or (
-            request.upstream_id and request.upstream_id != self.upstream_id
+        if (
+            self.state is not GateState.OPEN
+            or request.upstream_id not in ("", self.upstream_id)
+            or request.service != self._sender.service
         ):
             receiver(refusals.Refusal(self._closed_reason()))
             return None
@@ -175,7 +184,9 @@
         if verdict is gate_queue.Verdict.REFUSE:
             receiver(self._refusal(refusals.RefusalReason.QUEUE_FULL))
             return None
-        run = gate_run.GateRun(self._cancel_run, ticket, receiver)
+        run = gate_run.GateRun(
+            self._cancel_run, ticket, self.upstream_id, receiver
+        )
         self._runs[ticket] = run
         if verdict is gate_queue.Verdict.START:
             self._forward(run)
@@ -199,25 +210,9 @@
     # Forwarding and outcome.
 
     def _forward(self, run: gate_run.GateRun) -> None:
-        request = run.ticket.request
-        run.upstream_id = self.upstream_id
-        pool = self._pool
-        assert pool is not None
         if self.on_run is not None:
-            self.on_run(request)
-        method = request.head.partition(b" ")[0]
-        run.lease = pool.send(
-            lambda: request_encoding.encode(
-                request,
-                self._header_names,
-                self.upstream_id,
-                self._clock.now_s(),
-            ),
-            request.request_id.encode("latin-1"),
-            method == b"HEAD",
-            request.idempotent,
-            lambda result: self._on_result(run, result),
-        )
+            self.on_run(run.ticket.request)
+        self._sender.send(run, lambda result: self._on_result(run, result))
 
     def _on_result(
         self,
@@ -278,6 +273,8 @@
             upstream=self.upstream_id,
             age_s=round(self._clock.now_s() - run.ticket.arrived_s, 3),
         )
+        if reason is connections.Failure.NOT_SENT:
+            return refusals.Refusal(refusals.RefusalReason.NO_TARGET)
         if reason is connections.Failure.NOT_CONNECTED:
             self.close(GateState.LOST)
             return refusals.Refusal(refusals.RefusalReason.NO_TARGET)
@@ -320,6 +317,21 @@
         if run is not None and run.receiver is not None:
             run.receiver(self._refusal(reason))
 
+    def _refuse_unsent_of_others(self) -> None:
+        """Refuses requests that were admitted for an earlier upstream."""
+        for run in tuple(self._runs.values()):
+            if run.is_sent or self._sender.is_owner(run):
+                continue
+            reason = refusals.RefusalReason.NO_TARGET
+            if run.lease is None:
+                self._queue.withdraw(run.ticket)
+                self._refuse(run.ticket, reason)
+                continue
+            run.lease.cancel()
+            self._finish_run(run, counts_service_time=False)
+            if run.receiver is not None:
+                run.receiver(self._refusal(reason))
+
     def _closed_reason(self) -> refusals.RefusalReason:
         if self.state is GateState.LEAVING:
             return refusals.RefusalReason.LEAVING
@@ -366,14 +378,6 @@
         if run.receiver is not None:
             run.receiver(refusals.make_lost_refusal())
 
-    def _replace_upstream(self, upstream_id: str, address: str) -> None:
-        if self._pool is not None:
-            self._pool.close()
-        self.upstream_id = upstream_id
-        self._queue.replace_upstream(self._clock.now_s())
-        self._refused_share = pressure.RefusedShare()
-        self._pool = self._make_pool(address)
-
     def _set_state(self, state: GateState) -> None:
         self._log.belief(
             "upstream-door",
--- a/src/cyclamendale/proxy/gate_run.py
+++ b/src/cyclamendale/proxy/gate_run.py
@@ -16,7 +16,7 @@
         ticket: Its place in the queue.
         receiver: Receives its outcome; None once it is cancelled.
         lease: Connection to the upstream, once it is forwarded.
-        upstream_id: Upstream process that it was forwarded to.
+        upstream_id: Upstream process that it was admitted for.
     """
 
     __slots__ = ("_on_cancel", "lease", "receiver", "ticket", "upstream_id")
@@ -25,13 +25,19 @@
         self,
         on_cancel: Callable[[GateRun], None],
         ticket: gate_queue.Ticket,
+        upstream_id: str,
         receiver: messages.OutcomeReceiver,
     ) -> None:
         self._on_cancel = on_cancel
         self.ticket = ticket
         self.receiver: messages.OutcomeReceiver | None = receiver
         self.lease: upstream_pool.Lease | None = None
-        self.upstream_id = ""
+        self.upstream_id = upstream_id
+
+    @property
+    def is_sent(self) -> bool:
+        """Returns whether the request was written to the upstream."""
+        return self.lease is not None and self.lease.is_sent
 
     def cancel(self) -> None:
         """See base class."""
--- a/src/cyclamendale/proxy/upstream_connection.py
+++ b/src/cyclamendale/proxy/upstream_connection.py
@@ -38,6 +38,8 @@
 
     NOT_CONNECTED = "not-connected"
     """There was no connection; no byte was sent."""
+    NOT_SENT = "not-sent"
+    """The upstream was replaced before a byte was sent."""
     BROKEN = "broken"
     """The connection closed during the exchange."""
     GARBLED = "garbled"
--- a/src/cyclamendale/proxy/upstream_pool.py
+++ b/src/cyclamendale/proxy/upstream_pool.py
@@ -45,6 +45,11 @@
         """Returns whether the request was cancelled."""
         return self._is_cancelled
 
+    @property
+    def is_sent(self) -> bool:
+        """Returns whether the request was written to a connection."""
+        return self._connection is not None
+
     def attach(self, connection: connections.UpstreamConnection) -> None:
         """Sets the connection that carries the request."""
         self._connection = connection
@@ -79,7 +84,7 @@
 
     def send(
         self,
-        encode_request: Callable[[], bytes],
+        encode_request: Callable[[], bytes | None],
         request_id: bytes,
         is_head_request: bool,
         idempotent: bool,
@@ -88,7 +93,8 @@
         """Sends a request over an idle or a new connection.
 
         Args:
-            encode_request: Encodes the request at the moment of sending.
+            encode_request: Encodes the request at the moment of sending;
+                returns None if it may not be sent any more.
             request_id: Id that the response must echo.
             is_head_request: Whether it is a HEAD request, whose response has
                 no body.
@@ -96,26 +102,29 @@
             receiver: Called once unless the lease is cancelled.
         """
         lease = Lease()
+
+        def write(connection: connections.UpstreamConnection) -> None:
+            data = None
+            if not (lease.is_cancelled or self._is_closed):
+                data = encode_request()
+            if data is not None:
+                lease.attach(connection)
+                connection.send(data, request_id, is_head_request, receiver)
+                return
+            self._release(connection)
+            if not lease.is_cancelled:
+                receiver(connections.Failure.NOT_SENT)
+
         connection = self._acquire(idempotent, request_id)
         if connection is not None:
-            lease.attach(connection)
-            connection.send(
-                encode_request(), request_id, is_head_request, receiver
-            )
+            write(connection)
             return lease
 
-        def on_open(new: connections.UpstreamConnection) -> None:
-            if lease.is_cancelled:
-                self._release(new)
-                return
-            lease.attach(new)
-            new.send(encode_request(), request_id, is_head_request, receiver)
-
         def on_failed() -> None:
             if not lease.is_cancelled:
                 receiver(connections.Failure.NOT_CONNECTED)
 
-        self._connect(on_open, on_failed)
+        self._connect(write, on_failed)
         return lease
 
     def close(self) -> None:
--- a/tests/test_fleet_departures.py
+++ b/tests/test_fleet_departures.py
@@ -30,7 +30,7 @@
         self.state = gates.GateState.UNKNOWN
         self.on_leaving = None
 
-    def open(self, upstream_id, address, slots):
+    def open(self, upstream_id, service, address, slots):
         self.state = gates.GateState.OPEN
 
     def close(self, state):
--- a/tests/test_proxy_gate.py
+++ b/tests/test_proxy_gate.py
@@ -19,6 +19,8 @@
 
 
 class FakeLease:
+    is_sent = True
+
     def __init__(self, sent):
         self.sent = sent
         self.is_cancelled = False
@@ -61,7 +63,8 @@
         self.log = fake_log.FakeLog()
         self.gate = self.build_gate(lambda: None)
         self.pool = FakePool()
-        self.gate._replace_upstream = self.use_fake_pool
+        self.gate._sender._make_pool = lambda address: self.pool
+        self.gate._queue.replace_upstream = lambda now_s: None
         self.gate.start()
         self.outcomes = []
 
@@ -74,12 +77,8 @@
             on_state_change,
         )
 
-    def use_fake_pool(self, upstream_id, address):
-        self.gate.upstream_id = upstream_id
-        self.gate._pool = self.pool
-
     def open(self, slots=10):
-        self.gate.open("i-1", "10.0.0.9:80", slots)
+        self.gate.open("i-1", "wash", "10.0.0.9:80", slots)
 
     def run_request(self, **values):
         return self.gate.run(
@@ -224,7 +223,7 @@
     def test_of_an_earlier_process_is_not_reported(self):
         self.open()
         self.run_request()
-        self.gate.open("i-2", "10.0.0.9:80", 10)
+        self.gate.open("i-2", "wash", "10.0.0.9:80", 10)
         self.pool.respond(is_leaving=True)
         self.assertEqual([], self.reported)
 
--- a/tests/test_proxy_gate_limit.py
+++ b/tests/test_proxy_gate_limit.py
@@ -94,7 +94,7 @@
     def test_the_limit_of_an_earlier_process_is_ignored(self):
         self.open(slots=100)
         self.run_request()
-        self.gate.open("i-2", "10.0.0.9:80", 100)
+        self.gate.open("i-2", "wash", "10.0.0.9:80", 100)
         self.pool.respond(limit_per_s=2.0)
         self.assertEqual(94, self.gate.load().capacity)
 
