Outcomes of a lost upstream don't count against its successor

What callers saw: 503 for a new upstream that was ready and idle, after another had been lost on its host.

Cause: the gate booked outcomes on whichever process it had. Four time-outs, one 421 or one failed connection of the earlier process closed the gate of the new one until its next heartbeat, and requests without an answer kept their slots until their deadline.

Change: outcomes count only if their request was admitted for the current process; the queue numbers processes, so that an earlier one's requests take no slot and give no sample. This takes the place of the count that did so for the limit alone.

Why it works: each started ticket carries the number of its process, so no order of outcomes and replacements can mix them up.

--- a/src/cyclamendale/overload/gate_queue.py
+++ b/src/cyclamendale/overload/gate_queue.py
@@ -86,12 +86,14 @@
         priority: Rank, or one of those above, and 1 if it will miss its aim,
             else 0.
         is_withdrawn: Whether it left the queue without being started.
+        process: Number of the upstream process that it was started on.
     """
 
     __slots__ = (
         "arrived_s",
         "is_withdrawn",
         "priority",
+        "process",
         "started_s",
         "request",
     )
@@ -102,6 +104,7 @@
         self.started_s: float | None = None
         self.priority = (ONWARD_RANK if request.onward else request.rank, 0)
         self.is_withdrawn = False
+        self.process = 0
 
 
 class GateLoad(msgspec.Struct, frozen=True):
@@ -144,17 +147,16 @@
         self._is_measured = False
         self._root_share = 1.0
         self._limit = start_limit.make_start_limit()
-        self._replaced_s = -math.inf
-        self._in_service_before = 0
+        self._process = 0
 
-    def replace_upstream(self, now_s: float) -> None:
-        """Forgets the limit of an earlier process.
+    def replace_upstream(self) -> None:
+        """Forgets the limit of an earlier process, and what runs on it.
 
         The new one may have named a limit to an earlier process of this node.
         """
         self._limit = start_limit.make_unproven_start_limit()
-        self._replaced_s = now_s
-        self._in_service_before = self._in_service
+        self._process += 1
+        self._in_service = 0
 
     def observe_limit(self, named_per_s: float | None, now_s: float) -> None:
         """Takes the limit of a response; None if it named none."""
@@ -226,10 +228,10 @@
             is_sample: Whether its duration is a service time. A duration
                 above the mean always counts, as a lower bound.
         """
+        if ticket.process != self._process:
+            return
         self._in_service -= 1
         assert ticket.started_s is not None
-        if ticket.started_s <= self._replaced_s and self._in_service_before:
-            self._in_service_before -= 1
         duration_s = now_s - ticket.started_s
         if not (is_sample or duration_s > self._service_time_s):
             return
@@ -288,6 +290,7 @@
 
     def _start(self, ticket: Ticket, now_s: float) -> None:
         ticket.started_s = now_s
+        ticket.process = self._process
         self._in_service += 1
         self._limit.record_start(now_s)
 
@@ -298,8 +301,7 @@
         )
 
     def _limit_wait_s(self, now_s: float) -> float:
-        in_service = self._in_service - self._in_service_before
-        return self._limit.wait_s(in_service, now_s)
+        return self._limit.wait_s(self._in_service, now_s)
 
     def _start_interval_s(self) -> float:
         """Returns the mean time between two starts of a busy upstream."""
--- a/src/cyclamendale/proxy/gate.py
+++ b/src/cyclamendale/proxy/gate.py
@@ -121,8 +121,9 @@
             slots: Number of requests that it runs concurrently.
         """
         if self._sender.set_upstream(upstream_id, service, address):
-            self._queue.replace_upstream(self._clock.now_s())
+            self._queue.replace_upstream()
             self._refused_share = pressure.RefusedShare()
+            self._consecutive_timeouts = 0
         self._refuse_unsent_of_others()
         self._slots.announce(slots)
         self._queue.set_slots(slots)
@@ -220,11 +221,8 @@
         result: connections.UpstreamResponse | connections.Failure,
     ) -> None:
         if isinstance(result, connections.UpstreamResponse):
-            self._consecutive_timeouts = 0
-            if run.upstream_id == self.upstream_id and result.status != 421:
-                self._limit_observer.observe(self.upstream_id, result)
-                if result.is_leaving and self.state is GateState.OPEN:
-                    self.on_leaving(self.upstream_id)
+            if self._sender.is_owner(run):
+                self._observe(result)
             outcome = self._on_response(run, result)
         else:
             outcome = self._on_failure(run, result)
@@ -240,21 +238,30 @@
         self, run: gate_run.GateRun, response: connections.UpstreamResponse
     ) -> messages.Outcome:
         if not response.not_run and response.status != 421:
-            self._refused_share.record(False)
             return response
-        if response.status == 421:
-            # Another process listens there; its announcement opens the gate.
-            self.close(GateState.UNKNOWN)
-        elif response.status == 503:
-            self._handle_overload_refusal()
         self._log.decision(
             "upstream-refused",
             run.ticket.request.request_id,
             status=response.status,
-            upstream=self.upstream_id,
+            upstream=run.upstream_id,
         )
         return self._refusal(refusals.RefusalReason.UPSTREAM_REFUSED)
 
+    def _observe(self, response: connections.UpstreamResponse) -> None:
+        """Takes what a response tells of the current upstream process."""
+        self._consecutive_timeouts = 0
+        if response.status == 421:
+            # Another process listens there; its announcement opens the gate.
+            self.close(GateState.UNKNOWN)
+            return
+        self._limit_observer.observe(self.upstream_id, response)
+        if response.is_leaving and self.state is GateState.OPEN:
+            self.on_leaving(self.upstream_id)
+        if not response.not_run:
+            self._refused_share.record(False)
+        elif response.status == 503:
+            self._handle_overload_refusal()
+
     def _handle_overload_refusal(self) -> None:
         load = self._queue.load()
         if self._slots.back_off(load.in_service, load.capacity):
@@ -270,13 +277,14 @@
             "upstream-failed",
             request.request_id,
             failure=reason.value,
-            upstream=self.upstream_id,
+            upstream=run.upstream_id,
             age_s=round(self._clock.now_s() - run.ticket.arrived_s, 3),
         )
         if reason is connections.Failure.NOT_SENT:
             return refusals.Refusal(refusals.RefusalReason.NO_TARGET)
         if reason is connections.Failure.NOT_CONNECTED:
-            self.close(GateState.LOST)
+            if self._sender.is_owner(run):
+                self.close(GateState.LOST)
             return refusals.Refusal(refusals.RefusalReason.NO_TARGET)
         return refusals.Refusal(
             refusals.RefusalReason.UPSTREAM_FAILED,
@@ -360,11 +368,11 @@
         self._pressure.update(load.wait_s, load.service_time_s, now_s)
 
     def _time_out(self, run: gate_run.GateRun) -> None:
-        self._consecutive_timeouts += 1
+        self._consecutive_timeouts += self._sender.is_owner(run)
         self._log.decision(
             "upstream-silent",
             run.ticket.request.request_id,
-            upstream=self.upstream_id,
+            upstream=run.upstream_id,
             in_a_row=self._consecutive_timeouts,
         )
         if run.lease is not None:
--- a/src/cyclamendale/proxy/upstream_sender.py
+++ b/src/cyclamendale/proxy/upstream_sender.py
@@ -52,20 +52,21 @@
     def set_upstream(
         self, upstream_id: str, service: ids.ServiceName, address: str
     ) -> bool:
-        """Sets the current process; returns whether its connections are new.
+        """Sets the current process; returns whether it is another one.
 
         Args:
             upstream_id: Id of the process.
             service: Service that it runs.
             address: Address it listens on, `ip:port`.
         """
-        is_new = (upstream_id, address) != (self.upstream_id, self._address)
-        if is_new:
-            self.close()
-            self._pool = self._make_pool(address)
-        self.upstream_id, self._address = upstream_id, address
-        self.service = service
-        return is_new
+        known = self.upstream_id, self.service, self._address
+        if known == (upstream_id, service, address):
+            return False
+        self.close()
+        self._pool = self._make_pool(address)
+        self.upstream_id, self.service = upstream_id, service
+        self._address = address
+        return True
 
     def close(self) -> None:
         """Closes idle connections now and the others after their request."""
--- a/tests/test_overload_gate_queue.py
+++ b/tests/test_overload_gate_queue.py
@@ -297,7 +297,7 @@
         queue, taken = filled_queue()
         for ticket in taken[:6]:
             queue.finish(ticket, 1.1, True)
-        queue.replace_upstream(1.1)
+        queue.replace_upstream()
         started = self.start_all(queue, 1.2)
         self.assertEqual(start_limit.UNPROVEN_IN_SERVICE, len(started))
         for ticket in taken[6:]:
--- a/tests/test_proxy_gate.py
+++ b/tests/test_proxy_gate.py
@@ -64,7 +64,7 @@
         self.gate = self.build_gate(lambda: None)
         self.pool = FakePool()
         self.gate._sender._make_pool = lambda address: self.pool
-        self.gate._queue.replace_upstream = lambda now_s: None
+        self.gate._queue.replace_upstream = lambda: None
         self.gate.start()
         self.outcomes = []
 
--- a/tests/test_proxy_gate_replaced.py
+++ b/tests/test_proxy_gate_replaced.py
@@ -40,10 +40,11 @@
         )
         self.gate.start()
         self.outcomes = []
+        self.slots = 2
         self.open_gate()
 
     def open_gate(self, upstream_id="i-1", service="wash", address=ADDRESS):
-        self.gate.open(upstream_id, service, address, 2)
+        self.gate.open(upstream_id, service, address, self.slots)
 
     def run_request(self, **values):
         return self.gate.run(
@@ -165,3 +166,54 @@
         self.assertEqual(b"", self.connect().transport.value())
         self.assertEqual([(NO_TARGET, NOT_RUN)], self.refused())
         self.assertIs(gates.GateState.OPEN, self.gate.state)
+
+
+class PredecessorTest(ReplacedCase):
+    """Requests of a lost upstream closed or filled its successor's gate."""
+
+    scenarios = _OTHERS
+
+    def setUp(self):
+        super().setUp()
+        self.own = {
+            "upstream_id": self.successor.get("upstream_id", "i-1"),
+            "service": self.successor.get("service", "wash"),
+        }
+        self.slots = 10
+        self.open_gate()
+        self.sent = []
+        for _ in range(gates.MAX_CONSECUTIVE_TIMEOUTS):
+            self.run_request(deadline_s=1.0)
+            self.sent.append(self.connect())
+        self.open_gate(**self.successor)
+
+    def test_its_time_outs_do_not_close_the_gate(self):
+        self.reactor.pump([0.1] * 15)
+        self.assertEqual(
+            [refusals.RefusalReason.LOST] * len(self.sent),
+            [outcome.reason for outcome in self.outcomes],
+        )
+        self.assertIs(gates.GateState.OPEN, self.gate.state)
+
+    def test_a_421_to_its_request_does_not_close_the_gate(self):
+        self.sent[0].dataReceived(
+            b"HTTP/1.1 421 X\r\nX-Cyclamendale-Attempt-Id: r1\r\n"
+            b"X-Cyclamendale-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        )
+        self.assertEqual(
+            [(refusals.RefusalReason.UPSTREAM_REFUSED, NOT_RUN)],
+            self.refused(),
+        )
+        self.assertIs(gates.GateState.OPEN, self.gate.state)
+
+    def test_its_requests_take_no_room(self):
+        before = len(self.reactor.tcpClients)
+        for _ in range(gates.MAX_CONSECUTIVE_TIMEOUTS):
+            self.run_request(**self.own)
+        self.assertEqual(
+            gates.MAX_CONSECUTIVE_TIMEOUTS,
+            len(self.reactor.tcpClients) - before,
+        )
+        self.assertEqual(
+            gates.MAX_CONSECUTIVE_TIMEOUTS, self.gate.load().at_gate
+        )
